--- /dev/null
+++ b/Makefile
@@ -0,0 +1,37 @@
+# Each target sets up what it needs: Python 3.11 and pip suffice.
+PYTHON ?= python3.11
+VENV := .venv
+BIN := $(VENV)/bin
+STAMP := $(VENV)/.stamp
+ONLY ?=
+
+.PHONY: test demo measure binary format clean
+
+$(STAMP): requirements.lock pyproject.toml
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/python -m pip install --quiet --disable-pip-version-check --no-deps -r requirements.lock
+	$(BIN)/python -m pip install --quiet --disable-pip-version-check --no-deps --no-build-isolation --editable .
+	touch $(STAMP)
+
+test: $(STAMP)
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+	$(BIN)/mypy
+	$(BIN)/python -m pytest
+
+demo: $(STAMP)
+	$(BIN)/python -m demo
+
+measure: $(STAMP)
+	$(BIN)/python -m bench $(if $(ONLY),--only $(ONLY))
+
+binary: $(STAMP)
+	$(BIN)/python -m pip wheel --quiet --disable-pip-version-check --no-deps --no-build-isolation --wheel-dir build/wheel .
+	$(BIN)/shiv --quiet --reproducible --output-file dist/crocusrouter --entry-point crocusrouter.cli.main:main --python "/usr/bin/env python3.11" -r requirements.runtime.lock build/wheel/crocusrouter-*.whl
+
+format: $(STAMP)
+	$(BIN)/ruff format .
+	$(BIN)/ruff check --fix .
+
+clean:
+	rm -rf build dist .hypothesis .mypy_cache .ruff_cache
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements: python -m bench."""
--- /dev/null
+++ b/crocusrouter/__main__.py
@@ -0,0 +1,6 @@
+"""Runs the command line: python -m crocusrouter."""
+
+from crocusrouter.cli.main import main
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/crocusrouter/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Command line for operators and callers."""
--- /dev/null
+++ b/crocusrouter/fleet/link.py
@@ -0,0 +1,144 @@
+"""The owner's connection to one worker."""
+
+from collections.abc import Callable
+import dataclasses
+from typing import Any
+
+import trio
+import websockets
+import websockets.trio.client
+
+from crocusrouter import codec
+from crocusrouter.fleet import lease
+from crocusrouter.fleet import messages
+from crocusrouter.telemetry import log
+
+_OPEN_TIMEOUT_S = 1.0
+_CLOSE_TIMEOUT_S = 0.2
+_FIRST_PAUSE_S = 0.1
+_LONGEST_PAUSE_S = 1.0
+_MAX_MESSAGE = 1 << 20
+_OUTBOX = 10_000
+
+Receive = Callable[[str, object], None]
+
+
+class WorkerLink:
+    """Sends commands to a worker, renews its leases, delivers its messages.
+
+    One connection a worker; it carries an epoch, so that a worker that knows
+    a later owner refuses everything that comes over it.
+    """
+
+    def __init__(
+        self,
+        worker: str,
+        address: str,
+        hello: messages.Hello,
+        receive: Receive,
+        now: float,
+    ) -> None:
+        """Prepare a link.
+
+        Args:
+            worker: The worker's name.
+            address: "IP:port" of the worker.
+            hello: Opens each connection.
+            receive: Called with the worker's name and each message.
+            now: Seconds on the process's own clock.
+        """
+        self.worker = worker
+        self.lease = lease.Lease(hello.lease_s, now)
+        self._url = f"ws://{address}/link"
+        self._hello = hello
+        self._receive = receive
+        self._outbox: trio.MemorySendChannel[object] | None = None
+        self._renewal_open = False
+
+    def send(self, message: object) -> None:
+        """Queue a command; dropped if there is no connection.
+
+        A dropped command is made good by the inventory that opens the next
+        connection.
+        """
+        if self._outbox is not None:
+            self._outbox.send_nowait(message)
+
+    async def run(self) -> None:
+        """Keep a connection open until cancelled."""
+        pause_s = _FIRST_PAUSE_S
+        while True:
+            try:
+                await self._serve_connection()
+                pause_s = _FIRST_PAUSE_S
+            except (OSError, websockets.WebSocketException, TimeoutError):
+                pause_s = min(pause_s * 2, _LONGEST_PAUSE_S)
+            await trio.sleep(pause_s)
+
+    async def _serve_connection(self) -> None:
+        async with websockets.trio.client.connect(
+            self._url,
+            compression=None,
+            proxy=None,
+            open_timeout=_OPEN_TIMEOUT_S,
+            close_timeout=_CLOSE_TIMEOUT_S,
+            ping_interval=None,
+            max_size=_MAX_MESSAGE,
+        ) as connection:
+            await connection.send(messages.REGISTRY.encode(self._hello))
+            send, outbox = trio.open_memory_channel[object](_OUTBOX)
+            self._outbox = send
+            self._renewal_open = False
+            try:
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(self._send_queued, connection, outbox)
+                    nursery.start_soon(self._renew, nursery.cancel_scope)
+                    await self._take_messages(connection)
+                    nursery.cancel_scope.cancel()
+            finally:
+                self._outbox = None
+
+    async def _send_queued(
+        self, connection: Any, outbox: trio.MemoryReceiveChannel[object]
+    ) -> None:
+        try:
+            async for message in outbox:
+                await connection.send(messages.REGISTRY.encode(message))
+        except websockets.ConnectionClosed:
+            return
+
+    async def _renew(self, scope: trio.CancelScope) -> None:
+        """Renew at a third of the lease; retire a silent connection.
+
+        The worker may be alive behind a connection that something in between
+        has forgotten. A renewal unanswered when the next one is due ends the
+        connection, and a new one tells the two cases apart.
+        """
+        interval_s = self.lease.lease_s / lease.RENEWALS_PER_LEASE
+        while True:
+            if self._renewal_open:
+                log("worker:connection-silent", worker=self.worker)
+                scope.cancel()
+                return
+            self._renewal_open = True
+            self.send(messages.Renew())
+            await trio.sleep(interval_s)
+
+    async def _take_messages(self, connection: Any) -> None:
+        try:
+            async for frame in connection:
+                self._take(messages.REGISTRY.decode(frame))
+        except websockets.ConnectionClosed:
+            return
+        except codec.BadMessageError as error:
+            log("worker:bad-message", worker=self.worker, error=str(error))
+
+    def _take(self, message: object) -> None:
+        if isinstance(message, messages.Renewed):
+            self._renewal_open = False
+            self._note_answer(trio.current_time())
+        else:
+            self._receive(self.worker, message)
+
+    def _note_answer(self, now: float) -> None:
+        self.lease = dataclasses.replace(self.lease, answered_at=now)
--- /dev/null
+++ b/crocusrouter/http/server.py
@@ -0,0 +1,93 @@
+"""The HTTP listener: hypercorn, with malformed messages refused and counted."""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+from typing import Any
+
+import h11
+import hypercorn
+import hypercorn.protocol
+import hypercorn.protocol.h11
+import hypercorn.trio
+from starlette.types import ASGIApp
+import trio
+
+from crocusrouter.outcomes import Refusal
+from crocusrouter.outcomes import RefusalReason
+from crocusrouter.outcomes import render_refusal
+from crocusrouter.telemetry import Metrics
+
+_KEEP_ALIVE_S = 30.0
+_MAX_REQUESTS_PER_CONNECTION = 100_000
+_MAX_HEADER_BYTES = 16 << 10
+_PROTOCOL_NAME = "H11Protocol"
+
+
+def build_config(
+    listen: str, stop_timeout_s: float, metrics: Metrics
+) -> hypercorn.Config:
+    """Return the server's configuration.
+
+    Args:
+        listen: "IP:port".
+        stop_timeout_s: How long a planned stop waits for open requests.
+        metrics: Counts malformed messages.
+    """
+    config = hypercorn.Config()
+    config.bind = [listen]
+    config.accesslog = None
+    config.errorlog = None
+    config.keep_alive_timeout = _KEEP_ALIVE_S
+    config.keep_alive_max_requests = _MAX_REQUESTS_PER_CONNECTION
+    config.h11_max_incomplete_size = _MAX_HEADER_BYTES
+    config.graceful_timeout = stop_timeout_s
+    config.include_server_header = False
+    config.crocusrouter_metrics = metrics  # type: ignore[attr-defined]
+    return config
+
+
+class RefusingProtocol(hypercorn.protocol.h11.H11Protocol):
+    """Answers malformed messages with a counted, typed refusal.
+
+    hypercorn answers them itself, with an empty body, before any application
+    code runs; operators then couldn't see them and callers couldn't tell
+    what to mend.
+    """
+
+    async def _send_error_response(self, status_code: int) -> None:
+        refusal = Refusal(RefusalReason.MALFORMED_HTTP)
+        metrics = getattr(self.config, "crocusrouter_metrics", None)
+        if metrics is not None:
+            metrics.count_refusal(refusal.reason)
+        rendered = render_refusal(refusal, "not-run")
+        headers = [
+            (name.encode(), value.encode())
+            for name, value in rendered.headers.items()
+        ]
+        headers.append((b"Content-Length", str(len(rendered.body)).encode()))
+        headers.append((b"Connection", b"close"))
+        await self._send_h11_event(
+            h11.Response(status_code=status_code, headers=headers)
+        )
+        await self._send_h11_event(h11.Data(data=rendered.body))
+        await self._send_h11_event(h11.EndOfMessage())
+
+
+# hypercorn names its protocol class in one place and has no setting for it.
+setattr(hypercorn.protocol, _PROTOCOL_NAME, RefusingProtocol)
+
+
+async def serve_http(
+    app: ASGIApp,
+    config: hypercorn.Config,
+    shutdown_trigger: Callable[..., Awaitable[None]],
+    task_status: trio.TaskStatus[Any] = trio.TASK_STATUS_IGNORED,
+) -> None:
+    """Serve `app` until `shutdown_trigger` returns and requests are done."""
+    await hypercorn.trio.serve(
+        app,  # type: ignore[arg-type]
+        config,
+        mode="asgi",
+        shutdown_trigger=shutdown_trigger,
+        task_status=task_status,
+    )
--- /dev/null
+++ b/crocusrouter/jobs/book.py
@@ -0,0 +1,336 @@
+"""The book of one data centre: its jobs, gangs and workers in memory.
+
+Methods take an event and the present time and return effects: the jobs that
+changed, to be journaled, and the commands to send once they are. The book
+does no I/O, so the same code runs under its owner, in tests and in
+measurements.
+"""
+
+import collections
+from collections.abc import Iterable
+import dataclasses
+
+from crocusrouter.fleet import messages
+from crocusrouter.jobs import cells
+from crocusrouter.jobs import gang as gangs
+from crocusrouter.jobs import model
+from crocusrouter.jobs import placement
+from crocusrouter.outcomes import Refusal
+from crocusrouter.outcomes import RefusalReason
+from crocusrouter.outcomes import RetryReason
+from crocusrouter.templates import Catalog
+
+_EVENTS_KEPT = 16
+_RETRY_REASONS = {
+    gangs.End.FAILED: RetryReason.TASK_FAILED,
+    gangs.End.LOST: RetryReason.WORKER_LOST,
+    gangs.End.DECLINED: RetryReason.WORKER_DECLINED,
+}
+
+
+@dataclasses.dataclass
+class Worker:
+    """A worker as its owner knows it.
+
+    Attributes:
+        name: Its name.
+        rack: Its rack.
+        accelerators: How many it has.
+        known: Whether it told this owner what it holds. Until then nothing
+            is placed on it: an earlier owner's tasks may still run there.
+        live: Whether the VM list shows it as staying.
+        strays: Tasks that it holds and no gang accounts for.
+    """
+
+    name: str
+    rack: str
+    accelerators: int
+    known: bool = False
+    live: bool = True
+    strays: dict[tuple[str, int], int] = dataclasses.field(default_factory=dict)
+
+
+@dataclasses.dataclass
+class Effects:
+    """What follows from one event."""
+
+    changed: list[model.Job] = dataclasses.field(default_factory=list)
+    commands: list[gangs.Command] = dataclasses.field(default_factory=list)
+    retries: list[RetryReason] = dataclasses.field(default_factory=list)
+
+    def add(self, other: "Effects") -> None:
+        """Append another event's effects."""
+        self.changed += other.changed
+        self.commands += other.commands
+        self.retries += other.retries
+
+
+@dataclasses.dataclass(frozen=True)
+class Explanation:
+    """Why a job stands where it stands.
+
+    Attributes:
+        job: The job.
+        phase: Where its attempt stands, if it has one.
+        waiting_for: Why it waits, if it does.
+        events: What happened, as (Unix time, text).
+    """
+
+    job: model.Job
+    phase: str
+    waiting_for: str
+    events: tuple[tuple[float, str], ...]
+
+
+class Book:
+    """Jobs, gangs and workers of one data centre."""
+
+    def __init__(self, data_centre: str) -> None:
+        self.data_centre = data_centre
+        self.jobs: dict[str, model.Job] = {}
+        self.gangs: dict[str, gangs.Gang] = {}
+        self.workers: dict[str, Worker] = {}
+        self.catalog = Catalog()
+        self.waits: dict[str, placement.Waits] = {}
+        self.not_before: dict[str, float] = {}
+        self._events: dict[str, collections.deque[tuple[float, str]]] = {}
+
+    # Jobs.
+
+    def load(self, jobs: Iterable[model.Job], now: float) -> None:
+        """Take over what an earlier owner journaled."""
+        for job in jobs:
+            self.jobs[job.id] = job
+            if job.state is model.JobState.ASSIGNED:
+                self.gangs[job.id] = gangs.recover_gang(job)
+                self.note(job.id, now, "taken over from an earlier owner")
+
+    def submit(self, job: model.Job, now: float) -> Effects | Refusal:
+        """Accept a job, recognise a repeat, or refuse."""
+        held = self.jobs.get(job.id)
+        if held is not None:
+            if held.digest != job.digest:
+                return Refusal(RefusalReason.KEY_REUSED, f"job {job.id}")
+            return Effects()
+        refusal = self._check_room(job) or self._check_fits(job)
+        if refusal is not None:
+            return refusal
+        self.jobs[job.id] = job
+        self.note(job.id, now, "accepted")
+        return Effects(changed=[job])
+
+    def cancel(self, job_id: str, now: float) -> Effects | Refusal:
+        """Cancel a job; its accelerators are free once workers say so."""
+        job = self.jobs.get(job_id)
+        if job is None:
+            return Refusal(RefusalReason.UNKNOWN_JOB, f"job {job_id}")
+        if job.is_final:
+            return Effects()
+        effects = Effects()
+        held = self.gangs.get(job_id)
+        self._finish(job, model.JobState.CANCELLED, now, effects)
+        if held is not None:
+            step = gangs.end_gang(held, gangs.End.CANCELLED)
+            self.apply(step, now, effects)
+        return effects
+
+    def forget(self, job_id: str) -> None:
+        """Drop a final job that has been kept long enough."""
+        self.jobs.pop(job_id, None)
+        self._events.pop(job_id, None)
+
+    def explain(self, job_id: str) -> Explanation | None:
+        """Tell why a job stands where it stands."""
+        job = self.jobs.get(job_id)
+        if job is None:
+            return None
+        held = self.gangs.get(job_id)
+        waits = self.waits.get(job_id)
+        return Explanation(
+            job,
+            str(held.phase) if held is not None else "",
+            f"{waits.reason}: {waits.detail}" if waits is not None else "",
+            tuple(self._events.get(job_id, ())),
+        )
+
+    def _check_room(self, job: model.Job) -> Refusal | None:
+        template = self.catalog.find(job.customer)
+        limit = template.max_jobs if template is not None else 0
+        unfinished = sum(
+            1
+            for held in self.jobs.values()
+            if held.customer == job.customer and not held.is_final
+        )
+        if unfinished < limit:
+            return None
+        detail = f"{unfinished} unfinished jobs of at most {limit}"
+        return Refusal(RefusalReason.QUEUE_FULL, detail, retry_after_s=5.0)
+
+    def _check_fits(self, job: model.Job) -> Refusal | None:
+        empty = {
+            worker.name: cells.Space(
+                worker.name, worker.rack, (1 << worker.accelerators) - 1
+            )
+            for worker in self.workers.values()
+            if worker.live
+        }
+        if placement.check_fits(build_ask(job), empty):
+            return None
+        units = cells.group_spaces(empty, job.spec.level)
+        largest = max(map(cells.count_usable, units), default=0)
+        detail = (
+            f"{job.spec.accelerators} accelerators in one {job.spec.level} of "
+            f"{self.data_centre}; the largest has {largest}"
+        )
+        return Refusal(RefusalReason.NEVER_FITS, detail)
+
+    # Workers.
+
+    def set_worker(
+        self, name: str, rack: str, accelerators: int, live: bool
+    ) -> None:
+        """Note what the VM list says of a worker."""
+        held = self.workers.get(name)
+        if held is None:
+            self.workers[name] = Worker(name, rack, accelerators, live=live)
+        else:
+            held.live = live
+
+    def suspect_worker(self, name: str, now: float) -> Effects:
+        """End the gangs of a worker that stopped answering.
+
+        Its own tasks stop when their lease lapses. Stopping the other members
+        already now keeps a part of the gang from running on alone. A job that
+        runs on this worker only goes on: the worker may come back in time.
+        """
+        effects = Effects()
+        if name in self.workers:
+            self.workers[name].known = False
+        for held in self.list_gangs_on(name):
+            if len(held.members) > 1:
+                step = gangs.end_gang(
+                    held, gangs.End.LOST, f"worker {name} is silent"
+                )
+                self.apply(step, now, effects)
+        return effects
+
+    def lose_worker(self, name: str, now: float) -> Effects:
+        """Note that a worker certainly runs nothing of ours any more."""
+        effects = Effects()
+        if name in self.workers:
+            self.workers[name].known = False
+            self.workers[name].strays.clear()
+        for held in list(self.gangs.values()):
+            if name not in held.workers:
+                continue
+            step = gangs.note_gone(
+                held, name, gangs.End.LOST, f"worker {name} is lost"
+            )
+            self.apply(step, now, effects)
+        return effects
+
+    def remove_worker(self, name: str) -> None:
+        """Drop a worker that the VM list no longer shows."""
+        self.workers.pop(name, None)
+
+    def find_gang(self, job_id: str, attempt: int) -> gangs.Gang | None:
+        """Return the gang of an attempt, or None if it no longer counts."""
+        held = self.gangs.get(job_id)
+        return held if held is not None and held.attempt == attempt else None
+
+    def list_gangs_on(self, worker: str) -> list[gangs.Gang]:
+        """Return the gangs of which a worker may hold a member."""
+        return [held for held in self.gangs.values() if worker in held.held]
+
+    # Steps of gangs.
+
+    def apply(self, step: gangs.Step, now: float, effects: Effects) -> None:
+        """Take a gang's step over and settle the job if its attempt ended."""
+        after, commands = step
+        self.gangs[after.job_id] = after
+        effects.commands += commands
+        if after.phase is gangs.Phase.ENDED:
+            self._close(after, now, effects)
+
+    def _close(self, ended: gangs.Gang, now: float, effects: Effects) -> None:
+        """Settle a job whose attempt has ended everywhere."""
+        del self.gangs[ended.job_id]
+        job = self.jobs[ended.job_id]
+        end = ended.end or gangs.End.LOST
+        self.note(job.id, now, f"attempt {ended.attempt} {end} {ended.detail}")
+        for member in ended.members:
+            effects.commands.append(
+                gangs.Command(
+                    member.worker,
+                    messages.Acknowledge(ended.job_id, ended.attempt),
+                )
+            )
+        if not job.is_final:
+            self._settle(job, ended, end, now, effects)
+        self._release_victim(job.id, now, effects)
+
+    def _settle(
+        self,
+        job: model.Job,
+        ended: gangs.Gang,
+        end: gangs.End,
+        now: float,
+        effects: Effects,
+    ) -> None:
+        if end is gangs.End.SUCCEEDED:
+            first = ended.members[0].worker
+            job = dataclasses.replace(job, result=dict(ended.results)[first])
+            self._finish(job, model.JobState.DONE, now, effects)
+            return
+        if end is gangs.End.FAILED:
+            job = dataclasses.replace(
+                job,
+                failures=job.failures + 1,
+                failed_on=(*job.failed_on, ended.culprit),
+                detail=ended.detail,
+            )
+        else:
+            job = dataclasses.replace(job, losses=job.losses + 1)
+        if job.failures >= job.spec.max_attempts:
+            self._finish(job, model.JobState.FAILED, now, effects)
+            return
+        job = dataclasses.replace(job, state=model.JobState.QUEUED, members=())
+        self.jobs[job.id] = job
+        effects.changed.append(job)
+        if end in _RETRY_REASONS:
+            effects.retries.append(_RETRY_REASONS[end])
+
+    def _finish(
+        self,
+        job: model.Job,
+        state: model.JobState,
+        now: float,
+        effects: Effects,
+    ) -> None:
+        job = dataclasses.replace(job, state=state, members=(), finished_at=now)
+        self.jobs[job.id] = job
+        self.waits.pop(job.id, None)
+        self.not_before.pop(job.id, None)
+        self.note(job.id, now, str(state))
+        effects.changed.append(job)
+
+    def _release_victim(
+        self, job_id: str, now: float, effects: Effects
+    ) -> None:
+        waiting = [g for g in self.gangs.values() if job_id in g.victims]
+        for held in waiting:
+            self.apply(gangs.release_victim(held, job_id), now, effects)
+
+    def note(self, job_id: str, now: float, text: str) -> None:
+        """Keep a line of a job's story for `explain`."""
+        events = self._events.setdefault(
+            job_id, collections.deque(maxlen=_EVENTS_KEPT)
+        )
+        events.append((now, text.strip()))
+
+
+def build_ask(job: model.Job) -> placement.Ask:
+    """Return what a job asks of placement."""
+    return placement.Ask(
+        job.id, job.customer, job.spec.level, job.spec.accelerators
+    )
--- /dev/null
+++ b/crocusrouter/mesh/__init__.py
@@ -0,0 +1,23 @@
+"""Entries among themselves: calls, heartbeats and membership."""
+
+from crocusrouter.mesh.link import PeerLink
+from crocusrouter.mesh.link import PeerUnreachableError
+from crocusrouter.mesh.membership import Peer
+from crocusrouter.mesh.membership import Peers
+from crocusrouter.mesh.membership import is_suspected
+from crocusrouter.mesh.membership import list_live
+from crocusrouter.mesh.membership import note_heartbeat
+from crocusrouter.mesh.membership import update_peers
+from crocusrouter.mesh.server import serve_mesh
+
+__all__ = [
+    "Peer",
+    "PeerLink",
+    "PeerUnreachableError",
+    "Peers",
+    "is_suspected",
+    "list_live",
+    "note_heartbeat",
+    "serve_mesh",
+    "update_peers",
+]
--- /dev/null
+++ b/crocusrouter/mesh/messages.py
@@ -0,0 +1,131 @@
+"""Messages between entries."""
+
+import dataclasses
+
+from crocusrouter import codec
+
+
+@dataclasses.dataclass(frozen=True)
+class Heartbeat:
+    """Tells a peer that the sender lives, and what it knows.
+
+    Attributes:
+        name: The sender.
+        revision: Catalog revision in force at the sender.
+        ready: Whether the sender takes work.
+        owned: Data centres that it owns.
+    """
+
+    name: str
+    revision: int
+    ready: bool
+    owned: tuple[str, ...]
+
+
+@dataclasses.dataclass(frozen=True)
+class AskCatalog:
+    """Asks for the catalog in force at the peer."""
+
+
+@dataclasses.dataclass(frozen=True)
+class CatalogReply:
+    """The catalog as JSON; empty if the peer has none."""
+
+    document: bytes
+
+
+@dataclasses.dataclass(frozen=True)
+class SubmitJob:
+    """Hands a job to the owner of its data centre."""
+
+    job: bytes
+
+
+@dataclasses.dataclass(frozen=True)
+class CancelJob:
+    """Asks the owner to cancel a customer's job."""
+
+    customer: str
+    job_id: str
+
+
+@dataclasses.dataclass(frozen=True)
+class FindJob:
+    """Asks the owner what it knows of a customer's job."""
+
+    customer: str
+    job_id: str
+
+
+@dataclasses.dataclass(frozen=True)
+class ListJobs:
+    """Asks the owner for a customer's jobs in a data centre."""
+
+    customer: str
+    data_centre: str
+
+
+@dataclasses.dataclass(frozen=True)
+class JobView:
+    """A job as shown to its customer."""
+
+    job: bytes
+    phase: str
+    waiting_for: str
+    events: tuple[tuple[float, str], ...]
+
+
+@dataclasses.dataclass(frozen=True)
+class JobViews:
+    """Several jobs."""
+
+    jobs: tuple[JobView, ...]
+
+
+@dataclasses.dataclass(frozen=True)
+class RefusalReply:
+    """The peer refuses."""
+
+    reason: str
+    detail: str
+    retry_after_s: float | None
+
+
+@dataclasses.dataclass(frozen=True)
+class AskAnswer:
+    """Asks for the answer that the peer gave under a claim."""
+
+    claim: str
+
+
+@dataclasses.dataclass(frozen=True)
+class AnswerReply:
+    """What the peer remembers of a claim.
+
+    Attributes:
+        state: "done", "running", "not-run" or "unknown".
+        status: HTTP status of the endpoint's answer if done.
+        body: Its body.
+        content_type: Its media type.
+    """
+
+    state: str
+    status: int = 0
+    body: bytes = b""
+    content_type: str = ""
+
+
+REGISTRY = codec.Registry(
+    Heartbeat,
+    AskCatalog,
+    CatalogReply,
+    SubmitJob,
+    CancelJob,
+    FindJob,
+    ListJobs,
+    JobView,
+    JobViews,
+    RefusalReply,
+    AskAnswer,
+    AnswerReply,
+)
--- /dev/null
+++ b/crocusrouter/outcomes/reasons.py
@@ -0,0 +1,242 @@
+"""The reasons for which the system refuses or retries something."""
+
+import dataclasses
+import enum
+
+
+class RefusalReason(enum.StrEnum):
+    """Why a request, a job or an edit was not served."""
+
+    MALFORMED_HTTP = "malformed-http"
+    MALFORMED_JSON = "malformed-json"
+    MALFORMED_HEADER = "malformed-header"
+    INVALID_DOCUMENT = "invalid-document"
+    BODY_TOO_LARGE = "body-too-large"
+    UNAUTHENTICATED = "unauthenticated"
+    UNKNOWN_KIND = "unknown-kind"
+    UNKNOWN_CUSTOMER = "unknown-customer"
+    UNKNOWN_JOB = "unknown-job"
+    DEADLINE_PASSED = "deadline-passed"
+    DEADLINE_UNMEETABLE = "deadline-unmeetable"
+    KEY_REUSED = "idempotency-key-reused"
+    KEY_IN_PROGRESS = "idempotency-key-in-progress"
+    CUSTOMER_LIMIT = "customer-limit"
+    NO_ENDPOINT = "no-endpoint"
+    RETRY_BUDGET_SPENT = "retry-budget-spent"
+    NOT_READY = "not-ready"
+    STORE_UNAVAILABLE = "store-unavailable"
+    OWNER_UNAVAILABLE = "owner-unavailable"
+    NEVER_FITS = "never-fits"
+    QUEUE_FULL = "queue-full"
+    REVISION_CONFLICT = "revision-conflict"
+    GUARANTEES_DO_NOT_FIT = "guarantees-do-not-fit"
+    ANSWER_LOST = "answer-lost"
+    ANSWER_MISMATCHED = "answer-mismatched"
+    EARLIER_TRY_UNKNOWN = "earlier-try-unknown"
+    COMMIT_UNKNOWN = "commit-unknown"
+
+
+class RetryReason(enum.StrEnum):
+    """Why a piece of work was tried once more."""
+
+    ENDPOINT_UNREACHABLE = "endpoint-unreachable"
+    ENDPOINT_REFUSED = "endpoint-refused"
+    ANSWER_LOST = "answer-lost"
+    ANSWER_MISMATCHED = "answer-mismatched"
+    STORE_ANSWER_LOST = "store-answer-lost"
+    WORKER_LOST = "worker-lost"
+    WORKER_DECLINED = "worker-declined"
+    TASK_FAILED = "task-failed"
+
+
+@dataclasses.dataclass(frozen=True)
+class _Fact:
+    """What every refusal of one reason has in common."""
+
+    status: int
+    title: str
+    remedy: str
+
+
+_FACTS: dict[RefusalReason, _Fact] = {
+    RefusalReason.MALFORMED_HTTP: _Fact(
+        400,
+        "The bytes are not one valid HTTP/1.1 message",
+        "Send one Content-Length or one Transfer-Encoding, not both.",
+    ),
+    RefusalReason.MALFORMED_JSON: _Fact(
+        400, "The body is not JSON", "Send one JSON value encoded as UTF-8."
+    ),
+    RefusalReason.MALFORMED_HEADER: _Fact(
+        400, "A header has a wrong value", "Correct the header that is named."
+    ),
+    RefusalReason.INVALID_DOCUMENT: _Fact(
+        422, "The document fails its checks", "Correct the fields named here."
+    ),
+    RefusalReason.BODY_TOO_LARGE: _Fact(
+        413, "The body exceeds the limit", "Send a smaller body."
+    ),
+    RefusalReason.UNAUTHENTICATED: _Fact(
+        401,
+        "The bearer key is missing or wrong",
+        "Send 'Authorization: Bearer <key>' with the key of the template.",
+    ),
+    RefusalReason.UNKNOWN_KIND: _Fact(
+        404, "The template has no such kind", "Use a kind of the template."
+    ),
+    RefusalReason.UNKNOWN_CUSTOMER: _Fact(
+        404,
+        "There is no such customer",
+        "List them: crocusrouter template list",
+    ),
+    RefusalReason.UNKNOWN_JOB: _Fact(
+        404, "There is no such job", "List them: crocusrouter job list"
+    ),
+    RefusalReason.DEADLINE_PASSED: _Fact(
+        408,
+        "The deadline passed before the request was dispatched",
+        "Send Request-Timeout as seconds from now, above zero.",
+    ),
+    RefusalReason.DEADLINE_UNMEETABLE: _Fact(
+        503,
+        "The deadline can't be met under the present load",
+        "Come back after Retry-After, or allow a longer Request-Timeout.",
+    ),
+    RefusalReason.KEY_REUSED: _Fact(
+        422,
+        "The Idempotency-Key was used with another body",
+        "Take a fresh key for a different request.",
+    ),
+    RefusalReason.KEY_IN_PROGRESS: _Fact(
+        409,
+        "A request with this Idempotency-Key is in progress",
+        "Ask again with the same key after Retry-After.",
+    ),
+    RefusalReason.CUSTOMER_LIMIT: _Fact(
+        429,
+        "The customer has as many requests in flight as its share allows",
+        "Come back after Retry-After, or raise 'max_in_flight'.",
+    ),
+    RefusalReason.NO_ENDPOINT: _Fact(
+        503, "No endpoint can take the request", "Come back after Retry-After."
+    ),
+    RefusalReason.RETRY_BUDGET_SPENT: _Fact(
+        503,
+        "The customer's retry budget is spent",
+        "Come back after Retry-After.",
+    ),
+    RefusalReason.NOT_READY: _Fact(
+        503,
+        "This entry can't vouch for the configuration, or is stopping",
+        "Ask another entry, or come back after Retry-After.",
+    ),
+    RefusalReason.STORE_UNAVAILABLE: _Fact(
+        503,
+        "The key-value service can't be reached",
+        "Come back after Retry-After; nothing was recorded.",
+    ),
+    RefusalReason.OWNER_UNAVAILABLE: _Fact(
+        503,
+        "No owner of the data centre answers",
+        "Ask again with the same Idempotency-Key after Retry-After.",
+    ),
+    RefusalReason.NEVER_FITS: _Fact(
+        422,
+        "The job can never run in this fleet",
+        "Ask for a smaller gang or a wider adjacency.",
+    ),
+    RefusalReason.QUEUE_FULL: _Fact(
+        429,
+        "The customer has too many unfinished jobs",
+        "Come back after Retry-After, or raise 'max_jobs'.",
+    ),
+    RefusalReason.REVISION_CONFLICT: _Fact(
+        412,
+        "The template changed since it was read",
+        "Read it again and send its ETag in If-Match.",
+    ),
+    RefusalReason.GUARANTEES_DO_NOT_FIT: _Fact(
+        422,
+        "The guarantees don't embed together in the fleet",
+        "Shrink the cell named here, or add workers.",
+    ),
+    RefusalReason.ANSWER_LOST: _Fact(
+        504,
+        "The endpoint took the request and gave no whole answer",
+        "Find out at the service whether it ran before asking again.",
+    ),
+    RefusalReason.ANSWER_MISMATCHED: _Fact(
+        502,
+        "The endpoint answered another request",
+        "Find out at the service whether it ran before asking again.",
+    ),
+    RefusalReason.EARLIER_TRY_UNKNOWN: _Fact(
+        502,
+        "An earlier try of this Idempotency-Key may have run",
+        "Find out at the service whether it ran before taking a fresh key.",
+    ),
+    RefusalReason.COMMIT_UNKNOWN: _Fact(
+        503,
+        "The key-value service didn't confirm the record in time",
+        "Ask again with the same Idempotency-Key after Retry-After.",
+    ),
+}
+
+
+@dataclasses.dataclass(frozen=True)
+class Refusal:
+    """One refusal, as told to the caller.
+
+    Attributes:
+        reason: The counted reason.
+        detail: What is wrong in this case.
+        retry_after_s: Seconds after which asking again makes sense, or None
+            if it never does.
+    """
+
+    reason: RefusalReason
+    detail: str = ""
+    retry_after_s: float | None = None
+
+    @property
+    def status(self) -> int:
+        """The HTTP status code."""
+        return _FACTS[self.reason].status
+
+    @property
+    def title(self) -> str:
+        """What every refusal of this reason says."""
+        return _FACTS[self.reason].title
+
+    @property
+    def remedy(self) -> str:
+        """What the caller or operator can do."""
+        return _FACTS[self.reason].remedy
+
+    def __str__(self) -> str:
+        """Name the reason, the case and the remedy.
+
+        >>> print(Refusal(RefusalReason.UNKNOWN_JOB, "job lg.1"))
+        There is no such job: job lg.1. List them: crocusrouter job list
+        """
+        detail = f": {self.detail}" if self.detail else ""
+        return f"{self.title}{detail}. {self.remedy}"
+
+
+class RefusedError(Exception):
+    """Carries a refusal from a filter or a reader to the border."""
+
+    def __init__(self, refusal: Refusal) -> None:
+        super().__init__(str(refusal))
+        self.refusal = refusal
+
+
+def refuse(
+    reason: RefusalReason, detail: str = "", retry_after_s: float | None = None
+) -> RefusedError:
+    """Build the exception that refuses for `reason`.
+
+    >>> refuse(RefusalReason.NO_ENDPOINT, retry_after_s=1.0).refusal.status
+    503
+    """
+    return RefusedError(Refusal(reason, detail, retry_after_s))
--- /dev/null
+++ b/crocusrouter/requests/__init__.py
@@ -0,0 +1,31 @@
+"""Small requests: identification, limits, claims, choice and retries."""
+
+from crocusrouter.requests.chain import ClaimFilter
+from crocusrouter.requests.chain import LimitFilter
+from crocusrouter.requests.chain import Retrier
+from crocusrouter.requests.chain import build_chain
+from crocusrouter.requests.claims import Claims
+from crocusrouter.requests.dispatch import Dispatcher
+from crocusrouter.requests.identify import check_json
+from crocusrouter.requests.identify import check_key
+from crocusrouter.requests.identify import find_customer
+from crocusrouter.requests.identify import identify
+from crocusrouter.requests.model import Call
+from crocusrouter.requests.model import Incoming
+from crocusrouter.requests.pool import RunnerPool
+
+__all__ = [
+    "Call",
+    "ClaimFilter",
+    "Claims",
+    "Dispatcher",
+    "Incoming",
+    "LimitFilter",
+    "Retrier",
+    "RunnerPool",
+    "build_chain",
+    "check_json",
+    "check_key",
+    "find_customer",
+    "identify",
+]
--- /dev/null
+++ b/crocusrouter/requests/pool.py
@@ -0,0 +1,191 @@
+"""Runners of each service, with the slots that this entry uses."""
+
+import collections
+from collections.abc import Iterable
+import dataclasses
+import random
+
+import httpcore
+import trio
+
+from crocusrouter.fleet import Vm
+from crocusrouter.fleet import VmState
+from crocusrouter.outcomes import RefusalReason
+from crocusrouter.outcomes import refuse
+from crocusrouter.requests import choice
+
+_SHUN_S = 1.0
+_NO_RUNNER_RETRY_S = 1.0
+_CONNECTIONS_PER_RUNNER = 8
+_JITTER = 0.5
+# Retire idle connections before endpoints do: one that the endpoint closes
+# just as a request is sent leaves a non-idempotent request unknown.
+_IDLE_S = 2.0
+
+
+@dataclasses.dataclass
+class Runner:
+    """One runner: its load and its connections."""
+
+    vm: Vm
+    load: choice.Load
+    connections: httpcore.AsyncConnectionPool
+
+    @property
+    def url(self) -> str:
+        """Where it listens."""
+        return f"http://{self.vm.address}"
+
+
+class RunnerPool:
+    """Chooses runners and makes requests wait for slots, first come first.
+
+    A request whose deadline can't be met by the estimated wait is refused at
+    once: waiting would only make the ones behind it late too.
+    """
+
+    def __init__(self, rng: random.Random) -> None:
+        self._rng = rng
+        self._runners: dict[str, dict[str, Runner]] = {}
+        self._queues: dict[str, collections.deque[_Ticket]] = (
+            collections.defaultdict(collections.deque)
+        )
+
+    def set_runners(self, vms: Iterable[Vm]) -> None:
+        """Bring the runners in line with the VM list."""
+        listed: dict[str, dict[str, Runner]] = {}
+        for vm in vms:
+            held = self._runners.get(vm.service, {}).get(vm.name)
+            if held is None or held.vm.address != vm.address:
+                held = _open_runner(vm)
+            held.vm = vm
+            held.load = dataclasses.replace(
+                held.load,
+                leaving=vm.state is VmState.LEAVING,
+                slots=vm.slots,
+            )
+            listed.setdefault(vm.service, {})[vm.name] = held
+        self._runners = listed
+
+    def list_loads(self, service: str) -> list[choice.Load]:
+        """Return the loads of a service's runners."""
+        return [r.load for r in self._runners.get(service, {}).values()]
+
+    async def acquire(
+        self, service: str, avoided: frozenset[str], deadline: float
+    ) -> Runner:
+        """Take a slot of a runner, waiting for one if need be.
+
+        Args:
+            service: The service wanted.
+            avoided: Runners to use only if there is no other.
+            deadline: When the caller stops waiting, on our own clock.
+
+        Raises:
+            RefusedError: No runner, or no slot before the deadline.
+        """
+        queue = self._queues[service]
+        now = trio.current_time()
+        if not queue:
+            runner = self._take(service, avoided, now)
+            if runner is not None:
+                return runner
+        self._check_wait(service, len(queue), deadline - now)
+        ticket = _Ticket()
+        queue.append(ticket)
+        try:
+            return await self._wait_turn(ticket, service, avoided, deadline)
+        finally:
+            queue.remove(ticket)
+            _wake_head(queue)
+
+    def release(self, runner: Runner) -> None:
+        """Give a slot back and wake the first that waits."""
+        runner.load = dataclasses.replace(
+            runner.load, in_flight=runner.load.in_flight - 1
+        )
+        _wake_head(self._queues[runner.vm.service])
+
+    def shun(self, runner: Runner, now: float) -> None:
+        """Avoid a runner for a moment after a failure to reach it."""
+        runner.load = dataclasses.replace(
+            runner.load, shunned_until=now + _SHUN_S
+        )
+
+    def _take(
+        self, service: str, avoided: frozenset[str], now: float
+    ) -> Runner | None:
+        runners = self._runners.get(service, {})
+        loads = [runner.load for runner in runners.values()]
+        chosen = choice.choose_runner(loads, avoided, self._rng, now)
+        if chosen is None:
+            return None
+        runner = runners[chosen.name]
+        runner.load = dataclasses.replace(
+            runner.load, in_flight=runner.load.in_flight + 1
+        )
+        return runner
+
+    def _check_wait(self, service: str, waiting: int, left_s: float) -> None:
+        loads = self.list_loads(service)
+        if not any(not load.leaving for load in loads):
+            raise refuse(
+                RefusalReason.NO_ENDPOINT,
+                f"service {service} has no live runner",
+                self._spread(_NO_RUNNER_RETRY_S),
+            )
+        wait_s = choice.estimate_wait(loads, waiting)
+        if wait_s > left_s:
+            raise refuse(
+                RefusalReason.DEADLINE_UNMEETABLE,
+                f"{waiting} requests wait; a slot is {wait_s:.3f} s away",
+                self._spread(max(wait_s, 0.1)),
+            )
+
+    def _spread(self, seconds: float) -> float:
+        """Spread returns, so that refused callers don't come back at once."""
+        return seconds * (1.0 + _JITTER * self._rng.random())
+
+    async def _wait_turn(
+        self,
+        ticket: "_Ticket",
+        service: str,
+        avoided: frozenset[str],
+        deadline: float,
+    ) -> Runner:
+        queue = self._queues[service]
+        while True:
+            # A shunned runner opens again without a release, so look again
+            # after a while even if nobody wakes us.
+            limit = min(deadline, trio.current_time() + _SHUN_S)
+            with trio.move_on_at(limit):
+                await ticket.turn.wait()
+            now = trio.current_time()
+            if queue[0] is ticket:
+                runner = self._take(service, avoided, now)
+                if runner is not None:
+                    return runner
+            self._check_wait(service, queue.index(ticket), deadline - now)
+            ticket.turn = trio.Event()
+
+
+@dataclasses.dataclass(eq=False)
+class _Ticket:
+    """A request's place in the queue for a slot."""
+
+    turn: trio.Event = dataclasses.field(default_factory=trio.Event)
+
+
+def _wake_head(queue: "collections.deque[_Ticket]") -> None:
+    if queue:
+        queue[0].turn.set()
+
+
+def _open_runner(vm: Vm) -> Runner:
+    load = choice.Load(vm.name, vm.slots, limit=float(vm.slots))
+    connections = httpcore.AsyncConnectionPool(
+        max_connections=_CONNECTIONS_PER_RUNNER,
+        max_keepalive_connections=_CONNECTIONS_PER_RUNNER,
+        keepalive_expiry=_IDLE_S,
+    )
+    return Runner(vm, load, connections)
--- /dev/null
+++ b/crocusrouter/telemetry/logs.py
@@ -0,0 +1,22 @@
+"""Structured logs: eliot messages as JSON lines."""
+
+import sys
+from typing import TextIO
+
+import eliot
+
+
+def open_log(entry: str, stream: TextIO | None = None) -> None:
+    """Send every eliot message of this process to `stream` as JSON lines.
+
+    Args:
+        entry: Name of the entry, added to each line.
+        stream: Where lines go; standard error if None.
+    """
+    eliot.add_global_fields(entry=entry)
+    eliot.to_file(stream if stream is not None else sys.stderr)
+
+
+def log(message_type: str, **fields: object) -> None:
+    """Write one log line outside or inside the current action."""
+    eliot.log_message(message_type=message_type, **fields)
--- /dev/null
+++ b/crocusrouter/telemetry/metrics.py
@@ -0,0 +1,105 @@
+"""Counters and gauges through OpenTelemetry, read as Prometheus text."""
+
+import collections
+from collections.abc import Iterable
+
+from opentelemetry import metrics as api
+from opentelemetry.exporter import prometheus as exporter
+from opentelemetry.sdk import metrics as sdk
+import prometheus_client
+
+from crocusrouter.outcomes import RefusalReason
+from crocusrouter.outcomes import RetryReason
+
+_METER = "crocusrouter"
+
+
+class Metrics:
+    """The process's instruments, one counter for each refusal and retry.
+
+    A registry of its own keeps several instances in one process apart, which
+    tests need. Counts are also kept as plain numbers, so that `status` can
+    show them without parsing the exposition text.
+    """
+
+    def __init__(self) -> None:
+        self._registry = prometheus_client.CollectorRegistry()
+        reader = exporter.PrometheusMetricReader(
+            disable_target_info=True,
+            scope_info_enabled=False,
+            registry=self._registry,
+        )
+        self._provider = sdk.MeterProvider(
+            metric_readers=[reader], shutdown_on_exit=False
+        )
+        meter = self._provider.get_meter(_METER)
+        self._refusals = meter.create_counter(
+            "crocusrouter_refusals", description="Refusals by reason."
+        )
+        self._retries = meter.create_counter(
+            "crocusrouter_retries", description="Retries by reason."
+        )
+        self._answers = meter.create_counter(
+            "crocusrouter_answers", description="Small requests by outcome."
+        )
+        self._jobs = meter.create_counter(
+            "crocusrouter_jobs", description="Job transitions by state."
+        )
+        self._store_calls = meter.create_counter(
+            "crocusrouter_store_calls",
+            description="Calls to the key-value service by kind and result.",
+        )
+        self._events = meter.create_counter(
+            "crocusrouter_events",
+            description="Membership, ownership and configuration events.",
+        )
+        self._meter = meter
+        self.counts: collections.Counter[str] = collections.Counter()
+
+    def count_refusal(self, reason: RefusalReason) -> None:
+        """Count one refusal."""
+        self._refusals.add(1, {"reason": str(reason)})
+        self.counts[f"refused:{reason}"] += 1
+
+    def count_retry(self, reason: RetryReason) -> None:
+        """Count one retry."""
+        self._retries.add(1, {"reason": str(reason)})
+        self.counts[f"retried:{reason}"] += 1
+
+    def count_answer(self, outcome: str, kind: str) -> None:
+        """Count the final answer of a small request."""
+        self._answers.add(1, {"outcome": outcome, "kind": kind})
+        self.counts[f"answered:{outcome}"] += 1
+
+    def count_job(self, state: str) -> None:
+        """Count a job's arrival in `state`."""
+        self._jobs.add(1, {"state": state})
+        self.counts[f"job:{state}"] += 1
+
+    def count_store_call(self, call: str, result: str) -> None:
+        """Count one call to the key-value service."""
+        self._store_calls.add(1, {"call": call, "result": result})
+        self.counts[f"store:{call}:{result}"] += 1
+
+    def count_event(self, event: str) -> None:
+        """Count a rare event such as a takeover or a refused revision."""
+        self._events.add(1, {"event": event})
+        self.counts[f"event:{event}"] += 1
+
+    def watch_gauge(
+        self, name: str, read: "collections.abc.Callable[[], float]"
+    ) -> None:
+        """Export the value of `read` under `name` at each scrape."""
+
+        def observe(_: api.CallbackOptions) -> Iterable[api.Observation]:
+            yield api.Observation(read())
+
+        self._meter.create_observable_gauge(name, callbacks=[observe])
+
+    def expose(self) -> bytes:
+        """Return all instruments as Prometheus text."""
+        return prometheus_client.generate_latest(self._registry)
+
+    def close(self) -> None:
+        """Release the reader."""
+        self._provider.shutdown()
--- /dev/null
+++ b/crocusrouter/templates/__init__.py
@@ -0,0 +1,41 @@
+"""Templates of customers, their catalog and their differences."""
+
+from crocusrouter.templates.catalog import Catalog
+from crocusrouter.templates.catalog import Versioned
+from crocusrouter.templates.catalog import dump_catalog
+from crocusrouter.templates.catalog import parse_catalog
+from crocusrouter.templates.catalog import replace_template
+from crocusrouter.templates.differences import Difference
+from crocusrouter.templates.differences import compare_templates
+from crocusrouter.templates.model import Cell
+from crocusrouter.templates.model import InvalidTemplateError
+from crocusrouter.templates.model import JobKind
+from crocusrouter.templates.model import Level
+from crocusrouter.templates.model import Loss
+from crocusrouter.templates.model import RequestKind
+from crocusrouter.templates.model import Template
+from crocusrouter.templates.model import Weights
+from crocusrouter.templates.model import describe_errors
+from crocusrouter.templates.model import dump_template
+from crocusrouter.templates.model import parse_template
+
+__all__ = [
+    "Catalog",
+    "Cell",
+    "Difference",
+    "InvalidTemplateError",
+    "JobKind",
+    "Level",
+    "Loss",
+    "RequestKind",
+    "Template",
+    "Versioned",
+    "Weights",
+    "compare_templates",
+    "describe_errors",
+    "dump_catalog",
+    "dump_template",
+    "parse_catalog",
+    "parse_template",
+    "replace_template",
+]
--- /dev/null
+++ b/crocusrouter/templates/differences.py
@@ -0,0 +1,49 @@
+"""Differences between two templates, field by field."""
+
+import dataclasses
+from typing import Any
+
+import orjson
+
+from crocusrouter.templates import model
+
+
+@dataclasses.dataclass(frozen=True)
+class Difference:
+    """One field that differs; None stands for "not there"."""
+
+    path: str
+    before: Any
+    after: Any
+
+
+def compare_templates(
+    before: model.Template | None, after: model.Template | None
+) -> tuple[Difference, ...]:
+    """List the fields in which two templates differ.
+
+    >>> key = "0" * 64
+    >>> old = model.Template("a", key)
+    >>> new = model.Template("a", key, max_jobs=5)
+    >>> compare_templates(old, new)
+    (Difference(path='max_jobs', before=1000, after=5),)
+    """
+    return tuple(_compare("", _flatten(before), _flatten(after)))
+
+
+def _flatten(template: model.Template | None) -> Any:
+    if template is None:
+        return None
+    return orjson.loads(model.dump_template(template))
+
+
+def _compare(path: str, before: Any, after: Any) -> list[Difference]:
+    if before == after:
+        return []
+    if not (isinstance(before, dict) and isinstance(after, dict)):
+        return [Difference(path or "template", before, after)]
+    found = []
+    for name in sorted(before.keys() | after.keys()):
+        inner = f"{path}.{name}" if path else name
+        found += _compare(inner, before.get(name), after.get(name))
+    return found
--- /dev/null
+++ b/crocusrouter/templates/model.py
@@ -0,0 +1,168 @@
+"""The template of a customer: a checked document."""
+
+import enum
+from typing import Annotated
+
+import pydantic
+from pydantic import dataclasses
+
+_FORBID = pydantic.ConfigDict(extra="forbid")
+
+Name = Annotated[
+    str, pydantic.StringConstraints(pattern=r"^[a-z0-9][a-z0-9-]{0,62}$")
+]
+Sha256 = Annotated[str, pydantic.StringConstraints(pattern=r"^[0-9a-f]{64}$")]
+Count = Annotated[int, pydantic.Field(ge=1, le=100_000)]
+Seconds = Annotated[float, pydantic.Field(gt=0, le=30 * 86400)]
+Share = Annotated[float, pydantic.Field(ge=0, le=1)]
+Weight = Annotated[float, pydantic.Field(ge=0, le=100)]
+
+
+class Level(enum.StrEnum):
+    """The smallest unit that must hold all accelerators of a shape."""
+
+    WORKER = "worker"
+    RACK = "rack"
+    DATA_CENTRE = "data-centre"
+
+
+class Loss(enum.StrEnum):
+    """The loss that a guarantee must survive."""
+
+    NONE = "none"
+    WORKER = "worker"
+    RACK = "rack"
+
+
+@dataclasses.dataclass(frozen=True, config=_FORBID)
+class Cell:
+    """A guaranteed number of accelerators, adjacent within one unit.
+
+    Attributes:
+        data_centre: Where the cell lives.
+        level: The unit that must hold it whole.
+        accelerators: How many accelerators it has.
+        count: How many such cells are guaranteed.
+    """
+
+    data_centre: Name
+    level: Level
+    accelerators: Count
+    count: Count = 1
+
+
+@dataclasses.dataclass(frozen=True, config=_FORBID)
+class JobKind:
+    """Defaults and limits of one kind of job.
+
+    Attributes:
+        accelerators: Default size.
+        level: Default adjacency.
+        run_time_s: Declared run time in seconds.
+        deadline_s: Seconds from submission to the wanted end.
+        max_attempts: Attempts that may fail before the job does.
+        urgent: Whether it goes before everything else of its customer.
+    """
+
+    accelerators: Count = 1
+    level: Level = Level.DATA_CENTRE
+    run_time_s: Seconds = 600.0
+    deadline_s: Seconds = 86400.0
+    max_attempts: Annotated[int, pydantic.Field(ge=1, le=20)] = 3
+    urgent: bool = False
+
+
+@dataclasses.dataclass(frozen=True, config=_FORBID)
+class RequestKind:
+    """One kind of small request.
+
+    Attributes:
+        service: The service whose endpoints serve it.
+        idempotent: Whether it may run more than once.
+        timeout_s: Deadline in seconds when the caller names none.
+        max_body: Largest body in bytes.
+    """
+
+    service: Name
+    idempotent: bool
+    timeout_s: Seconds = 10.0
+    max_body: Annotated[int, pydantic.Field(ge=1, le=8 << 20)] = 1 << 20
+
+
+@dataclasses.dataclass(frozen=True, config=_FORBID)
+class Weights:
+    """What placement leans on: FBUSW completion, Kilima fragmentation."""
+
+    completion: Weight = 1.0
+    fragmentation: Weight = 1.0
+
+
+@dataclasses.dataclass(frozen=True, config=_FORBID)
+class Template:
+    """All that the operators say of one customer.
+
+    Attributes:
+        customer: The customer's name.
+        key_sha256: SHA-256 of the customer's bearer key, in hex.
+        guarantee: The guaranteed shape.
+        survive: The loss after which the guarantee must still embed.
+        job_kinds: Kinds of jobs by name.
+        request_kinds: Kinds of small requests by name.
+        max_in_flight: Small requests in flight per entry.
+        max_jobs: Unfinished jobs.
+        retry_share: Retries allowed per request, as a share.
+        fair_share: Weight in sharing what isn't guaranteed.
+        weights: What placement leans on.
+    """
+
+    customer: Name
+    key_sha256: Sha256
+    guarantee: tuple[Cell, ...] = ()
+    survive: Loss = Loss.NONE
+    job_kinds: dict[Name, JobKind] = pydantic.Field(default_factory=dict)
+    request_kinds: dict[Name, RequestKind] = pydantic.Field(
+        default_factory=dict
+    )
+    max_in_flight: Count = 256
+    max_jobs: Count = 1000
+    retry_share: Share = 0.2
+    fair_share: Annotated[float, pydantic.Field(gt=0, le=1000)] = 1.0
+    weights: Weights = pydantic.Field(default_factory=Weights)
+
+
+_ADAPTER = pydantic.TypeAdapter(Template)
+
+
+class InvalidTemplateError(Exception):
+    """The document is no template; the message names each wrong field."""
+
+
+def parse_template(data: bytes) -> Template:
+    """Check a JSON document and return the template.
+
+    >>> parse_template(b'{"customer": "Upper"}')
+    Traceback (most recent call last):
+    ...
+    crocusrouter.templates.model.InvalidTemplateError: customer: String \
+should match pattern '^[a-z0-9][a-z0-9-]{0,62}$'; key_sha256: Field required
+
+    Raises:
+        InvalidTemplateError: A field is missing, unknown or wrong.
+    """
+    try:
+        return _ADAPTER.validate_json(data)
+    except pydantic.ValidationError as error:
+        raise InvalidTemplateError(describe_errors(error)) from error
+
+
+def dump_template(template: Template) -> bytes:
+    """Return the template as JSON."""
+    return _ADAPTER.dump_json(template)
+
+
+def describe_errors(error: pydantic.ValidationError) -> str:
+    """Put a validation error on one line: field and what is wrong."""
+    return "; ".join(
+        f"{'.'.join(map(str, item['loc'])) or 'document'}: {item['msg']}"
+        for item in error.errors()
+    )
--- /dev/null
+++ b/demo/__init__.py
@@ -0,0 +1,1 @@
+"""The demo: the whole path as plain processes on loopback addresses."""
--- /dev/null
+++ b/demo/__main__.py
@@ -0,0 +1,285 @@
+"""Runs the demo: python -m demo."""
+
+import collections
+import functools
+import json
+import pathlib
+import signal
+import sys
+import time
+from typing import Any
+
+import trio
+
+from crocusrouter.cli import output
+from demo import callers
+from demo import cluster
+from demo import commands
+from demo import gangs
+from demo import templates
+
+_REQUESTS = 200
+_CONCURRENCY = 8
+_SINGLES = 8
+_GANG_MEMBERS = 2
+_JOBS_LIMIT_S = 40.0
+_FINAL = ("done", "failed", "cancelled")
+_REFUSED = 3
+
+
+class Demo:
+    """One run over one cluster."""
+
+    def __init__(self, held: cluster.Cluster) -> None:
+        self.cluster = held
+        self.failures: list[str] = []
+        self.jobs: dict[str, str] = {}
+        self.rows: list[tuple[str, Any]] = []
+        self.killed_at: dict[str, float] = {}
+
+    def check(self, holds: bool, what: str) -> None:
+        """Note what doesn't hold."""
+        if not holds:
+            self.failures.append(what)
+
+    def say(self, text: str) -> None:
+        """Print a step."""
+        print(f"- {text}", flush=True)
+
+    # Steps.
+
+    def apply_templates(self) -> None:
+        """Put four templates in force through the command line."""
+        folder = pathlib.Path("demo-logs")
+        for customer, document in templates.build_templates().items():
+            path = folder / f"{customer}.json"
+            path.write_text(json.dumps(document))
+            done = commands.run_command(
+                self.cluster.url("e1"),
+                cluster.OPERATOR_KEY,
+                "template",
+                "apply",
+                str(path),
+                "--wait",
+            )
+            self.check(done.code == 0, f"apply {customer}: {done.message}")
+        self.say("four templates are in force at every entry")
+
+    def submit_jobs(self) -> None:
+        """Submit single jobs, a gang, one to cancel, one that never fits."""
+        for number in range(_SINGLES):
+            entry = f"e{number % 3 + 1}"
+            self._submit(entry, "kilima-logs", "tag", f"single-{number}")
+        self._submit("e2", "kilima-maps", "render", "gang")
+        doomed = self._submit("e3", "fbusw-matching", "tag", "to-cancel")
+        done = self._run("e1", "fbusw-matching", "job", "cancel", doomed)
+        self.check(done.code == 0, f"cancel: {done.message}")
+        never = self._run(
+            "e1",
+            "kilima-maps",
+            "job",
+            "submit",
+            "render",
+            "--accelerators",
+            "64",
+        )
+        self.check(never.code == _REFUSED, "a job that never fits got in")
+        self.rows.append(("job refused: never-fits", 1))
+        self.say("jobs are accepted; one is cancelled, one refused for good")
+
+    def _submit(self, entry: str, customer: str, kind: str, key: str) -> str:
+        done = self._run(
+            entry, customer, "job", "submit", kind, "--idempotency-key", key
+        )
+        self.check(done.code == 0, f"submit {key}: {done.message}")
+        job_id = done.document["id"] if done.code == 0 else ""
+        self.jobs[job_id] = customer
+        return str(job_id)
+
+    def _run(self, entry: str, customer: str, *words: str) -> commands.Finished:
+        key = templates.find_key(customer)
+        return commands.run_command(self.cluster.url(entry), key, *words)
+
+    def kill_owner(self) -> str:
+        """Kill the entry that decides, without warning."""
+        owners = self.cluster.fetch_status("e1")["owners"]
+        name: str = owners[cluster.DATA_CENTRE]["owner"]
+        self.cluster.processes.kill(name)
+        self.cluster.remove_vm(name)
+        self.say(f"kill -9 of {name}, which owned {cluster.DATA_CENTRE}")
+        return name
+
+    def kill_worker(self, survivor: str) -> None:
+        """Kill a worker that runs a part of the gang."""
+        name = self._find_gang_worker(survivor)
+        self.killed_at[name] = time.monotonic()
+        self.cluster.processes.kill(name)
+        self.cluster.remove_vm(name)
+        self.say(f"kill -9 of worker {name}, which ran a part of the gang")
+
+    def _find_gang_worker(self, entry: str) -> str:
+        limit = time.monotonic() + _JOBS_LIMIT_S
+        while time.monotonic() < limit:
+            for job_id, customer in self.jobs.items():
+                job = self._find(entry, job_id, customer)
+                if job and job["kind"] == "render" and job["workers"]:
+                    return str(min(job["workers"]))
+            time.sleep(0.1)
+        return "w1"
+
+    def _find(self, entry: str, job_id: str, customer: str) -> Any:
+        headers = {"Authorization": f"Bearer {templates.find_key(customer)}"}
+        url = f"{self.cluster.url(entry)}/v1/jobs/{job_id}"
+        try:
+            return cluster.fetch("GET", url, headers=headers)
+        except OSError:
+            return None
+
+    def follow_jobs(self, entry: str) -> None:
+        """Follow all jobs to their end."""
+        limit = time.monotonic() + _JOBS_LIMIT_S
+        open_jobs = dict(self.jobs)
+        states: collections.Counter[str] = collections.Counter()
+        while open_jobs and time.monotonic() < limit:
+            for job_id, customer in list(open_jobs.items()):
+                job = self._find(entry, job_id, customer)
+                if job and job["state"] in _FINAL:
+                    del open_jobs[job_id]
+                    states[job["state"]] += 1
+            time.sleep(0.1)
+        self.check(not open_jobs, f"jobs without an end: {sorted(open_jobs)}")
+        self.check(states["done"] == _SINGLES + 1, f"jobs ended as {states}")
+        self.check(states["cancelled"] == 1, f"jobs ended as {states}")
+        self.rows += [(f"job {s}", n) for s, n in sorted(states.items())]
+
+    def check_requests(self, done: callers.Callers) -> None:
+        """Compare answers with what the runners ran."""
+        executed: collections.Counter[int] = collections.Counter()
+        for port in self.cluster.runners.values():
+            for one in cluster.fetch(
+                "GET", f"http://127.0.0.1:{port}/executions"
+            ):
+                executed[one["item"]] += 1
+        counts: collections.Counter[str] = collections.Counter()
+        for outcome in done.outcomes:
+            reason = f": {outcome.reason}" if outcome.reason else ""
+            counts[f"{outcome.kind} {outcome.outcome}{reason}"] += 1
+            self._check_outcome(outcome, executed[outcome.item])
+        self.check(
+            len(done.outcomes) == _REQUESTS,
+            f"{len(done.outcomes)} answers to {_REQUESTS} requests",
+        )
+        self.rows.insert(0, ("requests sent", _REQUESTS))
+        self.rows += sorted(counts.items())
+        self.rows += [
+            (f"retry {r}", n) for r, n in sorted(done.retried.items())
+        ]
+
+    def _check_outcome(self, outcome: callers.Outcome, runs: int) -> None:
+        item = f"{outcome.kind} {outcome.item}"
+        self.check(outcome.matches, f"{item} got another's answer")
+        self.check(outcome.outcome != "unanswered", f"{item} has no answer")
+        if outcome.kind == "reserve":
+            self.check(runs <= 1, f"{item} ran {runs} times")
+        if outcome.outcome == "done":
+            self.check(runs >= 1, f"{item} is done but never ran")
+        if outcome.outcome == "not-run":
+            self.check(runs == 0, f"{item} is not-run but ran")
+
+    def check_gangs(self) -> None:
+        """Check the workers' records for gangs that ran in part."""
+        texts = map(self.cluster.processes.read_output, self.cluster.workers)
+        records = gangs.read_records(texts)
+        attempts = gangs.collect_attempts(records, self.killed_at)
+        partial = 0.0
+        for job_id, customer in self.jobs.items():
+            if customer != "kilima-maps":
+                continue
+            for (name, _), runs in attempts.items():
+                if name == job_id:
+                    longest = gangs.measure_partial(
+                        runs, _GANG_MEMBERS, time.monotonic()
+                    )
+                    partial = max(partial, longest)
+        bound = self.cluster.shape.task_lease_s
+        self.check(partial <= bound, f"part of a gang ran alone {partial} s")
+        self.check(
+            not gangs.find_overlaps(attempts),
+            f"attempts overlap: {gangs.find_overlaps(attempts)}",
+        )
+        self.rows.append((f"longest partial gang, s (bound {bound})", partial))
+
+    def add_counts(self, entries: list[str]) -> None:
+        """Add the entries' own counts of refusals and retries."""
+        counts: collections.Counter[str] = collections.Counter()
+        for name in entries:
+            for key, number in self.cluster.fetch_status(name)[
+                "counts"
+            ].items():
+                if key.startswith(("refused:", "retried:")):
+                    counts[key] += number
+        self.rows += [(f"entries {k}", n) for k, n in sorted(counts.items())]
+
+    def stop_entries(self, entries: list[str]) -> None:
+        """Stop the entries as planned; each must end with exit code 0."""
+        for name in entries:
+            self.cluster.processes.signal(name, signal.SIGTERM)
+        for name in entries:
+            code = self.cluster.processes.stop(name)
+            self.check(code == 0, f"{name} ended with exit code {code}")
+
+
+async def _send_and_kill(demo: Demo, done: callers.Callers) -> str:
+    """Send all requests; kill the owner in the middle."""
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(
+            functools.partial(done.run, range(_REQUESTS), _CONCURRENCY)
+        )
+        while len(done.outcomes) < _REQUESTS // 3:
+            await trio.sleep(0.01)
+        return await trio.to_thread.run_sync(demo.kill_owner)
+
+
+def run(demo: Demo) -> None:
+    """Run all steps."""
+    demo.cluster.start()
+    demo.say("stand-ins and three entries run")
+    demo.apply_templates()
+    demo.submit_jobs()
+    urls = [demo.cluster.url(name) for name in demo.cluster.entries]
+    done = callers.Callers(urls, templates.find_key("fbusw-matching"))
+    killed = trio.run(_send_and_kill, demo, done)
+    alive = [name for name in demo.cluster.entries if name != killed]
+    demo.kill_worker(alive[0])
+    demo.follow_jobs(alive[1])
+    demo.check_requests(done)
+    demo.check_gangs()
+    demo.add_counts(alive)
+    demo.stop_entries(alive)
+
+
+def main() -> int:
+    """Run the demo and return its exit code."""
+    started_at = time.monotonic()
+    folder = pathlib.Path("demo-logs")
+    demo = Demo(cluster.Cluster(folder, cluster.Shape()))
+    try:
+        run(demo)
+    except KeyboardInterrupt:
+        print("stopped by Ctrl-C", file=sys.stderr)
+        return 130
+    finally:
+        demo.cluster.processes.stop_all()
+    print()
+    output.show_table(["what", "count"], demo.rows)
+    took_s = time.monotonic() - started_at
+    print()
+    for failure in demo.failures:
+        print(f"FAILED: {failure}")
+    verdict = "does not add up" if demo.failures else "adds up"
+    print(f"The table {verdict}; {took_s:.1f} s; logs in {folder}/")
+    return 1 if demo.failures else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/demo/processes.py
@@ -0,0 +1,95 @@
+"""Plain processes of the demo: start, kill, stop."""
+
+import contextlib
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import time
+
+_START_LIMIT_S = 15.0
+_STOP_LIMIT_S = 15.0
+_POLL_S = 0.05
+
+
+def find_ports(count: int) -> list[int]:
+    """Return loopback ports that are free now."""
+    with contextlib.ExitStack() as stack:
+        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
+        for one in sockets:
+            one.bind(("127.0.0.1", 0))
+        return [one.getsockname()[1] for one in sockets]
+
+
+def wait_for_port(port: int) -> None:
+    """Wait until something listens on a loopback port.
+
+    Raises:
+        TimeoutError: Nothing does within 15 seconds.
+    """
+    limit = time.monotonic() + _START_LIMIT_S
+    while time.monotonic() < limit:
+        with socket.socket() as probe:
+            if probe.connect_ex(("127.0.0.1", port)) == 0:
+                return
+        time.sleep(_POLL_S)
+    raise TimeoutError(f"nothing listens on port {port}")
+
+
+class Processes:
+    """Children of the launcher; none outlives it."""
+
+    def __init__(self, log_folder: pathlib.Path) -> None:
+        self._log_folder = log_folder
+        self._children: dict[str, subprocess.Popen[bytes]] = {}
+        log_folder.mkdir(parents=True, exist_ok=True)
+
+    def start(
+        self, name: str, module: str, *arguments: str, **env: str
+    ) -> None:
+        """Start `python -m module arguments` with logs in files."""
+        out = (self._log_folder / f"{name}.out").open("wb")
+        err = (self._log_folder / f"{name}.err").open("wb")
+        with out, err:
+            self._children[name] = subprocess.Popen(
+                [sys.executable, "-m", module, *arguments],
+                stdout=out,
+                stderr=err,
+                env=os.environ | env,
+                # Ctrl-C reaches the launcher alone, which then stops all.
+                start_new_session=True,
+            )
+
+    def read_output(self, name: str) -> str:
+        """Return what a child printed so far."""
+        return (self._log_folder / f"{name}.out").read_text()
+
+    def pid(self, name: str) -> int:
+        """Return a child's process id."""
+        return self._children[name].pid
+
+    def signal(self, name: str, number: signal.Signals) -> None:
+        """Send a signal to a child."""
+        self._children[name].send_signal(number)
+
+    def kill(self, name: str) -> None:
+        """End a child at once."""
+        child = self._children[name]
+        child.kill()
+        child.wait()
+
+    def stop(self, name: str) -> int:
+        """Ask a child to stop and return its exit code."""
+        child = self._children[name]
+        child.terminate()
+        return child.wait(_STOP_LIMIT_S)
+
+    def stop_all(self) -> None:
+        """End all children that still run."""
+        for child in self._children.values():
+            if child.poll() is None:
+                child.kill()
+        for child in self._children.values():
+            child.wait()
--- /dev/null
+++ b/standins/vmlist.py
@@ -0,0 +1,84 @@
+"""Stand-in for the platform's VM list, which lags behind the truth."""
+
+import dataclasses
+from typing import Any
+import zlib
+
+import orjson
+from starlette import applications
+from starlette import requests
+from starlette import responses
+from starlette import routing
+import trio
+
+from standins import serving
+
+
+@dataclasses.dataclass
+class VmList:
+    """What is true, and what the list shows after its lag."""
+
+    lag_s: float
+    truth: dict[str, dict[str, Any]] = dataclasses.field(default_factory=dict)
+    changes: list[tuple[float, str, dict[str, Any] | None]] = dataclasses.field(
+        default_factory=list
+    )
+
+    def change(self, name: str, vm: dict[str, Any] | None, now: float) -> None:
+        """Record that a VM came, changed, or (with None) went."""
+        self.changes.append((now + self.lag_s, name, vm))
+
+    def show(self, now: float) -> list[dict[str, Any]]:
+        """Return the VMs as the list shows them at `now`."""
+        due = [change for change in self.changes if change[0] <= now]
+        self.changes = [c for c in self.changes if c[0] > now]
+        for _, name, vm in due:
+            if vm is None:
+                self.truth.pop(name, None)
+            else:
+                self.truth[name] = vm
+        return list(self.truth.values())
+
+
+class VmListApp:
+    """HTTP face of the list."""
+
+    def __init__(self, vms: VmList) -> None:
+        self.vms = vms
+        self.app = applications.Starlette(
+            routes=[
+                routing.Route("/v1/vms", self.show, methods=["GET"]),
+                routing.Route("/v1/vms/{name}", self.put, methods=["PUT"]),
+                routing.Route(
+                    "/v1/vms/{name}", self.delete, methods=["DELETE"]
+                ),
+            ]
+        )
+
+    async def show(self, request: requests.Request) -> responses.Response:
+        """Answer the list, or that it has not changed."""
+        body = orjson.dumps({"vms": self.vms.show(trio.current_time())})
+        etag = f'"{zlib.crc32(body):08x}"'
+        if request.headers.get("If-None-Match") == etag:
+            return responses.Response(status_code=304)
+        return responses.Response(
+            body, media_type="application/json", headers={"ETag": etag}
+        )
+
+    async def put(self, request: requests.Request) -> responses.Response:
+        """Add or change a VM."""
+        vm = orjson.loads(await request.body())
+        name = request.path_params["name"]
+        self.vms.change(name, vm, trio.current_time())
+        return responses.Response(status_code=204)
+
+    async def delete(self, request: requests.Request) -> responses.Response:
+        """Remove a VM."""
+        name = request.path_params["name"]
+        self.vms.change(name, None, trio.current_time())
+        return responses.Response(status_code=204)
+
+
+async def run(port: int, lag_s: float) -> None:
+    """Serve a VM list on a loopback port."""
+    await serving.serve(VmListApp(VmList(lag_s)).app, port)
