Fuzz a data centre's book against an oracle; test every reason

Cause: the demo shows one history; promises need many.

Ruled out: placement (waits named free accelerators that were there, on workers marked unknown); the worker stand-in (it answered).

Change: an inventory counts as an answer to the lease; suspecting a worker retires its connection, so that a new inventory comes. Commands wait for their job's commit in an outbox of their own.

--- a/Makefile
+++ b/Makefile
@@ -4,8 +4,10 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.stamp
 ONLY ?=
+EXAMPLES ?= 300
 
-.PHONY: test demo measure binary format clean
+
+.PHONY: test demo fuzz measure binary format clean
 
 $(STAMP): requirements.lock pyproject.toml
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
@@ -22,6 +24,9 @@
 demo: $(STAMP)
 	$(BIN)/python -m demo
 
+fuzz: $(STAMP)
+	CROCUSROUTER_FUZZ_EXAMPLES=$(EXAMPLES) $(BIN)/python -m pytest -k Machine
+
 measure: $(STAMP)
 	$(BIN)/python -m bench $(if $(ONLY),--only $(ONLY))
 
--- a/crocusrouter/controllers/owner.py
+++ b/crocusrouter/controllers/owner.py
@@ -30,9 +30,8 @@
 class Owner:
     """Decides on the jobs of one data centre under one epoch.
 
-    Commands of a job are held back until the job's last change is durable.
-    Otherwise a successor could know less than a worker does, and start a
-    second attempt beside the first.
+    What is decided is journaled before it is told to anyone, worker or
+    caller, so that a successor never knows less than they do.
     """
 
     def __init__(
@@ -62,7 +61,7 @@
         self._links: dict[str, tuple[fleet.Vm, link.WorkerLink]] = {}
         self._scopes: dict[str, trio.CancelScope] = {}
         self._committed: dict[str, jobs.Job] = {}
-        self._held_back: dict[str, list[gang.Command]] = {}
+        self._outbox = jobs.Outbox()
         self._wake = trio.Event()
         self._fleet = fleet.Fleet()
         self._nursery: trio.Nursery | None = None
@@ -222,18 +221,12 @@
         for reason in effects.retries:
             self._metrics.count_retry(reason)
         self._journal.stage(effects.changed)
-        for command in effects.commands:
-            self._send(command)
+        ready = self._outbox.admit(effects.commands, self._journal.is_pending)
+        for command in ready:
+            self._transmit(command)
         if effects.changed:
             self._wake.set()
 
-    def _send(self, command: gang.Command) -> None:
-        job_id = getattr(command.message, "job_id", "")
-        if self._journal.is_pending(job_id):
-            self._held_back.setdefault(job_id, []).append(command)
-            return
-        self._transmit(command)
-
     def _transmit(self, command: gang.Command) -> None:
         held = self._links.get(command.worker)
         if held is not None:
@@ -243,7 +236,7 @@
         """Publish a durable change and send what waited for it."""
         self._committed[job.id] = job
         if not self._journal.is_pending(job.id):
-            for command in self._held_back.pop(job.id, ()):
+            for command in self._outbox.release(job.id):
                 self._transmit(command)
 
     # Workers.
@@ -294,9 +287,16 @@
             now = trio.current_time()
             wall = self._read_wall_clock()
             for name, (_, opened) in self._links.items():
+                if not lease.is_suspect(opened.lease, now):
+                    continue
+                if self.book.workers[name].known:
+                    # After a pause of our own, answers may still come over
+                    # this connection, but only a new one brings the
+                    # inventory that makes the worker known again.
+                    opened.retire()
                 if lease.has_lapsed(opened.lease, now):
                     self._apply(self.book.lose_worker(name, wall))
-                elif lease.is_suspect(opened.lease, now):
+                else:
                     self._apply(self.book.suspect_worker(name, wall))
             self._drop_old(wall)
 
--- a/crocusrouter/fleet/link.py
+++ b/crocusrouter/fleet/link.py
@@ -54,6 +54,7 @@
         self._receive = receive
         self._outbox: trio.MemorySendChannel[object] | None = None
         self._renewal_open = False
+        self._scope: trio.CancelScope | None = None
 
     def send(self, message: object) -> None:
         """Queue a command; dropped if there is no connection.
@@ -64,6 +65,11 @@
         if self._outbox is not None:
             self._outbox.send_nowait(message)
 
+    def retire(self) -> None:
+        """Give the present connection up and open a new one."""
+        if self._scope is not None:
+            self._scope.cancel()
+
     async def run(self) -> None:
         """Keep a connection open until cancelled."""
         pause_s = _FIRST_PAUSE_S
@@ -91,12 +97,14 @@
             self._renewal_open = False
             try:
                 async with trio.open_nursery() as nursery:
+                    self._scope = nursery.cancel_scope
                     nursery.start_soon(self._send_queued, connection, outbox)
-                    nursery.start_soon(self._renew, nursery.cancel_scope)
+                    nursery.start_soon(self._renew)
                     await self._take_messages(connection)
-                    nursery.cancel_scope.cancel()
+                    self.retire()
             finally:
                 self._outbox = None
+                self._scope = None
 
     async def _send_queued(
         self, connection: Any, outbox: trio.MemoryReceiveChannel[object]
@@ -107,7 +115,7 @@
         except websockets.ConnectionClosed:
             return
 
-    async def _renew(self, scope: trio.CancelScope) -> None:
+    async def _renew(self) -> None:
         """Renew at a third of the lease; retire a silent connection.
 
         The worker may be alive behind a connection that something in between
@@ -118,7 +126,7 @@
         while True:
             if self._renewal_open:
                 log("worker:connection-silent", worker=self.worker)
-                scope.cancel()
+                self.retire()
                 return
             self._renewal_open = True
             self.send(messages.Renew())
@@ -137,8 +145,13 @@
         if isinstance(message, messages.Renewed):
             self._renewal_open = False
             self._note_answer(trio.current_time())
-        else:
-            self._receive(self.worker, message)
+            return
+        if isinstance(message, messages.Inventory):
+            # Without this a lease that lapsed before the reconnection would
+            # declare the worker lost again, right after it told what it
+            # holds, and nothing would be placed on it any more.
+            self._note_answer(trio.current_time())
+        self._receive(self.worker, message)
 
     def _note_answer(self, now: float) -> None:
         self.lease = dataclasses.replace(self.lease, answered_at=now)
--- a/crocusrouter/jobs/__init__.py
+++ b/crocusrouter/jobs/__init__.py
@@ -15,6 +15,7 @@
 from crocusrouter.jobs.model import build_job_id
 from crocusrouter.jobs.model import choose_data_centre
 from crocusrouter.jobs.model import parse_data_centre
+from crocusrouter.jobs.outbox import Outbox
 from crocusrouter.jobs.placement import Ask
 from crocusrouter.jobs.placement import Placed
 from crocusrouter.jobs.placement import Situation
@@ -33,6 +34,7 @@
     "Journal",
     "Member",
     "Misfit",
+    "Outbox",
     "Placed",
     "Situation",
     "Spec",
--- a/crocusrouter/jobs/gang.py
+++ b/crocusrouter/jobs/gang.py
@@ -78,12 +78,17 @@
         return frozenset(member.worker for member in self.members)
 
 
+TaskCommand = (
+    messages.Reserve | messages.Start | messages.Stop | messages.Acknowledge
+)
+
+
 @dataclasses.dataclass(frozen=True)
 class Command:
-    """A message for one worker."""
+    """A message about one task, for one worker."""
 
     worker: str
-    message: object
+    message: TaskCommand
 
 
 Step = tuple[Gang, tuple[Command, ...]]
--- a/crocusrouter/requests/budget.py
+++ b/crocusrouter/requests/budget.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-_BURST = 10.0
+_BURST_REQUESTS = 50.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -14,7 +14,16 @@
     the requests can't do that.
     """
 
-    tokens: float = _BURST
+    tokens: float
+
+
+def open_budget(share: float) -> RetryBudget:
+    """Return the budget of a customer who has sent nothing yet.
+
+    >>> open_budget(0.2)
+    RetryBudget(tokens=10.0)
+    """
+    return RetryBudget(share * _BURST_REQUESTS)
 
 
 def earn(budget: RetryBudget, share: float) -> RetryBudget:
@@ -23,7 +32,7 @@
     >>> earn(RetryBudget(1.0), 0.2)
     RetryBudget(tokens=1.2)
     """
-    return RetryBudget(min(_BURST, budget.tokens + share))
+    return RetryBudget(min(share * _BURST_REQUESTS, budget.tokens + share))
 
 
 def spend(budget: RetryBudget) -> RetryBudget | None:
--- a/crocusrouter/requests/chain.py
+++ b/crocusrouter/requests/chain.py
@@ -136,10 +136,9 @@
             await trio.sleep(delay_s)
 
     def _earn(self, call: model.Call) -> None:
-        held = self._budgets.get(call.customer, budget.RetryBudget())
-        self._budgets[call.customer] = budget.earn(
-            held, call.template.retry_share
-        )
+        share = call.template.retry_share
+        held = self._budgets.get(call.customer) or budget.open_budget(share)
+        self._budgets[call.customer] = budget.earn(held, share)
 
     def _spend(self, call: model.Call) -> bool:
         paid = budget.spend(self._budgets[call.customer])
--- /dev/null
+++ b/crocusrouter/settings/tests/test_model.py
@@ -0,0 +1,55 @@
+import pytest
+
+from crocusrouter import settings
+
+_GOOD = {
+    "name": "e1",
+    "data_centre": "liege",
+    "listen": "127.0.0.1:8080",
+    "mesh_listen": "127.0.0.1:8081",
+    "store_url": "http://127.0.0.1:9000",
+    "vms_url": "http://127.0.0.1:9001",
+    "mesh_secret": "secret-secret",
+    "operator_key": "operator-key",
+}
+
+
+def test_good_settings_load():
+    assert settings.load_settings(_GOOD).task_lease_s == 6.0
+
+
+def test_flags_go_before_the_environment(monkeypatch):
+    monkeypatch.setenv("CROCUSROUTER_NAME", "from-env")
+    monkeypatch.setenv("CROCUSROUTER_HEARTBEAT_S", "0.5")
+    loaded = settings.load_settings(_GOOD)
+    assert (loaded.name, loaded.heartbeat_s) == ("e1", 0.5)
+
+
+@pytest.mark.parametrize(
+    ("field", "value", "said"),
+    [
+        ("name", "Upper", "'Upper'"),
+        ("listen", "localhost:80", "must be an IP number and a port"),
+        ("listen", "127.0.0.1:0", "the port must be from 1 to 65535"),
+        ("store_url", "ftp://x", "'ftp://x'"),
+        ("mesh_secret", "short", "at least 8"),
+        ("owner_ttl_s", "-1", "greater than 0"),
+        ("owner_ttl_s", "5", "twice owner_ttl_s"),
+        ("task_lease_s", "soon", "'soon'"),
+        ("surprise", "1", "Extra inputs"),
+    ],
+)
+def test_wrong_setting_names_itself_and_the_remedy(field, value, said):
+    with pytest.raises(settings.WrongSettingsError) as caught:
+        settings.load_settings(_GOOD | {field: value})
+    message = str(caught.value)
+    assert said in message
+    if "twice" not in said:
+        assert f"--{field.replace('_', '-')}" in message
+        assert f"CROCUSROUTER_{field.upper()}" in message
+
+
+def test_missing_settings_are_all_named():
+    with pytest.raises(settings.WrongSettingsError) as caught:
+        settings.load_settings({})
+    assert len(str(caught.value).splitlines()) == len(_GOOD)
--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -15,8 +15,8 @@
 from demo import callers
 from demo import cluster
 from demo import commands
-from demo import gangs
 from demo import templates
+from standins import history
 
 _REQUESTS = 200
 _CONCURRENCY = 8
@@ -189,23 +189,23 @@
     def check_gangs(self) -> None:
         """Check the workers' records for gangs that ran in part."""
         texts = map(self.cluster.processes.read_output, self.cluster.workers)
-        records = gangs.read_records(texts)
-        attempts = gangs.collect_attempts(records, self.killed_at)
+        records = history.read_records(texts)
+        attempts = history.collect_attempts(records, self.killed_at)
         partial = 0.0
         for job_id, customer in self.jobs.items():
             if customer != "kilima-maps":
                 continue
             for (name, _), runs in attempts.items():
                 if name == job_id:
-                    longest = gangs.measure_partial(
+                    longest = history.measure_partial(
                         runs, _GANG_MEMBERS, time.monotonic()
                     )
                     partial = max(partial, longest)
         bound = self.cluster.shape.task_lease_s
         self.check(partial <= bound, f"part of a gang ran alone {partial} s")
         self.check(
-            not gangs.find_overlaps(attempts),
-            f"attempts overlap: {gangs.find_overlaps(attempts)}",
+            not history.find_overlaps(attempts),
+            f"attempts overlap: {history.find_overlaps(attempts)}",
         )
         self.rows.append((f"longest partial gang, s (bound {bound})", partial))
 
--- a/demo/cluster.py
+++ b/demo/cluster.py
@@ -8,6 +8,7 @@
 import urllib.request
 
 from demo import processes
+from standins import ports
 
 MESH_SECRET = "demo-mesh-secret"
 OPERATOR_KEY = "demo-operator-key"
@@ -38,10 +39,8 @@
         self.shape = shape
         self.processes = processes.Processes(log_folder)
         workers = shape.racks * shape.workers_per_rack
-        ports = processes.find_ports(
-            2 + workers + shape.runners + 2 * shape.entries
-        )
-        self.store_port, self.vms_port, *rest = ports
+        free = ports.find_ports(2 + workers + shape.runners + 2 * shape.entries)
+        self.store_port, self.vms_port, *rest = free
         self.workers = {f"w{i + 1}": rest.pop() for i in range(workers)}
         self.runners = {f"run{i + 1}": rest.pop() for i in range(shape.runners)}
         self.entries = {
@@ -116,8 +115,8 @@
             start(name, "standins", "worker", name, "--port", str(port))
         for name, port in self.runners.items():
             start(name, "standins", "runner", name, "--port", str(port))
-        ports = [self.store_port, self.vms_port]
-        for port in [*ports, *self.workers.values(), *self.runners.values()]:
+        own = [self.store_port, self.vms_port]
+        for port in [*own, *self.workers.values(), *self.runners.values()]:
             processes.wait_for_port(port)
         self._list_vms()
 
--- a/demo/processes.py
+++ b/demo/processes.py
@@ -1,6 +1,5 @@
 """Plain processes of the demo: start, kill, stop."""
 
-import contextlib
 import os
 import pathlib
 import signal
@@ -14,15 +13,6 @@
 _POLL_S = 0.05
 
 
-def find_ports(count: int) -> list[int]:
-    """Return loopback ports that are free now."""
-    with contextlib.ExitStack() as stack:
-        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
-        for one in sockets:
-            one.bind(("127.0.0.1", 0))
-        return [one.getsockname()[1] for one in sockets]
-
-
 def wait_for_port(port: int) -> None:
     """Wait until something listens on a loopback port.
 
--- /dev/null
+++ b/standins/fuzzing.py
@@ -0,0 +1,27 @@
+"""Settings of the stateful fuzzing: the same each time, unless asked."""
+
+import os
+
+import hypothesis
+
+_VARIABLE = "CROCUSROUTER_FUZZ_EXAMPLES"
+
+
+def build_settings(examples: int, steps: int) -> hypothesis.settings:
+    """Return settings for a state machine.
+
+    CI runs the same examples each time. `make fuzz` sets the variable to run
+    as many fresh ones as wanted. Shrinking is left to `make fuzz`, so that a
+    red CI says so at once.
+    """
+    wanted = int(os.environ.get(_VARIABLE, "0"))
+    phases = [hypothesis.Phase.generate]
+    return hypothesis.settings(
+        max_examples=wanted or examples,
+        stateful_step_count=steps,
+        deadline=None,
+        derandomize=not wanted,
+        database=None,
+        phases=phases,
+        suppress_health_check=list(hypothesis.HealthCheck),
+    )
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -227,17 +227,17 @@
             return
         self._current = connection
         try:
-            await self._serve_commands(connection, greeting)
+            await self._serve_commands(connection)
         except websockets.ConnectionClosed:
             return
 
-    async def _serve_commands(
-        self, connection: Any, greeting: messages.Hello
-    ) -> None:
+    async def _serve_commands(self, connection: Any) -> None:
         async for frame in connection:
-            if self.worker.epoch > greeting.epoch:
-                fenced = messages.Fenced(self.worker.epoch)
-                await self._send(connection, fenced)
+            if self._current is not connection:
+                # Another connection was opened since. Its owner knows from
+                # the inventory what is here; a late command over the old one
+                # would leave a task that nobody accounts for.
+                await self._send(connection, messages.Fenced(self.worker.epoch))
                 return
             if self.worker.fault is Fault.SILENT:
                 continue
--- /dev/null
+++ b/standins/world.py
@@ -0,0 +1,268 @@
+"""A whole path in one process, for tests: stand-ins and entries in one loop.
+
+The parts talk over real loopback sockets, but tests reach into the stand-ins
+directly: they set faults, look at records, and need no processes.
+"""
+
+from collections.abc import AsyncIterator
+import contextlib
+import dataclasses
+import hashlib
+from typing import Any
+
+import httpcore
+import orjson
+import trio
+
+from crocusrouter import controllers
+from crocusrouter import http
+from crocusrouter import mesh
+from crocusrouter import settings
+from crocusrouter.telemetry import Metrics
+from standins import ports
+from standins import runner
+from standins import serving
+from standins import store
+from standins import vmlist
+from standins import worker
+
+DATA_CENTRE = "dc"
+OPERATOR_KEY = "operator-key"
+CUSTOMER_KEY = "customer-key"
+_POLL_S = 0.01
+
+
+@dataclasses.dataclass(frozen=True)
+class Reply:
+    """An answer as a caller sees it."""
+
+    status: int
+    headers: dict[str, str]
+    document: Any
+
+
+@dataclasses.dataclass
+class Served:
+    """One entry that runs."""
+
+    entry: controllers.Entry
+    port: int
+    scope: trio.CancelScope
+
+
+class World:
+    """Stand-ins and entries."""
+
+    def __init__(self, nursery: trio.Nursery, **options: Any) -> None:
+        self.nursery = nursery
+        self.options = options
+        self.store = store.Store()
+        self.vms = vmlist.VmList(lag_s=0.0)
+        self.runners: dict[str, runner.Runner] = {}
+        self.workers: dict[str, worker.Worker] = {}
+        self.entries: dict[str, Served] = {}
+        self.pool = httpcore.AsyncConnectionPool(max_connections=100)
+        self._store_port, self._vms_port = ports.find_ports(2)
+
+    async def start_platform(self) -> None:
+        """Start the key-value service and the VM list."""
+        apps = (
+            (store.StoreApp(self.store).app, self._store_port),
+            (vmlist.VmListApp(self.vms).app, self._vms_port),
+        )
+        for app, port in apps:
+            await self.nursery.start(serving.serve, app, port)
+
+    async def add_runner(self, name: str, slots: int = 8) -> None:
+        """Start a runner and list it."""
+        [port] = ports.find_ports(1)
+        held = self.runners[name] = runner.Runner(name, slots)
+        app = runner.RunnerApp(held).app
+        await self.nursery.start(serving.serve, app, port)
+        self.list_vm(name, "runner", port, service="matching", slots=8)
+
+    def add_worker(self, name: str, rack: str, accelerators: int = 8) -> None:
+        """Start a worker and list it."""
+        [port] = ports.find_ports(1)
+        held = self.workers[name] = worker.Worker(name, accelerators)
+        self.nursery.start_soon(worker.WorkerServer(held).run, port)
+        self.list_vm(name, "worker", port, rack=rack, accelerators=8)
+
+    def list_vm(self, name: str, role: str, port: int, **more: Any) -> None:
+        """Put a VM into the list."""
+        vm = {
+            "name": name,
+            "role": role,
+            "address": f"127.0.0.1:{port}",
+            "data_centre": DATA_CENTRE,
+        }
+        self.vms.change(name, vm | more, trio.current_time())
+
+    def unlist_vm(self, name: str) -> None:
+        """Take a VM from the list."""
+        self.vms.change(name, None, trio.current_time())
+
+    async def add_entry(self, name: str, *, wait: bool = True) -> Served:
+        """Start an entry; wait until it is ready and every part is owned."""
+        port, mesh_port = ports.find_ports(2)
+        chosen = {
+            "name": name,
+            "data_centre": DATA_CENTRE,
+            "listen": f"127.0.0.1:{port}",
+            "mesh_listen": f"127.0.0.1:{mesh_port}",
+            "store_url": f"http://127.0.0.1:{self._store_port}",
+            "vms_url": f"http://127.0.0.1:{self._vms_port}",
+            "mesh_secret": "mesh-secret",
+            "operator_key": OPERATOR_KEY,
+            "owner_ttl_s": 0.6,
+            "task_lease_s": 1.2,
+            "vms_poll_s": 0.05,
+            "heartbeat_s": 0.1,
+            "stop_timeout_s": 2.0,
+        } | self.options
+        self.list_vm(name, "entry", mesh_port)
+        entry = controllers.Entry(
+            settings.load_settings(chosen), Metrics(), seed=len(self.entries)
+        )
+        served = Served(entry, port, trio.CancelScope())
+        self.entries[name] = served
+        await self.nursery.start(self._run_entry, served, mesh_port)
+        if wait:
+            await self.wait_for(lambda: entry.is_ready)
+        return served
+
+    async def _run_entry(
+        self,
+        served: Served,
+        mesh_port: int,
+        task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        entry = served.entry
+        config = http.build_config(entry.settings.listen, 0.2, entry.metrics)
+        with served.scope:
+            async with trio.open_nursery() as nursery:
+                await nursery.start(
+                    mesh.serve_mesh,
+                    entry.answer_peer,
+                    "127.0.0.1",
+                    mesh_port,
+                    entry.settings.mesh_secret,
+                )
+                nursery.start_soon(entry.run)
+                await nursery.start(
+                    http.serve_http,
+                    http.build_app(entry),
+                    config,
+                    trio.sleep_forever,
+                )
+                task_status.started()
+
+    async def wait_for(self, holds: Any, limit_s: float = 10.0) -> None:
+        """Wait until a condition holds.
+
+        Raises:
+            TimeoutError: It doesn't within `limit_s`.
+        """
+        with trio.move_on_after(limit_s):
+            while not holds():
+                await trio.sleep(_POLL_S)
+            return
+        raise TimeoutError("the condition never held")
+
+    async def ask(
+        self,
+        method: str,
+        path: str,
+        document: Any = None,
+        *,
+        entry: str = "e1",
+        key: str | None = CUSTOMER_KEY,
+        body: bytes | None = None,
+        **headers: str,
+    ) -> Reply:
+        """Send one request; header names are written with underscores."""
+        sent = {name.replace("_", "-"): text for name, text in headers.items()}
+        if key is not None:
+            sent["Authorization"] = f"Bearer {key}"
+        if body is None and document is not None:
+            body = orjson.dumps(document)
+        response = await self.pool.request(
+            method,
+            f"http://127.0.0.1:{self.entries[entry].port}{path}",
+            headers=list(sent.items()),
+            content=body,
+        )
+        found = {
+            name.decode().lower(): value.decode()
+            for name, value in response.headers
+        }
+        is_json = "json" in found.get("content-type", "")
+        content = response.content
+        return Reply(
+            response.status,
+            found,
+            orjson.loads(content) if is_json and content else content,
+        )
+
+    async def put_template(self, **fields: Any) -> Reply:
+        """Write the template of customer "a"."""
+        document = build_template() | fields
+        reply = await self.ask(
+            "PUT", "/v1/templates/a", document, key=OPERATOR_KEY
+        )
+        for served in self.entries.values():
+            configuration = served.entry.configuration
+            revision = (reply.document or {}).get("revision", 0)
+            await self.wait_for(
+                lambda c=configuration, r=revision: c.catalog.revision >= r
+            )
+        return reply
+
+    async def wait_owned(self) -> None:
+        """Wait until the data centre has an owner that knows its workers."""
+
+        def is_owned() -> bool:
+            return any(
+                held.is_ready
+                and set(held.book.workers) >= set(self.workers)
+                and all(w.known for w in held.book.workers.values())
+                for served in self.entries.values()
+                for held in served.entry.owned.values()
+            )
+
+        await self.wait_for(is_owned)
+
+
+def build_template() -> dict[str, Any]:
+    """Return a template for customer "a" as JSON."""
+    return {
+        "customer": "a",
+        "key_sha256": hashlib.sha256(CUSTOMER_KEY.encode()).hexdigest(),
+        "guarantee": [],
+        "job_kinds": {
+            "tag": {"accelerators": 1, "level": "worker", "run_time_s": 0.05}
+        },
+        "request_kinds": {
+            "match": {"service": "matching", "idempotent": True},
+            "reserve": {"service": "matching", "idempotent": False},
+        },
+    }
+
+
+@contextlib.asynccontextmanager
+async def open_world(
+    entries: int = 1, runners: int = 2, workers: int = 2, **options: Any
+) -> AsyncIterator[World]:
+    """Run a world for the length of a block; options are settings."""
+    async with trio.open_nursery() as nursery:
+        world = World(nursery, **options)
+        await world.start_platform()
+        for number in range(runners):
+            await world.add_runner(f"run{number}")
+        for number in range(workers):
+            world.add_worker(f"w{number}", f"r{number // 2}")
+        for number in range(entries):
+            await world.add_entry(f"e{number + 1}")
+        yield world
+        await world.pool.aclose()
+        nursery.cancel_scope.cancel()
