Bind each guaranteed cell to a home instead of searching at each decision

Ruled out: the queue order and the worker link (profile: 80% in marking claims and in the search).

Change: an embedding is found once and kept as the home of each cell, as HiveD binds virtual cells to physical ones; it is bound anew only when a worker goes or an edit changes a cell. A claim takes a part of its home, moves an unclaimed home to a free place rather than stop loans, and stops loans last. What a decision rests on is kept until workers' holdings change.

--- /dev/null
+++ b/bench/__main__.py
@@ -0,0 +1,45 @@
+"""Runs the measurements: python -m bench [--only name]."""
+
+from collections.abc import Callable
+from typing import Annotated
+
+import orjson
+import typer
+
+from bench import deciding
+from bench import figures
+from bench import polling
+from bench import steady
+
+Measure = Callable[[], list[figures.Figure]]
+
+SUBJECTS: dict[str, Measure] = {
+    "decisions": deciding.measure_decisions,
+    "journal": deciding.measure_journal,
+    "catalog": deciding.measure_catalog,
+    "vm_list": steady.measure_vm_list,
+    "owned": steady.measure_owned,
+    "mesh": steady.measure_mesh,
+    "worker_link": steady.measure_worker_link,
+    "http_poll": polling.measure_polling,
+}
+
+
+def run(
+    only: Annotated[
+        str, typer.Option(help=f"One of: {', '.join(SUBJECTS)}.")
+    ] = "",
+) -> None:
+    """Measure, print one JSON line a figure and keep the results."""
+    if only and only not in SUBJECTS:
+        raise typer.BadParameter(f"use one of: {', '.join(SUBJECTS)}")
+    for subject, measure in SUBJECTS.items():
+        if only in ("", subject):
+            found = measure()
+            figures.write_figures(subject, found)
+            for figure in found:
+                print(orjson.dumps(figure).decode(), flush=True)
+
+
+if __name__ == "__main__":
+    typer.run(run)
--- /dev/null
+++ b/bench/deciding.py
@@ -0,0 +1,179 @@
+"""Decisions, journal and catalog: processor time of the pure parts."""
+
+import dataclasses
+import random
+import time
+
+import cbor2
+
+from bench import figures
+from crocusrouter import codec
+from crocusrouter import jobs
+from crocusrouter import templates
+from crocusrouter.fleet import messages
+from crocusrouter.jobs import book as books
+from crocusrouter.templates import Level
+
+_SEED = 1
+_SLOTS = 9
+_TEAMS = 22
+_RACK = 14
+_DECISIONS = 200
+_WORKERS = (35, 140, 560, 1400)
+
+
+def _build_catalog(teams: int, data_centre: str) -> templates.Catalog:
+    """Give each team a rack cell and a worker cell."""
+    catalog = templates.Catalog()
+    for number in range(teams):
+        cells = (
+            templates.Cell(data_centre, Level.RACK, 16),
+            templates.Cell(data_centre, Level.WORKER, 2, 2),
+        )
+        catalog = templates.replace_template(
+            catalog,
+            templates.Template(
+                f"team-{number}",
+                f"{number:064x}",
+                cells,
+                job_kinds={"train": templates.JobKind()},
+                request_kinds={
+                    "match": templates.RequestKind("matching", True)
+                },
+                max_jobs=100_000,
+            ),
+        )
+    return catalog
+
+
+def _build_job(number: int, team: int, size: int, level: Level) -> jobs.Job:
+    spec = jobs.Spec("train", size, level, 3600.0, 86400.0, 3)
+    return jobs.Job(f"dc.{number:016x}", f"team-{team}", spec, float(number))
+
+
+def _build_book(workers: int, teams: int) -> jobs.Book:
+    book = books.Book("dc")
+    book.catalog = _build_catalog(teams, "dc")
+    for number in range(workers):
+        name = f"w{number}"
+        book.set_worker(name, f"r{number // _RACK}", _SLOTS, live=True)
+        jobs.handle_message(book, name, messages.Inventory(()), 0.0)
+    return book
+
+
+def _fill(book: jobs.Book, workers: int, rng: random.Random) -> int:
+    """Start small tasks until most slots are in use; return the tasks."""
+    wanted = int(workers * _SLOTS * 0.8)
+    number = 0
+    tasks = 0
+    while tasks < wanted:
+        size = rng.choice((1, 1, 1, 2, 4))
+        job = _build_job(number, rng.randrange(_TEAMS), size, Level.WORKER)
+        book.submit(job, 0.0)
+        number += 1
+        tasks += size
+    while jobs.schedule(book, 0.0).changed:
+        pass
+    return number
+
+
+def measure_decisions() -> list[figures.Figure]:
+    """Time single decisions on a busy data centre."""
+    found = []
+    for workers in _WORKERS:
+        rng = random.Random(_SEED)
+        book = _build_book(workers, min(_TEAMS, workers // 4))
+        running = _fill(book, workers, rng)
+        took_ms = _time_decisions(book, running, rng)
+        size = f"{workers} workers, {len(book.gangs)} tasks in one data centre"
+        found.append(
+            figures.Figure(
+                "decision_p99_ms",
+                round(figures.find_percentile(took_ms, 0.99), 3),
+                "ms",
+                size,
+                round(max(took_ms) - min(took_ms), 3),
+                _SEED,
+            )
+        )
+        median = figures.find_percentile(took_ms, 0.5)
+        found.append(
+            figures.Figure(
+                "decision_p50_ms", round(median, 3), "ms", size, 0.0, _SEED
+            )
+        )
+    return found
+
+
+def _time_decisions(
+    book: jobs.Book, running: int, rng: random.Random
+) -> list[float]:
+    took_ms = []
+    for number in range(running, running + _DECISIONS):
+        team = rng.randrange(_TEAMS)
+        size, level = rng.choice(
+            ((1, Level.WORKER), (4, Level.WORKER), (16, Level.RACK))
+        )
+        job = _build_job(number, team, size, level)
+        book.submit(job, 0.0)
+        started_at = time.perf_counter()
+        jobs.schedule(book, 0.0)
+        took_ms.append(1000 * (time.perf_counter() - started_at))
+        book.cancel(job.id, 0.0)
+        _stop_all(book, job.id)
+    return took_ms
+
+
+def _stop_all(book: jobs.Book, job_id: str) -> None:
+    held = book.gangs.get(job_id)
+    if held is not None:
+        for name in sorted(held.held):
+            stopped = messages.Stopped(job_id, held.attempt)
+            jobs.handle_message(book, name, stopped, 0.0)
+
+
+def measure_journal() -> list[figures.Figure]:
+    """Measure the bytes and the processor time of one journaled change."""
+    found = []
+    for count in (10, 100, 1000):
+        packed = [
+            (job.id, codec.pack(job))
+            for job in (
+                dataclasses.replace(
+                    _build_job(n, 0, 8, Level.RACK),
+                    members=(jobs.Member(f"worker-{n:04d}", 255),),
+                )
+                for n in range(count)
+            )
+        ]
+        repeats = 50
+        started_at = time.perf_counter()
+        for _ in range(repeats):
+            codec.pack(_build_job(1, 0, 8, Level.RACK))
+            value = cbor2.dumps([1, packed])
+        took_ms = 1000 * (time.perf_counter() - started_at) / repeats
+        size = f"{count} jobs in a bucket"
+        found += [
+            figures.Figure("journal_bucket_bytes", len(value), "B", size),
+            figures.Figure("journal_write_ms", round(took_ms, 4), "ms", size),
+        ]
+    return found
+
+
+def measure_catalog() -> list[figures.Figure]:
+    """Measure the bytes and the processor time of one catalog change."""
+    found = []
+    for teams in (4, 22, 220):
+        catalog = _build_catalog(teams, "dc")
+        data = templates.dump_catalog(catalog)
+        repeats = 20
+        started_at = time.perf_counter()
+        for _ in range(repeats):
+            templates.parse_catalog(data)
+        took_ms = 1000 * (time.perf_counter() - started_at) / repeats
+        size = f"{teams} customers"
+        found += [
+            figures.Figure("catalog_bytes", len(data), "B", size),
+            figures.Figure("catalog_parse_ms", round(took_ms, 3), "ms", size),
+        ]
+    return found
--- a/crocusrouter/cli/service.py
+++ b/crocusrouter/cli/service.py
@@ -14,6 +14,7 @@
 from crocusrouter.telemetry import open_log
 
 _LAME_DUCK_S = 1.0
+_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
 
 async def serve(settings: Settings) -> None:
@@ -39,6 +40,8 @@
         log("entry:started", listen=settings.listen)
         await http.serve_http(http.build_app(entry), config, stopped.wait)
         nursery.cancel_scope.cancel()
+    for number in _SIGNALS:
+        signal.signal(number, signal.SIG_IGN)
     metrics.close()
     log("entry:stopped")
 
@@ -52,10 +55,12 @@
     ownership given up; only then are the listeners closed. Closing at once
     would refuse callers whom the balancer still sends here.
     """
-    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-        async for number in signals:
-            log("entry:stopping", signal=signal.Signals(number).name)
-            await entry.release_all()
-            await trio.sleep(_LAME_DUCK_S)
-            stopped.set()
-            return
+    with trio.open_signal_receiver(*_SIGNALS) as signals:
+        number = await anext(signals)
+        log("entry:stopping", signal=signal.Signals(number).name)
+        await entry.release_all()
+        await trio.sleep(_LAME_DUCK_S)
+        stopped.set()
+        # A second signal, as supervisors send it, must not cut what the
+        # first one promised to finish; so this one stays until the end.
+        await trio.sleep_forever()
--- a/crocusrouter/jobs/book.py
+++ b/crocusrouter/jobs/book.py
@@ -13,6 +13,7 @@
 from crocusrouter.fleet import messages
 from crocusrouter.jobs import cells
 from crocusrouter.jobs import gang as gangs
+from crocusrouter.jobs import homes
 from crocusrouter.jobs import model
 from crocusrouter.jobs import placement
 from crocusrouter.outcomes import Refusal
@@ -90,15 +91,36 @@
         self.jobs: dict[str, model.Job] = {}
         self.gangs: dict[str, gangs.Gang] = {}
         self.workers: dict[str, Worker] = {}
-        self.catalog = Catalog()
+        self._catalog = Catalog()
+        self.occupancy = 0
+        self.observed: object = None
+        self.homes: homes.Homes = {}
         self.waits: dict[str, placement.Waits] = {}
         self.not_before: dict[str, float] = {}
         self._events: dict[str, collections.deque[tuple[float, str]]] = {}
 
+    @property
+    def catalog(self) -> Catalog:
+        """The templates by which the book decides."""
+        return self._catalog
+
+    @catalog.setter
+    def catalog(self, catalog: Catalog) -> None:
+        self._catalog = catalog
+        self.touch()
+
+    def touch(self) -> None:
+        """Note that what workers hold, or guarantees want, has changed.
+
+        Decisions keep what they have worked out until then.
+        """
+        self.occupancy += 1
+
     # Jobs.
 
     def load(self, jobs: Iterable[model.Job], now: float) -> None:
         """Take over what an earlier owner journaled."""
+        self.touch()
         for job in jobs:
             self.jobs[job.id] = job
             if job.state is model.JobState.ASSIGNED:
@@ -184,6 +206,14 @@
         )
         return Refusal(RefusalReason.NEVER_FITS, detail)
 
+    def list_queued(self) -> list[model.Job]:
+        """Return the jobs that wait for a place."""
+        return [
+            job
+            for job in self.jobs.values()
+            if job.state is model.JobState.QUEUED
+        ]
+
     # Workers.
 
     def set_worker(
@@ -193,8 +223,10 @@
         held = self.workers.get(name)
         if held is None:
             self.workers[name] = Worker(name, rack, accelerators, live=live)
-        else:
+            self.touch()
+        elif held.live != live:
             held.live = live
+            self.touch()
 
     def suspect_worker(self, name: str, now: float) -> Effects:
         """End the gangs of a worker that stopped answering.
@@ -206,6 +238,7 @@
         effects = Effects()
         if name in self.workers:
             self.workers[name].known = False
+            self.touch()
         for held in self.list_gangs_on(name):
             if len(held.members) > 1:
                 step = gangs.end_gang(
@@ -220,6 +253,7 @@
         if name in self.workers:
             self.workers[name].known = False
             self.workers[name].strays.clear()
+            self.touch()
         for held in list(self.gangs.values()):
             if name not in held.workers:
                 continue
@@ -245,6 +279,7 @@
     def remove_worker(self, name: str) -> None:
         """Drop a worker that the VM list no longer shows."""
         self.workers.pop(name, None)
+        self.touch()
 
     def find_gang(self, job_id: str, attempt: int) -> gangs.Gang | None:
         """Return the gang of an attempt, or None if it no longer counts."""
@@ -260,6 +295,8 @@
     def apply(self, step: gangs.Step, now: float, effects: Effects) -> None:
         """Take a gang's step over and settle the job if its attempt ended."""
         after, commands = step
+        if after.phase in (gangs.Phase.ENDING, gangs.Phase.ENDED):
+            self.touch()
         self.gangs[after.job_id] = after
         effects.commands += commands
         if after.phase is gangs.Phase.ENDED:
--- a/crocusrouter/jobs/cells.py
+++ b/crocusrouter/jobs/cells.py
@@ -18,6 +18,7 @@
 from collections.abc import Iterator
 from collections.abc import Sequence
 import dataclasses
+from typing import NamedTuple
 
 from crocusrouter.jobs import model
 from crocusrouter.templates import Level
@@ -27,10 +28,11 @@
 _NODE_LIMIT = 400
 
 
-@dataclasses.dataclass(frozen=True)
-class Space:
+class Space(NamedTuple):
     """The accelerators of one worker, as bit masks.
 
+    A named tuple, since decisions make thousands of them.
+
     Attributes:
         worker: The worker's name.
         rack: Its rack.
@@ -132,12 +134,17 @@
 
 def remove_spot(floor: Floor, spot: Spot) -> Floor:
     """Return the floor without the accelerators of `spot`."""
+    return remove_spots(floor, (spot,))
+
+
+def remove_spots(floor: Floor, spots: Iterable[Spot]) -> Floor:
+    """Return the floor without the accelerators of several spots."""
     changed = dict(floor)
-    for member in spot:
-        held = changed[member.worker]
-        changed[member.worker] = dataclasses.replace(
-            held, free=held.free & ~member.mask, lent=held.lent & ~member.mask
-        )
+    for spot in spots:
+        for member in spot:
+            name, rack, free, lent = changed[member.worker]
+            keep = ~member.mask
+            changed[name] = Space(name, rack, free & keep, lent & keep)
     return changed
 
 
--- a/crocusrouter/jobs/claims.py
+++ b/crocusrouter/jobs/claims.py
@@ -50,36 +50,52 @@
             index += 1
 
 
-def pin_holdings(needs: Needs, holdings: Iterable[Holding]) -> Needs:
-    """Return the needs with what the holdings claim of them.
+def pin_holdings(
+    needs: Needs, holdings: Iterable[Holding]
+) -> tuple[Needs, list[Holding]]:
+    """Mark what is claimed of each cell.
 
-    A claim on a cell that an edit has removed or shrunk is left out; its job
-    counts as a loan from then on.
+    A claim on a cell that an edit has removed or shrunk doesn't count; its
+    job holds a loan from then on.
 
     >>> need = cells.Need("a", Level.RACK, 4)
     >>> claim = model.Claim(0, (model.Member("w", 0b1),))
     >>> held = Holding("dc.1", "a", claim.spot, (claim,))
-    >>> pin_holdings((need,), [held])[0].unclaimed
-    3
+    >>> pinned, loans = pin_holdings((need,), [held])
+    >>> pinned[0].unclaimed, loans
+    (3, [])
+
+    Args:
+        needs: Every cell, nothing claimed.
+        holdings: What running attempts hold.
+
+    Returns:
+        The cells with what is claimed of them, and the holdings that are
+        loans.
     """
+    room = {(n.customer, n.index): n.accelerators for n in needs}
+    pinned: dict[tuple[str, int], cells.Spot] = {}
+    loans = []
     for holding in holdings:
-        if is_backed(needs, holding):
-            for claim in holding.claims:
-                needs = pin(needs, holding.customer, claim)
-    return needs
+        if not _is_backed(room, holding):
+            loans.append(holding)
+            continue
+        for claim in holding.claims:
+            key = (holding.customer, claim.cell)
+            room[key] -= claim.size
+            pinned[key] = pinned.get(key, ()) + claim.spot
+    marked = tuple(
+        dataclasses.replace(need, pinned=pinned[key]) if key in pinned else need
+        for need in needs
+        for key in [(need.customer, need.index)]
+    )
+    return marked, loans
 
 
-def is_backed(needs: Needs, holding: Holding) -> bool:
+def _is_backed(room: dict[tuple[str, int], int], holding: Holding) -> bool:
     """Tell whether a guarantee has room for all that a holding claims."""
-    if not holding.claims:
-        return False
-    room = {
-        need.index: need.unclaimed
-        for need in needs
-        if need.customer == holding.customer
-    }
-    return all(
-        room.get(claim.cell, 0) >= sum(m.size for m in claim.spot)
+    return bool(holding.claims) and all(
+        room.get((holding.customer, claim.cell), 0) >= claim.size
         for claim in holding.claims
     )
 
--- a/crocusrouter/jobs/handlers.py
+++ b/crocusrouter/jobs/handlers.py
@@ -53,6 +53,7 @@
     known = book.workers[worker]
     known.known = True
     known.strays = {}
+    book.touch()
     for key, task in listed.items():
         if not _is_current(book, key, worker):
             _stop_stray(book, worker, task, effects)
@@ -116,7 +117,8 @@
     effects: Effects,
 ) -> None:
     key = (message.job_id, message.attempt)
-    book.workers[worker].strays.pop(key, None)
+    if book.workers[worker].strays.pop(key, None) is not None:
+        book.touch()
     held = book.find_gang(*key)
     if held is not None and worker in held.held:
         step = gangs.note_gone(
--- a/crocusrouter/jobs/model.py
+++ b/crocusrouter/jobs/model.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import enum
+import functools
 import hashlib
 
 from crocusrouter.templates import Level
@@ -70,6 +71,11 @@
     cell: int
     spot: tuple[Member, ...]
 
+    @functools.cached_property
+    def size(self) -> int:
+        """The number of accelerators; asked at every decision."""
+        return sum(member.size for member in self.spot)
+
 
 @dataclasses.dataclass(frozen=True)
 class Job:
--- a/crocusrouter/jobs/placement.py
+++ b/crocusrouter/jobs/placement.py
@@ -12,12 +12,12 @@
 
 from crocusrouter.jobs import cells
 from crocusrouter.jobs import claims
+from crocusrouter.jobs import homes
 from crocusrouter.jobs import model
 from crocusrouter.templates import Level
 from crocusrouter.templates import Weights
 
 _CANDIDATES = 6
-_CELLS_TRIED = 3
 
 
 class WaitReason(enum.StrEnum):
@@ -47,11 +47,13 @@
         claims: The cells of its customer's guarantee that it uses; empty if
             the accelerators are lent.
         victims: Jobs with loans that must stop first.
+        moved: A cell's new home, if the claim moved it.
     """
 
     spot: cells.Spot
     claims: tuple[model.Claim, ...] = ()
     victims: tuple[str, ...] = ()
+    moved: tuple[homes.Key, cells.Spot] | None = None
 
 
 @dataclasses.dataclass(frozen=True)
@@ -69,12 +71,14 @@
     Attributes:
         floor: Spaces by worker, with what is free and what is lent.
         needs: Every guaranteed cell, with what is claimed of it.
+        bound: The home of each cell.
         loans: Holdings that are borrowed.
         weights: What the customer's template leans on.
     """
 
     floor: cells.Floor
-    needs: claims.Needs
+    needs: claims.Needs = ()
+    bound: homes.Homes = dataclasses.field(default_factory=dict)
     loans: tuple[claims.Holding, ...] = ()
     weights: Weights = dataclasses.field(default_factory=Weights)
 
@@ -82,15 +86,15 @@
 def place(ask: Ask, situation: Situation) -> Placed | Waits:
     """Decide where a job starts, or why it waits.
 
-    A job within its customer's guarantee takes free accelerators if all cells
-    still embed around it; else it takes a part of the place that the
-    embedding holds for its cell, and the loans on it must stop. A job beyond
-    the guarantee takes free accelerators only: what it takes is lent, which
-    never weakens a guarantee.
+    A job within its customer's guarantee takes a part of a home of its
+    customer's cells. If loans are there, the home first moves to a free place
+    outside all homes; if there is none, the loans must stop. A job beyond the
+    guarantee takes free accelerators only: what it takes is lent, which never
+    weakens a guarantee.
 
     >>> floor = {"w": cells.Space("w", "r", 0b11)}
-    >>> place(Ask("dc.1", "a", Level.RACK, 1), Situation(floor, ()))
-    Placed(spot=(Member(worker='w', mask=1),), claims=(), victims=())
+    >>> place(Ask("dc.1", "a", Level.RACK, 1), Situation(floor)).spot
+    (Member(worker='w', mask=1),)
 
     Args:
         ask: The job's shape.
@@ -118,115 +122,125 @@
 
 
 def _borrow(ask: Ask, situation: Situation) -> Placed | Waits:
+    """Take free accelerators, away from all homes if possible.
+
+    A loan on a home would have to stop when the cell is claimed.
+    """
     free = _keep_free(situation.floor)
-    spot = _choose_apart(ask, situation, free)
-    if spot is None:
-        spot = next(_list_spots(ask, free), None)
-    if spot is None:
-        return Waits(WaitReason.NO_FREE_SPOT, _describe_lack(ask, free))
-    return Placed(spot)
+    apart = homes.take_away(free, situation.needs, situation.bound)
+    for floor in (apart, free):
+        spot = next(_list_spots(ask, floor), None)
+        if spot is not None:
+            return Placed(spot)
+    return Waits(WaitReason.NO_FREE_SPOT, _describe_lack(ask, free))
 
 
-def _choose_apart(
-    ask: Ask, situation: Situation, free: cells.Floor
-) -> cells.Spot | None:
-    """Look for a spot away from where guarantees would go.
+def _claim(ask: Ask, situation: Situation) -> Placed | Waits:
+    admitting = [
+        need
+        for need in claims.list_cells(
+            situation.needs, ask.customer, ask.level, ask.accelerators
+        )
+        if homes.find_key(need) in situation.bound
+    ]
+    for attempt in (_claim_free, _claim_moved, _claim_lent):
+        for need in admitting:
+            placed = attempt(ask, situation, need)
+            if placed is not None:
+                return placed
+    if ask.level is Level.DATA_CENTRE:
+        return _claim_many(ask, situation)
+    return _wait_for_home(ask)
+
+
+def _claim_free(
+    ask: Ask, situation: Situation, need: cells.Need
+) -> Placed | None:
+    """Claim a free part of the cell's home."""
+    unit = _open_home(situation, need, with_lent=False)
+    if cells.count_free(unit) < ask.accelerators:
+        return None
+    spot = cells.fill_unit(unit, ask.accelerators)
+    return Placed(spot, (model.Claim(need.index, spot),))
 
-    A loan there would have to be stopped when the guarantee is claimed.
-    """
-    witness = cells.embed(situation.needs, situation.floor)
-    if isinstance(witness, cells.Unfit):
+
+def _claim_moved(
+    ask: Ask, situation: Situation, need: cells.Need
+) -> Placed | None:
+    """Move an unclaimed cell to a free place outside all homes."""
+    if need.pinned:
+        return None
+    free = _keep_free(situation.floor)
+    apart = homes.take_away(free, situation.needs, situation.bound)
+    home = cells.find_spot(need, apart)
+    if home is None:
         return None
-    apart = free
-    for spot in witness.spots:
-        apart = cells.remove_spot(apart, spot)
-    return next(_list_spots(ask, apart), None)
+    spot = cells.fill_unit(_limit(home, free), ask.accelerators)
+    claim = model.Claim(need.index, spot)
+    return Placed(spot, (claim,), moved=(homes.find_key(need), home))
 
 
-def _claim(ask: Ask, situation: Situation) -> Placed | Waits:
-    placed = _claim_free(ask, situation)
-    if placed is not None:
-        return placed
-    witness = cells.embed(situation.needs, situation.floor)
-    if isinstance(witness, cells.Unfit):
-        need = witness.need
-        detail = (
-            f"{need.customer}'s cell of {need.accelerators} in one "
-            f"{need.level} has no place left"
-        )
-        return Waits(WaitReason.GUARANTEE_IN_THE_WAY, detail)
-    taken = _take_cells(ask, situation, witness)
-    spot = _merge(claim.spot for claim in taken)
+def _claim_lent(
+    ask: Ask, situation: Situation, need: cells.Need
+) -> Placed | None:
+    """Claim a part of the cell's home and take the loans on it back."""
+    unit = _open_home(situation, need, with_lent=True)
+    if cells.count_usable(unit) < ask.accelerators:
+        return None
+    spot = cells.fill_unit(unit, ask.accelerators)
     victims = find_victims(spot, situation.loans)
-    return Placed(spot, taken, victims)
+    return Placed(spot, (model.Claim(need.index, spot),), victims)
 
 
-def _claim_free(ask: Ask, situation: Situation) -> Placed | None:
-    """Look for free accelerators around which every cell still embeds."""
-    admitting = claims.list_cells(
-        situation.needs, ask.customer, ask.level, ask.accelerators
+def _claim_many(ask: Ask, situation: Situation) -> Placed | Waits:
+    """Claim parts of several cells for a job that is adjacent nowhere."""
+    parts = claims.split_over_cells(
+        situation.needs, ask.customer, ask.accelerators
     )
-    free = _keep_free(situation.floor)
-    for spot in _list_spots(ask, free):
-        rest = cells.remove_spot(situation.floor, spot)
-        for need in admitting[:_CELLS_TRIED]:
-            claim = model.Claim(need.index, spot)
-            pinned = claims.pin(situation.needs, ask.customer, claim)
-            if isinstance(cells.embed(pinned, rest), cells.Embedding):
-                return Placed(spot, (claim,))
-    return None
-
-
-def _take_cells(
-    ask: Ask, situation: Situation, witness: cells.Embedding
-) -> tuple[model.Claim, ...]:
-    """Take the job's share of what the embedding holds for its cells.
-
-    The embedding stays one: what the job takes was meant for its own cell.
-    """
-    held = {
-        need.index: spot
-        for need, spot in zip(witness.needs, witness.spots, strict=True)
+    by_index = {
+        need.index: need
+        for need in situation.needs
         if need.customer == ask.customer
     }
-    admitting = claims.list_cells(
-        situation.needs, ask.customer, ask.level, ask.accelerators
-    )
-    if admitting:
-        parts = {admitting[0].index: ask.accelerators}
-    else:
-        parts = (
-            claims.split_over_cells(
-                situation.needs, ask.customer, ask.accelerators
-            )
-            or {}
-        )
-    return tuple(
-        model.Claim(index, _take_part(held[index], size, situation.floor))
-        for index, size in parts.items()
+    taken = []
+    for index, size in (parts or {}).items():
+        need = by_index[index]
+        if homes.find_key(need) not in situation.bound:
+            return _wait_for_home(ask)
+        unit = _open_home(situation, need, with_lent=True)
+        taken.append(model.Claim(index, cells.fill_unit(unit, size)))
+    spot = homes.merge([claim.spot for claim in taken])
+    victims = find_victims(spot, situation.loans)
+    return Placed(spot, tuple(taken), victims)
+
+
+def _wait_for_home(ask: Ask) -> Waits:
+    return Waits(
+        WaitReason.GUARANTEE_IN_THE_WAY,
+        f"{ask.customer}'s cell has no place; workers are missing or unknown",
     )
 
 
-def _take_part(spot: cells.Spot, size: int, floor: cells.Floor) -> cells.Spot:
-    """Take some accelerators of a spot, free ones before lent ones."""
-    unit = [
-        dataclasses.replace(
-            floor[member.worker],
-            free=floor[member.worker].free & member.mask,
-            lent=floor[member.worker].lent & member.mask,
+def _open_home(
+    situation: Situation, need: cells.Need, *, with_lent: bool
+) -> list[cells.Space]:
+    """Return the unclaimed part of a cell's home as spaces."""
+    home = situation.bound[homes.find_key(need)]
+    floor = situation.floor if with_lent else _keep_free(situation.floor)
+    return _limit(homes.find_unclaimed(need, home), floor)
+
+
+def _limit(spot: cells.Spot, floor: cells.Floor) -> list[cells.Space]:
+    """Return the spaces of a floor, limited to a spot."""
+    return [
+        cells.Space(
+            member.worker,
+            floor[member.worker].rack,
+            floor[member.worker].free & member.mask,
+            floor[member.worker].lent & member.mask,
         )
         for member in spot
     ]
-    return cells.fill_unit(unit, size)
-
-
-def _merge(spots: Iterable[cells.Spot]) -> cells.Spot:
-    """Join spots into one member a worker."""
-    masks: dict[str, int] = {}
-    for spot in spots:
-        for member in spot:
-            masks[member.worker] = masks.get(member.worker, 0) | member.mask
-    return tuple(model.Member(name, mask) for name, mask in masks.items())
 
 
 def find_victims(
@@ -244,7 +258,7 @@
 def _keep_free(floor: cells.Floor) -> cells.Floor:
     """Return the floor as if lent accelerators were taken."""
     return {
-        name: dataclasses.replace(space, lent=0) if space.lent else space
+        name: cells.Space(name, space.rack, space.free)
         for name, space in floor.items()
     }
 
--- a/crocusrouter/jobs/scheduler.py
+++ b/crocusrouter/jobs/scheduler.py
@@ -7,6 +7,7 @@
 from crocusrouter.jobs import cells
 from crocusrouter.jobs import claims
 from crocusrouter.jobs import gang as gangs
+from crocusrouter.jobs import homes
 from crocusrouter.jobs import model
 from crocusrouter.jobs import placement
 from crocusrouter.jobs import queue
@@ -25,14 +26,14 @@
     Attributes:
         floor: Spaces of the workers that can be used now.
         needs: Every guaranteed cell, with what is claimed of it.
-        loans: What is used beyond them.
-        borrowed: Accelerators lent to each customer.
+        bound: The home of each cell.
+        loans: What is used beyond the guarantees.
     """
 
     floor: cells.Floor
     needs: claims.Needs
+    bound: homes.Homes
     loans: tuple[claims.Holding, ...]
-    borrowed: collections.Counter[str]
 
 
 def schedule(book: Book, now: float) -> Effects:
@@ -49,10 +50,14 @@
         The effects; no changed job means that nothing more can start.
     """
     effects = Effects()
+    waiting = _list_waiting(book, now)
+    if not waiting:
+        return effects
     failed: set[tuple[str, str, int, tuple[str, ...]]] = set()
     decisions = 0
-    state = observe(book)
-    for job in _list_ordered(book, state, now):
+    state = recall(book)
+    borrowed = _count_borrowed(state.loans)
+    for job in queue.order_queue(waiting, state.needs, borrowed, book.catalog):
         shape = (
             job.customer,
             str(job.spec.level),
@@ -67,23 +72,65 @@
             _note_wait(book, job, decision, now)
             continue
         _assign(book, job, decision, now, effects)
+        state = _follow(book, job, decision, state)
+        book.observed = (book.occupancy, state)
         decisions += 1
         if decisions == _DECISIONS_PER_PASS:
             break
-        state = observe(book)
     return effects
 
 
+def recall(book: Book) -> State:
+    """Return the state as worked out earlier, or afresh if it has changed."""
+    kept = book.observed
+    if isinstance(kept, tuple) and kept[0] == book.occupancy:
+        state: State = kept[1]
+        return state
+    state = observe(book)
+    book.observed = (book.occupancy, state)
+    return state
+
+
 def observe(book: Book) -> State:
     """Return the state on which the next decision rests."""
-    needs = claims.list_needs(book.catalog, book.data_centre)
-    holdings = list_holdings(book)
-    loans = tuple(h for h in holdings if not claims.is_backed(needs, h))
-    needs = claims.pin_holdings(needs, holdings)
+    needs, loans = claims.pin_holdings(
+        claims.list_needs(book.catalog, book.data_centre), list_holdings(book)
+    )
+    floor = build_floor(book, loans)
+    book.homes = homes.bind(needs, floor, book.homes)
+    return State(floor, needs, book.homes, tuple(loans))
+
+
+def _follow(
+    book: Book, job: model.Job, decision: placement.Placed, state: State
+) -> State:
+    """Return the state after a decision, without looking at every gang."""
+    floor = cells.remove_spot(state.floor, decision.spot)
+    if decision.moved is not None:
+        key, home = decision.moved
+        book.homes = book.homes | {key: home}
+    if decision.victims:
+        # What they hold turns from lent to claimed step by step.
+        return observe(book)
+    if decision.claims:
+        needs = state.needs
+        for claim in decision.claims:
+            needs = claims.pin(needs, job.customer, claim)
+        return State(floor, needs, book.homes, state.loans)
+    for member in decision.spot:
+        space = floor[member.worker]
+        floor[member.worker] = space._replace(lent=space.lent | member.mask)
+    loan = claims.Holding(job.id, job.customer, decision.spot)
+    return State(floor, state.needs, book.homes, (*state.loans, loan))
+
+
+def _count_borrowed(
+    loans: Iterable[claims.Holding],
+) -> collections.Counter[str]:
     borrowed: collections.Counter[str] = collections.Counter()
     for loan in loans:
         borrowed[loan.customer] += loan.size
-    return State(build_floor(book, loans), needs, loans, borrowed)
+    return borrowed
 
 
 def list_holdings(book: Book) -> list[claims.Holding]:
@@ -103,63 +150,41 @@
 def build_floor(
     book: Book, loans: Iterable[claims.Holding] = ()
 ) -> cells.Floor:
-    """Return the spaces of the workers that can be used now."""
-    busy = _sum_masks(held.members for held in book.gangs.values())
-    lent = _sum_masks(loan.spot for loan in loans)
-    ending = _list_ending(book)
+    """Return the spaces of the workers that can be used now.
+
+    What is held by nothing but attempts that end counts as lent: a claim may
+    take it at once, and its reservation waits for the stop.
+    """
+    kept: dict[str, int] = collections.defaultdict(int)
+    ending: dict[str, int] = collections.defaultdict(int)
+    lent: dict[str, int] = collections.defaultdict(int)
+    for held in book.gangs.values():
+        masks = ending if held.phase is gangs.Phase.ENDING else kept
+        for member in held.members:
+            masks[member.worker] |= member.mask
+    for loan in loans:
+        for member in loan.spot:
+            lent[member.worker] |= member.mask
     floor = {}
     for worker in book.workers.values():
         if not (worker.known and worker.live):
             continue
-        taken = busy[worker.name]
+        name = worker.name
+        taken = kept[name] | ending[name]
         for mask in worker.strays.values():
             taken |= mask
-        whole = (1 << worker.accelerators) - 1
-        floor[worker.name] = cells.Space(
-            worker.name,
-            worker.rack,
-            free=whole & ~taken,
-            lent=lent[worker.name] | ending[worker.name],
-        )
+        free = ((1 << worker.accelerators) - 1) & ~taken
+        reclaimable = lent[name] | (ending[name] & ~kept[name])
+        floor[name] = cells.Space(name, worker.rack, free, reclaimable)
     return floor
 
 
-def _sum_masks(spots: Iterable[cells.Spot]) -> collections.Counter[str]:
-    masks: collections.Counter[str] = collections.Counter()
-    for spot in spots:
-        for member in spot:
-            masks[member.worker] |= member.mask
-    return masks
-
-
-def _list_ending(book: Book) -> collections.Counter[str]:
-    """Return accelerators held by nothing but attempts that end.
-
-    A claim may take them at once; its reservation waits for the stop.
-    """
-    ending = _sum_masks(
-        held.members
-        for held in book.gangs.values()
-        if held.phase is gangs.Phase.ENDING
-    )
-    kept = _sum_masks(
-        held.members
-        for held in book.gangs.values()
-        if held.phase is not gangs.Phase.ENDING
-    )
-    for name in ending:
-        ending[name] &= ~kept[name]
-    return ending
-
-
-def _list_ordered(book: Book, state: State, now: float) -> list[model.Job]:
-    waiting = [
+def _list_waiting(book: Book, now: float) -> list[model.Job]:
+    return [
         job
-        for job in book.jobs.values()
-        if job.state is model.JobState.QUEUED
-        and book.not_before.get(job.id, 0.0) <= now
+        for job in book.list_queued()
+        if book.not_before.get(job.id, 0.0) <= now
     ]
-    return queue.order_queue(waiting, state.needs, state.borrowed, book.catalog)
 
 
 def _place(
@@ -172,6 +197,7 @@
     situation = placement.Situation(
         floor,
         state.needs,
+        state.bound,
         state.loans,
         template.weights if template is not None else Weights(),
     )
--- a/crocusrouter/jobs/tests/test_book_machine.py
+++ b/crocusrouter/jobs/tests/test_book_machine.py
@@ -385,9 +385,13 @@
             return
         if self.book.find_missing():
             return
+        kept = scheduler.recall(self.book)
         state = scheduler.observe(self.book)
+        assert kept.floor == state.floor
+        assert set(kept.loans) == set(state.loans)
         found = cells.embed(state.needs, state.floor)
         assert isinstance(found, cells.Embedding), (found, state)
+        assert len(state.bound) == len(state.needs), state.bound
 
     @stateful.invariant()
     def check_attempts_hold_disjoint_accelerators(self):
--- a/demo/processes.py
+++ b/demo/processes.py
@@ -1,5 +1,6 @@
 """Plain processes of the demo: start, kill, stop."""
 
+import json
 import os
 import pathlib
 import signal
@@ -7,6 +8,7 @@
 import subprocess
 import sys
 import time
+from typing import Any
 
 _START_LIMIT_S = 15.0
 _STOP_LIMIT_S = 15.0
@@ -56,6 +58,12 @@
         """Return what a child printed so far."""
         return (self._log_folder / f"{name}.out").read_text()
 
+    def read_log(self, name: str) -> list[dict[str, Any]]:
+        """Return the JSON lines that a child logged so far."""
+        text = (self._log_folder / f"{name}.err").read_text()
+        *lines, _ = text.split("\n")
+        return [json.loads(line) for line in lines if line.startswith("{")]
+
     def pid(self, name: str) -> int:
         """Return a child's process id."""
         return self._children[name].pid
--- a/standins/__main__.py
+++ b/standins/__main__.py
@@ -33,6 +33,13 @@
     trio.run(functools.partial(worker.run, name, port, accelerators))
 
 
+@app.command("workers")
+def run_workers(ports: str, accelerators: int = 1) -> None:
+    """Run many workers in one process, one on each port: 9001,9002,..."""
+    numbers = [int(text) for text in ports.split(",")]
+    trio.run(functools.partial(worker.run_many, numbers, accelerators))
+
+
 @app.command("runner")
 def run_runner(name: str, port: Port, slots: int = 8) -> None:
     """Run one runner."""
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -17,6 +17,7 @@
 from crocusrouter.fleet import messages
 
 _TICK_S = 0.02
+_MANY_TICK_S = 0.25
 
 
 class Fault(enum.StrEnum):
@@ -206,8 +207,9 @@
     processes can be compared.
     """
 
-    def __init__(self, worker: Worker) -> None:
+    def __init__(self, worker: Worker, tick_s: float = _TICK_S) -> None:
         self.worker = worker
+        self._tick_s = tick_s
         self._current: Any = None
 
     async def run(self, port: int) -> None:
@@ -251,7 +253,7 @@
 
     async def _tick(self) -> None:
         while True:
-            await trio.sleep(_TICK_S)
+            await trio.sleep(self._tick_s)
             for told in self.worker.advance(time.monotonic()):
                 if self._current is not None:
                     await self._send(self._current, told)
@@ -269,3 +271,12 @@
     worker = Worker(name, accelerators)
     worker.prints = True
     await WorkerServer(worker).run(port)
+
+
+async def run_many(ports: list[int], accelerators: int) -> None:
+    """Serve many workers, named after their ports."""
+    async with trio.open_nursery() as nursery:
+        for port in ports:
+            held = Worker(f"w{port}", accelerators)
+            server = WorkerServer(held, _MANY_TICK_S)
+            nursery.start_soon(server.run, port)
