--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -8,7 +8,9 @@
 
 from bench import deciding
 from bench import figures
+from bench import passing
 from bench import polling
+from bench import recovery
 from bench import steady
 
 Measure = Callable[[], list[figures.Figure]]
@@ -22,6 +24,11 @@
     "mesh": steady.measure_mesh,
     "worker_link": steady.measure_worker_link,
     "http_poll": polling.measure_polling,
+    "passing": passing.measure_passing,
+    "edits": recovery.measure_edits,
+    "takeovers": recovery.measure_takeovers,
+    "recovery": recovery.measure_recovery,
+    "urgent": recovery.measure_urgent,
 }
 
 
--- a/crocusrouter/cli/service.py
+++ b/crocusrouter/cli/service.py
@@ -1,5 +1,6 @@
 """The life of one `serve` process, from start to planned stop."""
 
+from collections.abc import AsyncIterator
 import signal
 
 import trio
@@ -56,11 +57,18 @@
     would refuse callers whom the balancer still sends here.
     """
     with trio.open_signal_receiver(*_SIGNALS) as signals:
-        number = await anext(signals)
-        log("entry:stopping", signal=signal.Signals(number).name)
-        await entry.release_all()
-        await trio.sleep(_LAME_DUCK_S)
-        stopped.set()
-        # A second signal, as supervisors send it, must not cut what the
-        # first one promised to finish; so this one stays until the end.
-        await trio.sleep_forever()
+        async with trio.open_nursery() as nursery:
+            number = await anext(signals)
+            log("entry:stopping", signal=signal.Signals(number).name)
+            # Supervisors send a second signal. It must not cut what the first
+            # one promised to finish; trio would deliver one that nobody took
+            # to the default handler, which ends the process.
+            nursery.start_soon(_take_signals, signals)
+            await entry.release_all()
+            await trio.sleep(_LAME_DUCK_S)
+            stopped.set()
+
+
+async def _take_signals(signals: AsyncIterator[int]) -> None:
+    async for number in signals:
+        log("entry:already-stopping", signal=signal.Signals(number).name)
--- a/crocusrouter/http/app.py
+++ b/crocusrouter/http/app.py
@@ -15,7 +15,6 @@
 from crocusrouter.outcomes import RefusedError
 from crocusrouter.outcomes import Rendered
 from crocusrouter.outcomes import render_refusal
-from crocusrouter.telemetry import Metrics
 
 Handle = Callable[[starlette_requests.Request], Awaitable[Rendered]]
 
@@ -41,14 +40,14 @@
         ("GET", "/readyz", staff.readyz),
     ]
     routes = [
-        routing.Route(path, _wrap(handle, entry.metrics), methods=[method])
+        routing.Route(path, _wrap(handle, entry), methods=[method])
         for method, path, handle in table
     ]
     return applications.Starlette(routes=routes)
 
 
 def _wrap(
-    handle: Handle, metrics: Metrics
+    handle: Handle, entry: controllers.Entry
 ) -> Callable[[starlette_requests.Request], Awaitable[responses.Response]]:
     """Turn refusals into counted problem details."""
 
@@ -58,8 +57,12 @@
         try:
             rendered = await handle(request)
         except RefusedError as error:
-            metrics.count_refusal(error.refusal.reason)
+            entry.metrics.count_refusal(error.refusal.reason)
             rendered = render_refusal(error.refusal)
+        if entry.is_stopping:
+            # A caller that keeps its connection would send its next request
+            # just as we close, and could not tell whether it was read.
+            rendered.headers["Connection"] = "close"
         return responses.Response(
             rendered.body, rendered.status, rendered.headers
         )
--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -225,7 +225,7 @@
         for name in entries:
             self.cluster.processes.signal(name, signal.SIGTERM)
         for name in entries:
-            code = self.cluster.processes.stop(name)
+            code = self.cluster.processes.wait(name)
             self.check(code == 0, f"{name} ended with exit code {code}")
 
 
--- a/demo/cluster.py
+++ b/demo/cluster.py
@@ -15,6 +15,7 @@
 DATA_CENTRE = "liege"
 _READY_LIMIT_S = 20.0
 _POLL_S = 0.05
+_BULK_RACK = 14
 
 
 @dataclasses.dataclass(frozen=True)
@@ -28,8 +29,19 @@
     runners: int = 4
     slots: int = 8
     lag_s: float = 0.5
-    owner_ttl_s: float = 1.0
-    task_lease_s: float = 3.0
+    bulk_workers: int = 0
+    bulk_accelerators: int = 1
+    settings: tuple[tuple[str, str], ...] = (
+        ("OWNER_TTL_S", "1.0"),
+        ("TASK_LEASE_S", "3.0"),
+        ("VMS_POLL_S", "0.25"),
+        ("HEARTBEAT_S", "0.5"),
+    )
+
+    @property
+    def task_lease_s(self) -> float:
+        """The lease of tasks in seconds."""
+        return float(dict(self.settings).get("TASK_LEASE_S", "6.0"))
 
 
 class Cluster:
@@ -39,9 +51,11 @@
         self.shape = shape
         self.processes = processes.Processes(log_folder)
         workers = shape.racks * shape.workers_per_rack
-        free = ports.find_ports(2 + workers + shape.runners + 2 * shape.entries)
+        single = 2 + workers + shape.runners + 2 * shape.entries
+        free = ports.find_ports(single + shape.bulk_workers)
         self.store_port, self.vms_port, *rest = free
         self.workers = {f"w{i + 1}": rest.pop() for i in range(workers)}
+        self.bulk = [rest.pop() for _ in range(shape.bulk_workers)]
         self.runners = {f"run{i + 1}": rest.pop() for i in range(shape.runners)}
         self.entries = {
             f"e{i + 1}": (rest.pop(), rest.pop()) for i in range(shape.entries)
@@ -67,11 +81,7 @@
             "VMS_URL": f"http://127.0.0.1:{self.vms_port}",
             "MESH_SECRET": MESH_SECRET,
             "OPERATOR_KEY": OPERATOR_KEY,
-            "OWNER_TTL_S": str(self.shape.owner_ttl_s),
-            "TASK_LEASE_S": str(self.shape.task_lease_s),
-            "VMS_POLL_S": "0.25",
-            "HEARTBEAT_S": "0.5",
-        }
+        } | dict(self.shape.settings)
         env = {f"CROCUSROUTER_{key}": text for key, text in settings.items()}
         self.processes.start(name, "crocusrouter", "serve", **env)
 
@@ -102,6 +112,16 @@
         )
         return status
 
+    def put_template(self, document: dict[str, Any], entry: str) -> int:
+        """Write a template at an entry; return the revision."""
+        reply: dict[str, int] = fetch(
+            "PUT",
+            f"{self.url(entry)}/v1/templates/{document['customer']}",
+            document,
+            {"Authorization": f"Bearer {OPERATOR_KEY}"},
+        )
+        return reply["revision"]
+
     def remove_vm(self, name: str) -> None:
         """Take a VM from the list, as the platform would."""
         fetch("DELETE", f"http://127.0.0.1:{self.vms_port}/v1/vms/{name}")
@@ -118,8 +138,20 @@
         own = [self.store_port, self.vms_port]
         for port in [*own, *self.workers.values(), *self.runners.values()]:
             processes.wait_for_port(port)
+        self._start_bulk()
         self._list_vms()
 
+    def _start_bulk(self) -> None:
+        """Start many workers in one process."""
+        if not self.bulk:
+            return
+        numbers = ",".join(map(str, self.bulk))
+        size = str(self.shape.bulk_accelerators)
+        self.processes.start(
+            "bulk", "standins", "workers", numbers, "--accelerators", size
+        )
+        processes.wait_for_port(self.bulk[-1])
+
     def _list_vms(self) -> None:
         shape = self.shape
         for number, (name, port) in enumerate(self.workers.items()):
@@ -127,6 +159,14 @@
             self._put_vm(
                 name, "worker", port, rack=rack, accelerators=shape.accelerators
             )
+        for number, port in enumerate(self.bulk):
+            self._put_vm(
+                f"w{port}",
+                "worker",
+                port,
+                rack=f"r{number // _BULK_RACK}",
+                accelerators=shape.bulk_accelerators,
+            )
         for name, port in self.runners.items():
             self._put_vm(
                 name, "runner", port, service="matching", slots=shape.slots
--- a/demo/processes.py
+++ b/demo/processes.py
@@ -78,11 +78,9 @@
         child.kill()
         child.wait()
 
-    def stop(self, name: str) -> int:
-        """Ask a child to stop and return its exit code."""
-        child = self._children[name]
-        child.terminate()
-        return child.wait(_STOP_LIMIT_S)
+    def wait(self, name: str) -> int:
+        """Wait for a child's end and return its exit code."""
+        return self._children[name].wait(_STOP_LIMIT_S)
 
     def stop_all(self) -> None:
         """End all children that still run."""
