--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -9,6 +9,7 @@
 from bench import deciding
 from bench import figures
 from bench import passing
+from bench import policy
 from bench import polling
 from bench import recovery
 from bench import steady
@@ -25,6 +26,7 @@
     "worker_link": steady.measure_worker_link,
     "http_poll": polling.measure_polling,
     "passing": passing.measure_passing,
+    "policy": policy.measure_policy,
     "edits": recovery.measure_edits,
     "takeovers": recovery.measure_takeovers,
     "recovery": recovery.measure_recovery,
--- /dev/null
+++ b/bench/capacity.py
@@ -0,0 +1,294 @@
+"""Builds docs/CAPACITY.md from the committed results.
+
+Each number of the page is slope x size + intercept of committed figures, so
+none stands without its run: `python -m bench.capacity` writes the page, and a
+test compares it with what the results give.
+"""
+
+from collections.abc import Callable
+from collections.abc import Sequence
+import dataclasses
+import pathlib
+
+from bench import figures
+
+PAGE = pathlib.Path(__file__).parent.parent / "docs" / "CAPACITY.md"
+_TEMPLATE = pathlib.Path(__file__).parent / "capacity.md.in"
+
+_ENTRIES_PER_USER = 9
+_DAY_S = 86400
+_LEASE_S = 6.0
+_LONG_LEASE_S = 30.0
+_TTL_S = 2.0
+_EDITS_IN_STORM_PER_S = 1.0
+_TASKS_PER_JOB = 6
+_JOB_WRITES = 4
+
+
+@dataclasses.dataclass(frozen=True)
+class Size:
+    """A size to work out.
+
+    Attributes:
+        name: Heading of its column.
+        workers: Workers in all.
+        data_centres: Data centres.
+        customers: Customers.
+        jobs_per_day: Jobs a day.
+        edits_per_day: Changes of configuration a day.
+        replaced_per_day: VMs replaced a day.
+        entries: Entry VMs.
+    """
+
+    name: str
+    workers: int
+    data_centres: int
+    customers: int
+    jobs_per_day: int
+    edits_per_day: int
+    replaced_per_day: int
+    entries: int = _ENTRIES_PER_USER
+
+
+SIZES = (
+    Size("FBUSW today", 24, 4, 4, 100, 10, 5),
+    Size("Kilima today", 24, 3, 4, 100, 10, 5, entries=8),
+    Size("letter 1", 1400, 10, 22, 2200, 740, 520),
+    Size("10 x letter 1", 14000, 100, 220, 22000, 7400, 5200),
+)
+
+
+class Results:
+    """The committed figures, by name."""
+
+    def __init__(self, found: Sequence[figures.Figure]) -> None:
+        self._found = found
+
+    def points(self, name: str, word: str) -> list[tuple[float, float]]:
+        """Return (size, value) of a figure whose size begins "N word"."""
+        points = []
+        for figure in self._found:
+            number, _, rest = figure.size.partition(" ")
+            if figure.name == name and rest.startswith(word):
+                points.append((float(number), figure.value))
+        return points
+
+    def fit(self, name: str, word: str) -> tuple[float, float]:
+        """Return slope and intercept of a figure over its sizes."""
+        return figures.fit_line(self.points(name, word))
+
+    def value(self, name: str, size: str = "") -> float:
+        """Return a single figure."""
+        for figure in self._found:
+            if figure.name == name and size in figure.size:
+                return figure.value
+        raise KeyError(f"no figure {name} at {size!r}; run make measure")
+
+    def spread(self, name: str) -> float:
+        """Return the largest spread of a figure."""
+        return max(f.spread for f in self._found if f.name == name)
+
+
+Row = tuple[str, Callable[[Size], str]]
+
+
+def build_page(found: Sequence[figures.Figure]) -> str:
+    """Return the text of the page.
+
+    Raises:
+        KeyError: A figure that the page needs has not been measured.
+    """
+    results = Results(found)
+    text = _TEMPLATE.read_text()
+    tables = {
+        "@ROLES@": _build_roles(results),
+        "@STORE@": _build_store(results),
+        "@LEASES@": _build_leases(results),
+        "@SLOPES@": _build_slopes(results),
+        "@FIGURES@": _build_figures(found),
+    }
+    for mark, table in tables.items():
+        text = text.replace(mark, table)
+    return text
+
+
+def _build_table(rows: Sequence[Row]) -> str:
+    head = "| | " + " | ".join(size.name for size in SIZES) + " |"
+    rule = "| --- |" + " ---: |" * len(SIZES)
+    lines = [
+        f"| {name} | " + " | ".join(work(size) for size in SIZES) + " |"
+        for name, work in rows
+    ]
+    return "\n".join([head, rule, *lines])
+
+
+def _build_roles(results: Results) -> str:
+    cpu, cpu_base = results.fit("worker_link_cpu_percent", "workers, lease 6")
+    wire, _ = results.fit("worker_link_bytes_per_s", "workers, lease 6")
+    memory, base = results.fit("worker_link_memory_mb", "workers, lease 6")
+    peer_cpu, _ = results.fit("mesh_cpu_percent", "entries")
+    catalog, catalog_base = results.fit("catalog_bytes", "customers")
+    vms, vms_base = results.fit("vm_list_bytes", "workers")
+    job = results.value("journal_bucket_bytes", "1000 jobs") / 1000
+
+    def links(size: Size) -> float:
+        return size.workers / size.entries
+
+    def count_catalog(size: Size) -> float:
+        return catalog * size.customers + catalog_base
+
+    def count_vms(size: Size) -> float:
+        changes = 2 * size.replaced_per_day / _DAY_S
+        return changes * (vms * size.workers + vms_base)
+
+    def count_journal(size: Size) -> float:
+        kept = size.jobs_per_day / size.data_centres
+        bucket = job * kept / 8
+        writes = size.jobs_per_day * _JOB_WRITES / _DAY_S
+        return writes * bucket * 4 / 3 / size.entries
+
+    def count_config(size: Size) -> float:
+        return size.edits_per_day / _DAY_S * count_catalog(size) * 4 / 3
+
+    beats = results.value("mesh_bytes_per_s_all", "9 entries") / 9 / 8
+
+    def count_mesh(size: Size) -> float:
+        return beats * (size.entries - 1)
+
+    def count_wire(size: Size) -> float:
+        return wire * links(size)
+
+    def count_cpu(size: Size) -> float:
+        return cpu_base + cpu * links(size) + peer_cpu * (size.entries - 1)
+
+    def show_total(size: Size) -> str:
+        total = (
+            count_wire(size)
+            + count_mesh(size)
+            + count_config(size)
+            + count_vms(size)
+            + count_journal(size)
+        )
+        return f"{total:,.0f}"
+
+    rows: list[Row] = [
+        ("entry VMs", lambda s: str(s.entries)),
+        ("worker links an entry", lambda s: f"{links(s):.0f}"),
+        ("worker link, wire B/s", lambda s: f"{count_wire(s):,.0f}"),
+        ("mesh heartbeats, wire B/s", lambda s: f"{count_mesh(s):,.0f}"),
+        ("catalog, bytes", lambda s: f"{count_catalog(s):,.0f}"),
+        ("configuration watcher, B/s", lambda s: f"{count_config(s):,.1f}"),
+        ("VM list (ETag), B/s", lambda s: f"{count_vms(s):,.1f}"),
+        ("journal writes, B/s", lambda s: f"{count_journal(s):,.1f}"),
+        ("**bytes in all, B/s (aim 5,000)**", show_total),
+        ("processor, % of a core (aim 3.5)", lambda s: f"{count_cpu(s):.1f}"),
+        (
+            "control's own state, MB (aim 32)",
+            lambda s: f"{memory * links(s):.1f}",
+        ),
+        (
+            "whole process, MB",
+            lambda s: f"{base + memory * links(s):.0f}",
+        ),
+    ]
+    return _build_table(rows)
+
+
+def _build_store(results: Results) -> str:
+    idle = results.value("store_calls_per_entry_idle", "9 entries")
+    renewal = 3 / _TTL_S
+
+    def count_journal(size: Size) -> float:
+        return size.jobs_per_day * _JOB_WRITES / _DAY_S
+
+    rows: list[Row] = [
+        (
+            "ownership renewals, writes/s",
+            lambda s: f"{renewal * s.data_centres:.1f}",
+        ),
+        ("journal, writes/s", lambda s: f"{count_journal(s):.2f}"),
+        (
+            "edits, writes/s",
+            lambda s: f"{s.edits_per_day / _DAY_S:.4f}",
+        ),
+        ("idle entries, reads/s", lambda s: f"{idle * s.entries:.1f}"),
+        ("watches that wait", lambda s: str(s.entries)),
+        (
+            "worst minute: takeover of all, writes",
+            lambda s: f"{s.data_centres * (1 + 8)}",
+        ),
+        (
+            "worst minute: takeover of all, reads",
+            lambda s: f"{s.data_centres * 8 + 2 * s.entries}",
+        ),
+        ("all entries return at once, calls", lambda s: f"{2 * s.entries}"),
+    ]
+    return _build_table(rows)
+
+
+def _build_leases(results: Results) -> str:
+    _, floor = results.fit("worker_link_bytes_per_s", "workers, lease 6")
+    lines = [
+        "| way | wire B/s for 140 workers | for each worker | letter 1, 9 "
+        "entries | letter 1, 18 entries |",
+        "| --- | ---: | ---: | ---: | ---: |",
+    ]
+
+    def add(name: str, measured: float) -> None:
+        each = measured / 140
+        lines.append(
+            f"| {name} | {measured:,.0f} | {each:.1f} | "
+            f"{each * 1400 / 9:,.0f} | {each * 1400 / 18:,.0f} |"
+        )
+
+    polled = results.value("http_poll_bytes_per_s", "140 workers")
+    add("HTTP/1.1 with JSON, a poll every 2 s", polled)
+    for lease in ("6", "18", "30"):
+        measured = results.value(
+            "worker_link_bytes_per_s", f"140 workers, lease {lease} s"
+        )
+        add(f"websocket, CBOR, lease {lease} s", max(0.0, measured - floor))
+    return "\n".join(lines)
+
+
+def _build_slopes(results: Results) -> str:
+    table = [
+        ("worker_link_cpu_percent", "workers, lease 6", "worker"),
+        ("worker_link_bytes_per_s", "workers, lease 6", "worker"),
+        ("worker_link_memory_mb", "workers, lease 6", "worker"),
+        ("http_poll_cpu_percent", "workers, every", "worker"),
+        ("mesh_cpu_percent", "entries", "entry"),
+        ("process_memory_mb", "entries", "entry"),
+        ("catalog_bytes", "customers", "customer"),
+        ("catalog_parse_ms", "customers", "customer"),
+        ("vm_list_bytes", "workers", "worker"),
+        ("journal_bucket_bytes", "jobs", "job"),
+        ("journal_write_ms", "jobs", "job"),
+    ]
+    lines = [
+        "| figure | slope | a | intercept | largest spread |",
+        "| --- | ---: | --- | ---: | ---: |",
+    ]
+    for name, word, unit in table:
+        slope, intercept = results.fit(name, word)
+        lines.append(
+            f"| `{name}` | {slope:.4g} | {unit} | {intercept:.4g} | "
+            f"{results.spread(name):.4g} |"
+        )
+    return "\n".join(lines)
+
+
+def _build_figures(found: Sequence[figures.Figure]) -> str:
+    lines = [
+        "| figure | value | unit | size | spread |",
+        "| --- | ---: | --- | --- | ---: |",
+    ]
+    lines += [
+        f"| `{f.name}` | {f.value:g} | {f.unit} | {f.size} | {f.spread:g} |"
+        for f in found
+    ]
+    return "\n".join(lines)
+
+
+if __name__ == "__main__":
+    PAGE.write_text(build_page(figures.read_figures()))
--- a/bench/passing.py
+++ b/bench/passing.py
@@ -11,6 +11,7 @@
 from bench import clusters
 from bench import figures
 from demo import cluster
+from demo import processes
 from demo import templates
 from standins import ports
 from standins import serving
@@ -84,7 +85,7 @@
         [port] = ports.find_ports(1)
         target = f"http://127.0.0.1:{next(iter(held.runners.values()))}"
         held.processes.start("bare", "bench.passing", str(port), target)
-        time.sleep(2.0)
+        processes.wait_for_port(port)
         entry, bare = [], []
         for _ in range(_TURNS):
             url = f"{held.url('e1')}/v1/requests/match"
--- /dev/null
+++ b/bench/policy.py
@@ -0,0 +1,371 @@
+"""Completion time and fragmentation of the deciding functions on seeded loads.
+
+No cluster is simulated: the book decides on a chosen clock, and workers do at
+once what they are told, for as long as the load says. Baselines decide on the
+same loads in first-come order without guarantees.
+"""
+
+from collections.abc import Callable
+from collections.abc import Iterator
+import dataclasses
+import hashlib
+import heapq
+import random
+
+from bench import figures
+from crocusrouter import jobs
+from crocusrouter import templates
+from crocusrouter.fleet import messages
+from crocusrouter.jobs import book as books
+from crocusrouter.jobs import cells
+from crocusrouter.jobs import gang as gangs
+from crocusrouter.jobs import model
+from crocusrouter.jobs import scheduler
+from crocusrouter.templates import Level
+
+_WORKERS = 24
+_ACCELERATORS = 8
+_SEEDS = (1, 2, 3, 4, 5)
+_DAY_S = 12 * 3600.0
+_STEP_S = 5.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Arrival:
+    """One job of a load."""
+
+    at: float
+    job: model.Job
+    run_time_s: float
+
+
+@dataclasses.dataclass(frozen=True)
+class Load:
+    """A user's shape: racks, weights and kinds of jobs.
+
+    Attributes:
+        name: The user.
+        workers_per_rack: How many workers share a rack.
+        weights: What its templates lean on.
+        jobs_per_hour: Arrivals.
+        kinds: (name, share, accelerators, level, mean seconds).
+    """
+
+    name: str
+    workers_per_rack: int
+    weights: templates.Weights
+    jobs_per_hour: float
+    kinds: tuple[tuple[str, float, int, Level, float], ...]
+
+
+FBUSW = Load(
+    "fbusw",
+    6,
+    templates.Weights(completion=3.0, fragmentation=1.0),
+    78.0,
+    (
+        ("match", 0.70, 1, Level.WORKER, 240.0),
+        ("tag", 0.22, 8, Level.WORKER, 1200.0),
+        ("retag", 0.08, 32, Level.RACK, 2400.0),
+    ),
+)
+KILIMA = Load(
+    "kilima",
+    8,
+    templates.Weights(completion=1.0, fragmentation=3.0),
+    46.0,
+    (
+        ("verify", 0.70, 1, Level.WORKER, 300.0),
+        ("rank", 0.20, 8, Level.WORKER, 1500.0),
+        ("render", 0.10, 48, Level.RACK, 2400.0),
+    ),
+)
+_CUSTOMERS = ("one", "two", "three", "four")
+
+
+def build_arrivals(load: Load, seed: int) -> list[Arrival]:
+    """Return a seeded load; declared run times are off by up to ten times."""
+    rng = random.Random(f"{load.name}-{seed}")
+    arrivals = []
+    now = 0.0
+    number = 0
+    while now < _DAY_S:
+        now += rng.expovariate(load.jobs_per_hour / 3600.0)
+        shares = [kind[1] for kind in load.kinds]
+        [kind] = rng.choices(load.kinds, shares)
+        name, _, size, level, mean_s = kind
+        run_time_s = mean_s * rng.lognormvariate(-0.125, 0.5)
+        declared_s = run_time_s * 10 ** rng.uniform(-1.0, 1.0)
+        customer = rng.choice(_CUSTOMERS)
+        spec = model.Spec(name, size, level, declared_s, 86400.0, 3)
+        job = model.Job(f"dc.{number:08d}", customer, spec, now)
+        arrivals.append(Arrival(now, job, run_time_s))
+        number += 1
+    return arrivals
+
+
+def build_book(load: Load) -> books.Book:
+    """Return a book in which two customers hold a rack cell each."""
+    catalog = templates.Catalog()
+    rack = load.workers_per_rack * _ACCELERATORS
+    for number, customer in enumerate(_CUSTOMERS):
+        cell = templates.Cell("dc", Level.RACK, rack // 3)
+        key = hashlib.sha256(customer.encode()).hexdigest()
+        template = templates.Template(
+            customer,
+            key,
+            (cell,) if number < 2 else (),
+            max_jobs=100_000,
+            weights=load.weights,
+        )
+        catalog = templates.replace_template(catalog, template)
+    book = books.Book("dc")
+    book.catalog = catalog
+    for number in range(_WORKERS):
+        rack_name = f"r{number // load.workers_per_rack}"
+        book.set_worker(f"w{number}", rack_name, _ACCELERATORS, live=True)
+        jobs.handle_message(book, f"w{number}", messages.Inventory(()), 0.0)
+    return book
+
+
+Schedule = Callable[[books.Book, float], books.Effects]
+
+
+@dataclasses.dataclass
+class Outcome:
+    """What a run came to."""
+
+    completion_s: float
+    fragmentation: float
+    broken: int
+
+
+class Run:
+    """Drives a book through a load on a chosen clock."""
+
+    def __init__(self, load: Load, seed: int, schedule: Schedule) -> None:
+        self._book = build_book(load)
+        self._schedule = schedule
+        self._arrivals = build_arrivals(load, seed)
+        self._run_times = {a.job.id: a.run_time_s for a in self._arrivals}
+        self._ends: list[tuple[float, str, int]] = []
+        self._took: list[float] = []
+        self._fragments: list[float] = []
+        self._broken = 0
+
+    def finish(self) -> Outcome:
+        """Run until every job is done."""
+        waiting = list(reversed(self._arrivals))
+        sample_at = 0.0
+        while waiting or self._ends:
+            at = waiting[-1].at if waiting else float("inf")
+            now = min(at, self._ends[0][0] if self._ends else float("inf"))
+            while waiting and waiting[-1].at <= now:
+                self._book.submit(waiting.pop().job, now)
+            while self._ends and self._ends[0][0] <= now:
+                _, job_id, attempt = heapq.heappop(self._ends)
+                self._end(job_id, attempt, now)
+            self._decide(now)
+            if now >= sample_at and waiting:
+                sample_at = now + 60.0
+                self._sample(now)
+        mean = sum(self._took) / len(self._took)
+        fragments = sum(self._fragments) / max(1, len(self._fragments))
+        return Outcome(mean, fragments, self._broken)
+
+    def _decide(self, now: float) -> None:
+        while True:
+            effects = self._schedule(self._book, now)
+            if not effects.changed:
+                return
+            self._obey(effects.commands, now)
+
+    def _obey(self, commands: list[gangs.Command], now: float) -> None:
+        """Workers do at once what they are told."""
+        queue = list(commands)
+        while queue:
+            command = queue.pop(0)
+            answer = self._answer(command, now)
+            if answer is not None:
+                effects = jobs.handle_message(
+                    self._book, command.worker, answer, now
+                )
+                queue += effects.commands
+
+    def _answer(self, command: gangs.Command, now: float) -> object:
+        message = command.message
+        key = (message.job_id, message.attempt)
+        if isinstance(message, messages.Reserve):
+            return messages.Reserved(*key)
+        if isinstance(message, messages.Stop):
+            return messages.Stopped(*key)
+        if isinstance(message, messages.Start):
+            held = self._book.gangs[message.job_id]
+            if command.worker == min(held.workers):
+                end = now + self._run_times[message.job_id]
+                heapq.heappush(self._ends, (end, *key))
+            return messages.Started(*key)
+        return None
+
+    def _end(self, job_id: str, attempt: int, now: float) -> None:
+        held = self._book.gangs.get(job_id)
+        if held is None or held.attempt != attempt:
+            return  # taken back meanwhile; it starts again from nothing
+        for worker in sorted(held.workers):
+            finished = messages.Finished(job_id, attempt, True, "")
+            effects = jobs.handle_message(self._book, worker, finished, now)
+            self._obey(effects.commands, now)
+        self._took.append(now - self._book.jobs[job_id].submitted_at)
+        self._book.forget(job_id)
+
+    def _sample(self, now: float) -> None:
+        state = scheduler.observe(self._book, now)
+        if not isinstance(
+            cells.embed(state.needs, state.floor), cells.Embedding
+        ):
+            self._broken += 1
+        shapes = [
+            cells.Need("", job.spec.level, job.spec.accelerators)
+            for job in self._book.list_queued()
+        ]
+        shapes += [need for need in state.needs if not need.pinned]
+        if shapes:
+            largest = max(shapes, key=lambda need: need.accelerators)
+            self._fragments.append(measure_fragmentation(largest, state.floor))
+
+
+def measure_fragmentation(need: cells.Need, floor: cells.Floor) -> float:
+    """Return the share of free accelerators that a shape can't use."""
+    free = {name: space._replace(lent=0) for name, space in floor.items()}
+    total = cells.count_free(list(free.values()))
+    if not total:
+        return 0.0
+    usable = 0
+    for unit in cells.group_spaces(free, need.level):
+        count = cells.count_free(unit)
+        usable += count - count % need.accelerators
+    return 1 - usable / total
+
+
+def _list_fifo(book: books.Book) -> Iterator[model.Job]:
+    yield from sorted(book.list_queued(), key=lambda job: job.submitted_at)
+
+
+def _place_first(
+    need: cells.Need, floor: cells.Floor, *, tightest: bool
+) -> cells.Spot | None:
+    units = [
+        unit
+        for unit in cells.group_spaces(floor, need.level)
+        if cells.count_free(unit) >= need.accelerators
+    ]
+    if tightest:
+        units.sort(key=cells.count_free)
+    return cells.fill_unit(units[0], need.accelerators) if units else None
+
+
+def build_baseline(*, tightest: bool, quota: bool) -> Schedule:
+    """Return a baseline: first come, first fit or best fit by rack.
+
+    With `quota`, work within its customer's guaranteed count goes first.
+    """
+
+    def schedule(book: books.Book, now: float) -> books.Effects:
+        effects = books.Effects()
+        floor = {
+            name: space._replace(lent=0)
+            for name, space in scheduler.build_floor(book, now).items()
+        }
+        failed: set[tuple[Level, int]] = set()
+        waiting = list(_list_fifo(book))
+        if quota:
+            waiting.sort(key=lambda job: not _is_within_quota(book, job))
+        for job in waiting:
+            shape = (job.spec.level, job.spec.accelerators)
+            if shape in failed:
+                continue
+            need = cells.Need(job.customer, *shape)
+            spot = _place_first(need, floor, tightest=tightest)
+            if spot is None:
+                failed.add(shape)
+                continue
+            floor = cells.remove_spot(floor, spot)
+            placed = jobs.Placed(spot)
+            scheduler.assign(book, job, placed, now, effects)
+        return effects
+
+    return schedule
+
+
+def _is_within_quota(book: books.Book, job: model.Job) -> bool:
+    template = book.catalog.templates[job.customer].template
+    quota = sum(c.accelerators * c.count for c in template.guarantee)
+    used = sum(
+        held.size
+        for held in book.holdings.values()
+        if held.customer == job.customer
+    )
+    return used + job.spec.accelerators <= quota
+
+
+_BASELINES = {
+    "first_fit": build_baseline(tightest=False, quota=False),
+    "best_fit_by_rack": build_baseline(tightest=True, quota=False),
+    "quota_by_count": build_baseline(tightest=True, quota=True),
+}
+
+
+def measure_policy() -> list[figures.Figure]:
+    """Compare with the baselines, all seeds."""
+    found = []
+    for load in (FBUSW, KILIMA):
+        outcomes = {
+            name: [Run(load, seed, schedule).finish() for seed in _SEEDS]
+            for name, schedule in (_BASELINES | {"ours": jobs.schedule}).items()
+        }
+        size = f"{load.name}, 24 workers, {len(_SEEDS)} seeds of 12 h"
+        for name, runs in outcomes.items():
+            found += [
+                figures.summarize(
+                    f"completion_s_{name}",
+                    [run.completion_s for run in runs],
+                    "s",
+                    size,
+                ),
+                figures.summarize(
+                    f"fragmentation_{name}",
+                    [run.fragmentation for run in runs],
+                    "share",
+                    size,
+                ),
+            ]
+        ours = outcomes.pop("ours")
+        found += _compare(load, ours, outcomes, size)
+        broken = sum(run.broken for run in ours)
+        found.append(figures.Figure("guarantees_broken", broken, "count", size))
+    return found
+
+
+def _compare(
+    load: Load,
+    ours: list[Outcome],
+    others: dict[str, list[Outcome]],
+    size: str,
+) -> list[figures.Figure]:
+    completion = [
+        run.completion_s / min(runs[i].completion_s for runs in others.values())
+        for i, run in enumerate(ours)
+    ]
+    fragmentation = [
+        run.fragmentation
+        / max(1e-9, min(runs[i].fragmentation for runs in others.values()))
+        for i, run in enumerate(ours)
+    ]
+    return [
+        figures.summarize(
+            f"completion_ratio_{load.name}", completion, "ratio", size
+        ),
+        figures.summarize(
+            f"fragmentation_ratio_{load.name}", fragmentation, "ratio", size
+        ),
+    ]
--- /dev/null
+++ b/bench/tests/test_capacity.py
@@ -0,0 +1,7 @@
+from bench import capacity
+from bench import figures
+
+
+def test_page_is_what_the_committed_results_give():
+    built = capacity.build_page(figures.read_figures())
+    assert capacity.PAGE.read_text() == built, "run: python -m bench.capacity"
--- a/crocusrouter/cli/job.py
+++ b/crocusrouter/cli/job.py
@@ -139,7 +139,7 @@
     print()
     output.show_table(
         ["at", "what"],
-        [(_show_time(event["at"]), event["what"]) for event in events],
+        [(output.show_time(event["at"]), event["what"]) for event in events],
     )
 
 
@@ -163,7 +163,3 @@
         output.show_json(reply.document)
     else:
         output.show_fields(reply.document)
-
-
-def _show_time(at: float) -> str:
-    return time.strftime("%Y-%m-%d %H:%M:%S", time.gmtime(at))
--- a/crocusrouter/cli/output.py
+++ b/crocusrouter/cli/output.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Sequence
 import sys
+import time
 from typing import Any
 from typing import NoReturn
 
@@ -44,6 +45,15 @@
     print(orjson.dumps(document).decode())
 
 
+def show_time(at: float) -> str:
+    """Return a Unix time as UTC text.
+
+    >>> show_time(0.0)
+    '1970-01-01 00:00:00'
+    """
+    return time.strftime("%Y-%m-%d %H:%M:%S", time.gmtime(at))
+
+
 def check_reply(reply: client.Reply, as_json: bool) -> None:
     """Leave with the fitting exit code if the entry refused."""
     if not reply.is_refusal:
--- a/crocusrouter/cli/template.py
+++ b/crocusrouter/cli/template.py
@@ -3,6 +3,7 @@
 import pathlib
 import time
 from typing import Annotated
+from typing import Any
 
 import orjson
 import typer
@@ -153,6 +154,71 @@
     output.show_table(["field", "in force", "file"], rows)
 
 
+@app.command("history")
+def show_history(
+    customer: str,
+    entry: options.Entry = options.DEFAULT_ENTRY,
+    key: options.Key = "",
+    as_json: options.AsJson = False,
+) -> None:
+    """Show a template's last 20 versions, the one in force first.
+
+    Example: crocusrouter template history fbusw
+    """
+    versions = _fetch_history(client.Client(entry, key), customer, as_json)
+    if as_json:
+        output.show_json(versions)
+        return
+    rows = [
+        (v["revision"], output.show_time(v["at"]), ", ".join(v["changed"]))
+        for v in versions
+    ]
+    output.show_table(["revision", "at", "changed"], rows)
+
+
+@app.command("restore")
+def restore_template(
+    customer: str,
+    revision: int,
+    entry: options.Entry = options.DEFAULT_ENTRY,
+    key: options.Key = "",
+    as_json: options.AsJson = False,
+) -> None:
+    """Put an earlier version in force again, as a new revision.
+
+    Example: crocusrouter template restore fbusw 7
+    """
+    asked = client.Client(entry, key)
+    versions = _fetch_history(asked, customer, as_json)
+    wanted = [v for v in versions if v["revision"] == revision]
+    if not wanted:
+        output.fail(
+            f"{customer} has no version {revision} among its last "
+            f"{len(versions)}. See: crocusrouter template history {customer}",
+            exits.Exit.NOT_FOUND,
+        )
+    reply = asked.ask(
+        "PUT",
+        f"/v1/templates/{customer}",
+        orjson.dumps(wanted[0]["template"]),
+        {"If-Match": f'"{versions[0]["revision"]}"'},
+    )
+    output.check_reply(reply, as_json)
+    if as_json:
+        output.show_json(reply.document)
+    else:
+        print(f"{customer} is at revision {reply.document['revision']}")
+
+
+def _fetch_history(
+    asked: client.Client, customer: str, as_json: bool
+) -> list[dict[str, Any]]:
+    reply = asked.ask("GET", f"/v1/templates/{customer}/history")
+    output.check_reply(reply, as_json)
+    versions: list[dict[str, Any]] = reply.document["versions"]
+    return versions
+
+
 def _read(file: pathlib.Path) -> Template:
     try:
         return parse_template(file.read_bytes())
--- a/crocusrouter/cli/tests/test_main.py
+++ b/crocusrouter/cli/tests/test_main.py
@@ -36,6 +36,8 @@
         ("template", "list"),
         ("template", "check"),
         ("template", "diff"),
+        ("template", "history"),
+        ("template", "restore"),
         ("job", "submit"),
         ("job", "status"),
         ("job", "list"),
@@ -77,6 +79,11 @@
         (("template", "apply", str(other), "--if-match", "9"), 5, ""),
         (("template", "apply", str(other), "--if-match", "1"), 0, "revision 2"),
         (("template", "check", str(wrong)), 2, ""),
+        (("template", "history", "a"), 0, "max_jobs"),
+        (("template", "restore", "a", "9"), 4, ""),
+        (("template", "restore", "a", "1"), 0, "revision 3"),
+        (("template", "diff", str(path)), 0, "FIELD  IN FORCE  FILE\n"),
+        (("template", "history", "nobody"), 4, ""),
     ]
     async with worlds.open_world(runners=0) as world:
         for words, code, said in table:
--- a/crocusrouter/controllers/configuration.py
+++ b/crocusrouter/controllers/configuration.py
@@ -65,6 +65,8 @@
         self.control_prefix = f"{prefix}control/"
         self.catalog_key = f"{self.control_prefix}catalog"
         self.owners_prefix = f"{self.control_prefix}owners/"
+        # Outside the watched prefix: nobody needs old versions at once.
+        self.history_prefix = f"{prefix}history/"
         self.catalog = Catalog()
         self.catalog_record: store.Record | None = None
         self.is_vouched = False
--- a/crocusrouter/controllers/edits.py
+++ b/crocusrouter/controllers/edits.py
@@ -10,9 +10,13 @@
 from crocusrouter.outcomes import RefusalReason
 from crocusrouter.templates import Catalog
 from crocusrouter.templates import Template
+from crocusrouter.templates import Version
 from crocusrouter.templates import compare_templates
 from crocusrouter.templates import dump_catalog
+from crocusrouter.templates import dump_version
+from crocusrouter.templates import name_version
 from crocusrouter.templates import parse_catalog
+from crocusrouter.templates import parse_version
 from crocusrouter.templates import replace_template
 
 _TRIES = 5
@@ -64,6 +68,7 @@
     template: Template,
     expected_revision: int | None,
     machines: fleet.Fleet,
+    now: float,
 ) -> Edited | Refusal:
     """Write a template by compare-and-swap on the whole catalog.
 
@@ -86,7 +91,12 @@
         refusal = check_edit(catalog, template, expected_revision, machines)
         if refusal is not None:
             return refusal
-        after = replace_template(catalog, template)
+        version = await _keep_version(
+            configuration, client, catalog, template, now
+        )
+        if isinstance(version, Refusal):
+            return version
+        after = replace_template(catalog, template, version)
         outcome = await client.swap(
             configuration.catalog_key, record, dump_catalog(after)
         )
@@ -102,6 +112,49 @@
     )
 
 
+async def _keep_version(
+    configuration: configurations.Configuration,
+    client: store.StoreClient,
+    catalog: Catalog,
+    template: Template,
+    now: float,
+) -> str | Refusal:
+    """Write the record of a version before the catalog that names it."""
+    held = catalog.templates.get(template.customer)
+    previous = held.version if held is not None else ""
+    version = Version(catalog.revision + 1, now, previous, template)
+    name = name_version(version)
+    outcome = await client.swap(
+        configuration.history_prefix + name, None, dump_version(version)
+    )
+    if isinstance(outcome, store.Unavailable):
+        return Refusal(RefusalReason.STORE_UNAVAILABLE, outcome.cause, _RETRY_S)
+    return name
+
+
+async def list_versions(
+    configuration: configurations.Configuration,
+    client: store.StoreClient,
+    customer: str,
+    limit: int,
+) -> list[Version]:
+    """Return a template's versions, the one in force first.
+
+    Raises:
+        StoreUnavailableError: The key-value service gave no answer.
+    """
+    held = configuration.catalog.templates.get(customer)
+    name = held.version if held is not None else ""
+    versions: list[Version] = []
+    while name and len(versions) < limit:
+        record = await client.read(configuration.history_prefix + name)
+        if record is None:
+            break
+        versions.append(parse_version(record.value))
+        name = versions[-1].previous
+    return versions
+
+
 def _refuse_unavailable(outcome: store.Unavailable) -> Refusal:
     if outcome.maybe_written:
         detail = f"{outcome.cause}; read the template to see if it changed"
--- a/crocusrouter/controllers/entry.py
+++ b/crocusrouter/controllers/entry.py
@@ -4,6 +4,7 @@
 import dataclasses
 import random
 import time
+import traceback
 import uuid
 
 import trio
@@ -258,6 +259,17 @@
             held = await self._records.take(data_centre)
             if held is not None:
                 await self._serve_owner(held)
+        except* Exception as errors:
+            # A fault in one data centre's decisions must not end the entry,
+            # which also routes requests and owns others. Another entry takes
+            # over after the TTL.
+            self.metrics.count_event("owner-failed")
+            log(
+                "owner:failed",
+                data_centre=data_centre,
+                error="".join(traceback.format_exception(errors)),
+            )
+            await trio.sleep(self.settings.owner_ttl_s)
         finally:
             self._taking.discard(data_centre)
 
--- a/crocusrouter/controllers/peers.py
+++ b/crocusrouter/controllers/peers.py
@@ -79,8 +79,18 @@
         return mesh.list_live(self.peers, self._interval_s, now)
 
     def note(self, heartbeat: messages.Heartbeat, now: float) -> None:
-        """Note a peer's heartbeat."""
+        """Note a peer's heartbeat, and catch up if it knows more."""
         self.peers = mesh.note_heartbeat(self.peers, heartbeat, now)
+        link = self._links.get(heartbeat.name)
+        if link is None or self._nursery is None:
+            return
+        if self._is_ahead(heartbeat):
+            self._nursery.start_soon(self._catch_up, link)
+
+    def _is_ahead(self, heard: messages.Heartbeat) -> bool:
+        known = self._configuration.catalog.revision
+        vouched = self._configuration.is_vouched
+        return heard.ready and (heard.revision > known or not vouched)
 
     def _open_link(self, peer: mesh.Peer) -> None:
         if self._nursery is None:
@@ -100,28 +110,24 @@
         with self._scopes[opened.name]:
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(opened.run)
-                nursery.start_soon(self._beat, opened)
+                # An answer is a heartbeat too, so one side of a pair suffices.
+                if self._entry < opened.name:
+                    nursery.start_soon(self._beat, opened)
 
     async def _beat(self, opened: mesh.PeerLink) -> None:
         while True:
             try:
                 reply = await opened.call(self._describe(), self._interval_s)
                 self.note(reply, trio.current_time())
-                await self._catch_up(opened, reply)
             except mesh.PeerUnreachableError as error:
                 log("mesh:no-heartbeat", peer=opened.name, why=str(error))
             await trio.sleep(self._interval_s)
 
-    async def _catch_up(
-        self, opened: mesh.PeerLink, heard: messages.Heartbeat
-    ) -> None:
-        known = self._configuration.catalog.revision
-        if heard.revision <= known and self._configuration.is_vouched:
-            return
-        if not heard.ready:
-            return
-        reply = await opened.call(messages.AskCatalog(), self._interval_s)
+    async def _catch_up(self, opened: mesh.PeerLink) -> None:
         try:
+            reply = await opened.call(messages.AskCatalog(), self._interval_s)
             self._configuration.take_catalog(parse_catalog(reply.document))
+        except mesh.PeerUnreachableError as error:
+            log("mesh:no-catalog", peer=opened.name, why=str(error))
         except InvalidTemplateError as error:
             log("mesh:bad-catalog", peer=opened.name, why=str(error))
--- a/crocusrouter/controllers/tests/test_entry.py
+++ b/crocusrouter/controllers/tests/test_entry.py
@@ -334,3 +334,28 @@
     assert dataclasses.replace(catalog, revision=1) != catalog
     record = records.unwrap("k", records.wrap(data, b"1", ()), 3)
     assert templates.parse_catalog(record.value).revision == 6
+
+
+# A fault in the decisions of a data centre ends its ownership, not the entry:
+# small requests go on, and the data centre has an owner again after the TTL.
+async def test_fault_in_decisions_does_not_end_the_entry(monkeypatch):
+    async with worlds.open_world() as world:
+        await world.put_template()
+        await world.wait_owned()
+        entry = world.entries["e1"].entry
+        first = entry.owned["dc"]
+
+        def fail(*_):
+            raise KeyError("w0")
+
+        monkeypatch.setattr(first.book, "submit", fail)
+        monkeypatch.setattr(first.book, "list_queued", fail)
+        await world.wait_for(
+            lambda: entry.metrics.counts["event:owner-failed"] == 1
+        )
+        reply = await world.ask("POST", "/v1/requests/match", {"item": 1})
+        assert reply.status == 200
+        await world.wait_for(lambda: entry.owned.get("dc") not in (None, first))
+        await world.wait_owned()
+        accepted = await _submit(world, "k1")
+        await _wait_state(world, accepted.document["id"], "done")
--- a/crocusrouter/http/app.py
+++ b/crocusrouter/http/app.py
@@ -34,6 +34,7 @@
         ("GET", "/v1/templates", staff.list_templates),
         ("GET", "/v1/templates/{customer}", staff.get_template),
         ("PUT", "/v1/templates/{customer}", staff.put_template),
+        ("GET", "/v1/templates/{customer}/history", staff.list_history),
         ("GET", "/v1/status", staff.status),
         ("GET", "/metrics", staff.metrics),
         ("GET", "/healthz", staff.healthz),
--- a/crocusrouter/http/operators.py
+++ b/crocusrouter/http/operators.py
@@ -1,6 +1,7 @@
 """Endpoints of the operators."""
 
 import dataclasses
+import time
 from typing import Any
 
 import orjson
@@ -9,6 +10,7 @@
 
 from crocusrouter import controllers
 from crocusrouter import requests
+from crocusrouter import store
 from crocusrouter.http import reading
 from crocusrouter.outcomes import Refusal
 from crocusrouter.outcomes import RefusalReason
@@ -17,12 +19,16 @@
 from crocusrouter.outcomes import refuse
 from crocusrouter.templates import InvalidTemplateError
 from crocusrouter.templates import Template
+from crocusrouter.templates import Version
+from crocusrouter.templates import compare_templates
 from crocusrouter.templates import dump_template
 from crocusrouter.templates import parse_template
 
 _OK = 200
 _UNAVAILABLE = 503
 _MAX_TEMPLATE = 256 << 10
+_MAX_VERSIONS = 20
+_RETRY_S = 1.0
 _JSON = "application/json"
 
 
@@ -79,6 +85,7 @@
             template,
             expected,
             self._entry.machines.fleet,
+            time.time(),
         )
         if isinstance(outcome, Refusal):
             raise RefusedError(outcome)
@@ -86,6 +93,27 @@
         rendered.headers["ETag"] = f'"{outcome.revision}"'
         return rendered
 
+    async def list_history(
+        self, request: starlette_requests.Request
+    ) -> Rendered:
+        """Show a template's versions, the one in force first."""
+        self._check(request)
+        customer = request.path_params["customer"]
+        if self._entry.configuration.catalog.find(customer) is None:
+            raise refuse(RefusalReason.UNKNOWN_CUSTOMER, customer)
+        try:
+            versions = await controllers.list_versions(
+                self._entry.configuration,
+                self._entry.store,
+                customer,
+                _MAX_VERSIONS,
+            )
+        except store.StoreUnavailableError as error:
+            raise refuse(
+                RefusalReason.STORE_UNAVAILABLE, str(error), _RETRY_S
+            ) from error
+        return _render({"versions": _show_versions(versions)})
+
     async def status(self, request: starlette_requests.Request) -> Rendered:
         """Show this entry, its peers and what it owns."""
         self._check(request)
@@ -155,6 +183,21 @@
         return _render({"revision": catalog.revision})
 
 
+def _show_versions(versions: list[Version]) -> list[dict[str, Any]]:
+    """Show each version with the fields that it changed."""
+    older = [version.template for version in versions[1:]]
+    return [
+        {
+            "revision": version.revision,
+            "at": version.at,
+            "changed": [d.path for d in compare_templates(before, after)],
+            "template": orjson.loads(dump_template(after)),
+        }
+        for version, before in zip(versions, [*older, None], strict=True)
+        for after in [version.template]
+    ]
+
+
 def _parse(body: bytes, customer: str) -> Template:
     requests.check_json(body)
     try:
--- a/crocusrouter/http/tests/test_reasons.py
+++ b/crocusrouter/http/tests/test_reasons.py
@@ -234,8 +234,9 @@
 
 
 async def _commit_unknown(world):
+    await world.wait_owned()
     _set_store(world, store_standin.Fault.LOSE_ANSWERS)
-    return await world.put_template(max_jobs=7)
+    return await _submit(world)
 
 
 _REFUSALS = {
--- a/crocusrouter/jobs/book.py
+++ b/crocusrouter/jobs/book.py
@@ -11,7 +11,10 @@
 import dataclasses
 
 from crocusrouter.fleet import messages
+from crocusrouter.jobs import blame as blames
 from crocusrouter.jobs import cells
+from crocusrouter.jobs import claims
+from crocusrouter.jobs import estimates as learned
 from crocusrouter.jobs import gang as gangs
 from crocusrouter.jobs import homes
 from crocusrouter.jobs import model
@@ -41,6 +44,7 @@
             is placed on it: an earlier owner's tasks may still run there.
         live: Whether the VM list shows it as staying.
         strays: Tasks that it holds and no gang accounts for.
+        blame: What speaks against it.
     """
 
     name: str
@@ -49,6 +53,7 @@
     known: bool = False
     live: bool = True
     strays: dict[tuple[str, int], int] = dataclasses.field(default_factory=dict)
+    blame: blames.Blame = dataclasses.field(default_factory=blames.Blame)
 
 
 @dataclasses.dataclass
@@ -90,6 +95,9 @@
         self.data_centre = data_centre
         self.jobs: dict[str, model.Job] = {}
         self.gangs: dict[str, gangs.Gang] = {}
+        self.estimates = learned.Estimates()
+        self.began: dict[str, float] = {}
+        self.holdings: dict[str, claims.Holding] = {}
         self.workers: dict[str, Worker] = {}
         self._catalog = Catalog()
         self.occupancy = 0
@@ -124,7 +132,7 @@
         for job in jobs:
             self.jobs[job.id] = job
             if job.state is model.JobState.ASSIGNED:
-                self.gangs[job.id] = gangs.recover_gang(job)
+                self.open_gang(job, gangs.recover_gang(job))
                 self.note(job.id, now, "taken over from an earlier owner")
 
     def submit(self, job: model.Job, now: float) -> Effects | Refusal:
@@ -160,6 +168,7 @@
         """Drop a final job that has been kept long enough."""
         self.jobs.pop(job_id, None)
         self._events.pop(job_id, None)
+        self.began.pop(job_id, None)
 
     def explain(self, job_id: str) -> Explanation | None:
         """Tell why a job stands where it stands."""
@@ -281,6 +290,13 @@
         self.workers.pop(name, None)
         self.touch()
 
+    def open_gang(self, job: model.Job, opened: gangs.Gang) -> None:
+        """Begin to follow an attempt and what it holds."""
+        self.gangs[job.id] = opened
+        self.holdings[job.id] = claims.Holding(
+            job.id, job.customer, job.members, job.claims
+        )
+
     def find_gang(self, job_id: str, attempt: int) -> gangs.Gang | None:
         """Return the gang of an attempt, or None if it no longer counts."""
         held = self.gangs.get(job_id)
@@ -296,7 +312,10 @@
         """Take a gang's step over and settle the job if its attempt ended."""
         after, commands = step
         if after.phase in (gangs.Phase.ENDING, gangs.Phase.ENDED):
+            self.holdings.pop(after.job_id, None)
             self.touch()
+        elif after.phase is gangs.Phase.RUNNING:
+            self.began.setdefault(after.job_id, now)
         self.gangs[after.job_id] = after
         effects.commands += commands
         if after.phase is gangs.Phase.ENDED:
@@ -327,18 +346,17 @@
         now: float,
         effects: Effects,
     ) -> None:
+        began = self.began.pop(job.id, None)
         if end is gangs.End.SUCCEEDED:
+            self._clear(ended)
+            if began is not None:
+                self._learn(job, now - began)
             first = ended.members[0].worker
             job = dataclasses.replace(job, result=dict(ended.results)[first])
             self._finish(job, model.JobState.DONE, now, effects)
             return
         if end is gangs.End.FAILED:
-            job = dataclasses.replace(
-                job,
-                failures=job.failures + 1,
-                failed_on=(*job.failed_on, ended.culprit),
-                detail=ended.detail,
-            )
+            job = self._blame(job, ended, now)
         else:
             job = dataclasses.replace(job, losses=job.losses + 1)
         if job.failures >= job.spec.max_attempts:
@@ -352,6 +370,41 @@
         if end in _RETRY_REASONS:
             effects.retries.append(_RETRY_REASONS[end])
 
+    def _learn(self, job: model.Job, took_s: float) -> None:
+        key = (job.customer, job.spec.kind)
+        self.estimates = learned.note_run_time(self.estimates, key, took_s)
+
+    def _clear(self, ended: gangs.Gang) -> None:
+        for name in ended.workers & self.workers.keys():
+            held = self.workers[name]
+            held.blame = blames.note_success(held.blame)
+
+    def _blame(
+        self, job: model.Job, ended: gangs.Gang, now: float
+    ) -> model.Job:
+        """Note a failure against the worker, and against the job.
+
+        Failures on workers that are set aside don't count against the job.
+        """
+        held = self.workers.get(ended.culprit)
+        if held is not None:
+            elsewhere = bool(set(job.failed_on) - {held.name})
+            held.blame = blames.note_failure(held.blame, job.id, elsewhere, now)
+            self.touch()
+        failed_on = (*job.failed_on, ended.culprit)
+        own = [name for name in failed_on if not self.is_aside(name, now)]
+        return dataclasses.replace(
+            job,
+            failures=len(own),
+            failed_on=failed_on,
+            detail=ended.detail,
+        )
+
+    def is_aside(self, name: str, now: float) -> bool:
+        """Tell whether a worker is set aside."""
+        held = self.workers.get(name)
+        return held is not None and blames.is_aside(held.blame, now)
+
     def _finish(
         self,
         job: model.Job,
@@ -386,5 +439,9 @@
 def build_ask(job: model.Job) -> placement.Ask:
     """Return what a job asks of placement."""
     return placement.Ask(
-        job.id, job.customer, job.spec.level, job.spec.accelerators
+        job.id,
+        job.customer,
+        job.spec.level,
+        job.spec.accelerators,
+        job.spec.urgent,
     )
--- a/crocusrouter/jobs/claims.py
+++ b/crocusrouter/jobs/claims.py
@@ -77,7 +77,7 @@
     pinned: dict[tuple[str, int], cells.Spot] = {}
     loans = []
     for holding in holdings:
-        if not _is_backed(room, holding):
+        if not holding.claims or not _is_backed(room, holding):
             loans.append(holding)
             continue
         for claim in holding.claims:
@@ -94,7 +94,7 @@
 
 def _is_backed(room: dict[tuple[str, int], int], holding: Holding) -> bool:
     """Tell whether a guarantee has room for all that a holding claims."""
-    return bool(holding.claims) and all(
+    return all(
         room.get((holding.customer, claim.cell), 0) >= claim.size
         for claim in holding.claims
     )
--- a/crocusrouter/jobs/homes.py
+++ b/crocusrouter/jobs/homes.py
@@ -106,6 +106,8 @@
     >>> merge([(one,), (two,)])
     (Member(worker='w', mask=3),)
     """
+    if not any(spots):
+        return ()
     masks: dict[str, int] = {}
     for spot in spots:
         for member in spot:
--- a/crocusrouter/jobs/placement.py
+++ b/crocusrouter/jobs/placement.py
@@ -36,6 +36,7 @@
     customer: str
     level: Level
     accelerators: int
+    urgent: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
@@ -143,7 +144,7 @@
         )
         if homes.find_key(need) in situation.bound
     ]
-    for attempt in (_claim_free, _claim_moved, _claim_lent):
+    for attempt in (_claim_free, _claim_moved, _borrow_instead, _claim_lent):
         for need in admitting:
             placed = attempt(ask, situation, need)
             if placed is not None:
@@ -180,6 +181,20 @@
     return Placed(spot, (claim,), moved=(homes.find_key(need), home))
 
 
+def _borrow_instead(
+    ask: Ask, situation: Situation, need: cells.Need
+) -> Placed | None:
+    """Take free accelerators as a loan rather than stop another's loan.
+
+    The cell stays unclaimed and the guarantee whole. An urgent job claims: a
+    loan could be taken back from it.
+    """
+    if ask.urgent:
+        return None
+    found = _borrow(ask, situation)
+    return found if isinstance(found, Placed) else None
+
+
 def _claim_lent(
     ask: Ask, situation: Situation, need: cells.Need
 ) -> Placed | None:
--- a/crocusrouter/jobs/scheduler.py
+++ b/crocusrouter/jobs/scheduler.py
@@ -3,7 +3,10 @@
 import collections
 from collections.abc import Iterable
 import dataclasses
+import math
 
+from crocusrouter.jobs import backfill
+from crocusrouter.jobs import blame as blames
 from crocusrouter.jobs import cells
 from crocusrouter.jobs import claims
 from crocusrouter.jobs import gang as gangs
@@ -28,12 +31,14 @@
         needs: Every guaranteed cell, with what is claimed of it.
         bound: The home of each cell.
         loans: What is used beyond the guarantees.
+        valid_until: When a worker that is set aside comes back.
     """
 
     floor: cells.Floor
     needs: claims.Needs
     bound: homes.Homes
     loans: tuple[claims.Holding, ...]
+    valid_until: float = math.inf
 
 
 def schedule(book: Book, now: float) -> Effects:
@@ -55,9 +60,16 @@
         return effects
     failed: set[tuple[str, str, int, tuple[str, ...]]] = set()
     decisions = 0
-    state = recall(book)
-    borrowed = _count_borrowed(state.loans)
-    for job in queue.order_queue(waiting, state.needs, borrowed, book.catalog):
+    state = recall(book, now)
+    reservation: backfill.Reservation | None = None
+    ordered = queue.order_queue(
+        waiting,
+        state.needs,
+        _share_borrowed(book, state),
+        book.catalog,
+        book.estimates,
+    )
+    for job in ordered:
         shape = (
             job.customer,
             str(job.spec.level),
@@ -66,13 +78,17 @@
         )
         if shape in failed:
             continue
-        decision = _place(book, job, state)
+        decision = _place(book, job, state, reservation, now)
         if isinstance(decision, placement.Waits):
             failed.add(shape)
             _note_wait(book, job, decision, now)
+            if reservation is None:
+                reservation = backfill.reserve_unit(
+                    build_ask(job), state.floor, _list_ends(book, now), now
+                )
             continue
-        _assign(book, job, decision, now, effects)
-        state = _follow(book, job, decision, state)
+        assign(book, job, decision, now, effects)
+        state = _follow(book, job, decision, state, now)
         book.observed = (book.occupancy, state)
         decisions += 1
         if decisions == _DECISIONS_PER_PASS:
@@ -80,29 +96,41 @@
     return effects
 
 
-def recall(book: Book) -> State:
+def recall(book: Book, now: float) -> State:
     """Return the state as worked out earlier, or afresh if it has changed."""
     kept = book.observed
     if isinstance(kept, tuple) and kept[0] == book.occupancy:
         state: State = kept[1]
-        return state
-    state = observe(book)
+        if now < state.valid_until:
+            return state
+    state = observe(book, now)
     book.observed = (book.occupancy, state)
     return state
 
 
-def observe(book: Book) -> State:
+def observe(book: Book, now: float) -> State:
     """Return the state on which the next decision rests."""
     needs, loans = claims.pin_holdings(
-        claims.list_needs(book.catalog, book.data_centre), list_holdings(book)
+        claims.list_needs(book.catalog, book.data_centre),
+        book.holdings.values(),
     )
-    floor = build_floor(book, loans)
+    floor = build_floor(book, now, loans)
     book.homes = homes.bind(needs, floor, book.homes)
-    return State(floor, needs, book.homes, tuple(loans))
+    returns = [
+        worker.blame.aside_until
+        for worker in book.workers.values()
+        if book.is_aside(worker.name, now)
+    ]
+    valid_until = min(returns, default=math.inf)
+    return State(floor, needs, book.homes, tuple(loans), valid_until)
 
 
 def _follow(
-    book: Book, job: model.Job, decision: placement.Placed, state: State
+    book: Book,
+    job: model.Job,
+    decision: placement.Placed,
+    state: State,
+    now: float,
 ) -> State:
     """Return the state after a decision, without looking at every gang."""
     floor = cells.remove_spot(state.floor, decision.spot)
@@ -111,44 +139,32 @@
         book.homes = book.homes | {key: home}
     if decision.victims:
         # What they hold turns from lent to claimed step by step.
-        return observe(book)
+        return observe(book, now)
     if decision.claims:
         needs = state.needs
         for claim in decision.claims:
             needs = claims.pin(needs, job.customer, claim)
-        return State(floor, needs, book.homes, state.loans)
+        return dataclasses.replace(
+            state, floor=floor, needs=needs, bound=book.homes
+        )
     for member in decision.spot:
         space = floor[member.worker]
         floor[member.worker] = space._replace(lent=space.lent | member.mask)
     loan = claims.Holding(job.id, job.customer, decision.spot)
-    return State(floor, state.needs, book.homes, (*state.loans, loan))
+    return dataclasses.replace(state, floor=floor, loans=(*state.loans, loan))
 
 
-def _count_borrowed(
-    loans: Iterable[claims.Holding],
-) -> collections.Counter[str]:
+def _share_borrowed(book: Book, state: State) -> dict[str, float]:
+    """Return the share of the data centre that each customer borrows."""
+    total = sum(worker.accelerators for worker in book.workers.values())
     borrowed: collections.Counter[str] = collections.Counter()
-    for loan in loans:
+    for loan in state.loans:
         borrowed[loan.customer] += loan.size
-    return borrowed
-
-
-def list_holdings(book: Book) -> list[claims.Holding]:
-    """Return what running attempts hold, ending ones left out."""
-    return [
-        claims.Holding(
-            held.job_id,
-            book.jobs[held.job_id].customer,
-            held.members,
-            book.jobs[held.job_id].claims,
-        )
-        for held in book.gangs.values()
-        if held.phase is not gangs.Phase.ENDING
-    ]
+    return {name: size / max(1, total) for name, size in borrowed.items()}
 
 
 def build_floor(
-    book: Book, loans: Iterable[claims.Holding] = ()
+    book: Book, now: float, loans: Iterable[claims.Holding] = ()
 ) -> cells.Floor:
     """Return the spaces of the workers that can be used now.
 
@@ -169,6 +185,8 @@
     for worker in book.workers.values():
         if not (worker.known and worker.live):
             continue
+        if blames.is_aside(worker.blame, now):
+            continue
         name = worker.name
         taken = kept[name] | ending[name]
         for mask in worker.strays.values():
@@ -187,13 +205,42 @@
     ]
 
 
+def _list_ends(book: Book, now: float) -> backfill.Ends:
+    """Return when what runs on each worker is expected to end.
+
+    What has run longer than expected could end at any moment.
+    """
+    ends: dict[str, list[tuple[float, int]]] = collections.defaultdict(list)
+    for held in book.gangs.values():
+        job = book.jobs[held.job_id]
+        expected_s = queue.estimate_job(book.estimates, job)
+        began = book.began.get(held.job_id, now)
+        for member in held.members:
+            ends[member.worker].append(
+                (max(now, began + expected_s), member.mask)
+            )
+    return ends
+
+
 def _place(
-    book: Book, job: model.Job, state: State
+    book: Book,
+    job: model.Job,
+    state: State,
+    reservation: backfill.Reservation | None,
+    now: float,
 ) -> placement.Placed | placement.Waits:
     template = book.catalog.find(job.customer)
-    floor = state.floor
+    expected_s = queue.estimate_job(book.estimates, job)
+    floor = backfill.respect(reservation, state.floor, now + expected_s)
     if job.failed_on:
-        floor = {n: s for n, s in floor.items() if n not in job.failed_on}
+        # Workers where it failed offer nothing, but stay on the floor: homes
+        # of cells may be there.
+        floor = {
+            name: space._replace(free=0, lent=0)
+            if name in job.failed_on
+            else space
+            for name, space in floor.items()
+        }
     situation = placement.Situation(
         floor,
         state.needs,
@@ -212,7 +259,7 @@
         book.note(job.id, now, f"waits: {waits.reason}: {waits.detail}")
 
 
-def _assign(
+def assign(
     book: Book,
     job: model.Job,
     decision: placement.Placed,
@@ -233,7 +280,7 @@
     book.note(job.id, now, _describe(job, decision))
     effects.changed.append(job)
     in_the_way = frozenset(decision.victims) | _find_ending(book, job)
-    book.gangs[job.id] = gangs.open_gang(job, in_the_way)
+    book.open_gang(job, gangs.open_gang(job, in_the_way))
     for victim in decision.victims:
         why = f"by job {job.id} under its guarantee"
         step = gangs.end_gang(book.gangs[victim], gangs.End.RECLAIMED, why)
--- a/crocusrouter/jobs/tests/test_book_machine.py
+++ b/crocusrouter/jobs/tests/test_book_machine.py
@@ -385,8 +385,8 @@
             return
         if self.book.find_missing():
             return
-        kept = scheduler.recall(self.book)
-        state = scheduler.observe(self.book)
+        kept = scheduler.recall(self.book, self.now)
+        state = scheduler.observe(self.book, self.now)
         assert kept.floor == state.floor
         assert set(kept.loans) == set(state.loans)
         found = cells.embed(state.needs, state.floor)
--- a/crocusrouter/requests/claims.py
+++ b/crocusrouter/requests/claims.py
@@ -80,6 +80,7 @@
         prefix: str,
         ask_peer: AskPeer,
         lease: Callable[[], Awaitable[int]],
+        remembered: int = _REMEMBERED,
     ) -> None:
         """Prepare an empty memory.
 
@@ -89,6 +90,7 @@
             prefix: Key prefix of claims.
             ask_peer: Asks another entry for an answer.
             lease: Returns the lease under which claims live.
+            remembered: How many claims to remember.
         """
         self._entry = entry
         self._life = uuid.uuid4().hex[:16]
@@ -96,10 +98,12 @@
         self._prefix = prefix
         self._ask_peer = ask_peer
         self._lease = lease
+        self._remembered = remembered
         self._memory: collections.OrderedDict[str, _Memory] = (
             collections.OrderedDict()
         )
         self._taking: set[str] = set()
+        self._uncertain: dict[str, bytes] = {}
 
     async def take(self, call: model.Call) -> Granted | Answer:
         """Claim the key of a request, or say what came of an earlier try."""
@@ -156,6 +160,8 @@
             self._remember(name, outcome.record, call.digest)
             return Granted(name)
         if isinstance(outcome, store.Unavailable):
+            if outcome.maybe_written:
+                self._uncertain[name] = outcome.write_id
             return _refuse_store(outcome.cause)
         current = outcome.current
         if current is None:
@@ -169,12 +175,8 @@
         claim: Claim = codec.unpack(Claim, current.value)
         if claim.digest != call.digest:
             return _refuse_reused(call)
-        if claim.life == self._life:
-            # Our own write, given up on as uncertain, did take effect. It
-            # was refused as not run then, so it may run now.
-            return await self._swap(name, call, current)
         if claim.entry == self._entry:
-            return _refuse_unknown("an earlier life of this entry")
+            return await self._judge_own(name, call, current)
         reply = await self._ask_peer(claim.entry, name)
         if reply is None or reply.state == UNKNOWN:
             return _refuse_unknown(f"entry {claim.entry}")
@@ -188,10 +190,25 @@
         # dispatch, so exactly one of us wins.
         return await self._swap(name, call, current)
 
+    async def _judge_own(
+        self, name: str, call: model.Call, current: store.Record
+    ) -> Granted | Answer:
+        """Judge a claim of this entry that isn't in its memory.
+
+        It may be a write that was given up on as uncertain and took effect
+        all the same; its request was refused then, so it may run now. Any
+        other may have run: an earlier life of this entry, or a claim that was
+        pushed out of a full memory.
+        """
+        if current.write_ids[0] != self._uncertain.get(name):
+            return _refuse_unknown("this entry, which no longer remembers it")
+        return await self._swap(name, call, current)
+
     def _remember(self, name: str, record: store.Record, digest: str) -> None:
         self._memory[name] = _Memory(record, digest)
         self._memory.move_to_end(name)
-        while len(self._memory) > _REMEMBERED:
+        self._uncertain.pop(name, None)
+        while len(self._memory) > self._remembered:
             self._memory.popitem(last=False)
 
     def _repeat(self, held: _Memory, call: model.Call) -> Answer:
--- a/crocusrouter/templates/__init__.py
+++ b/crocusrouter/templates/__init__.py
@@ -7,6 +7,10 @@
 from crocusrouter.templates.catalog import replace_template
 from crocusrouter.templates.differences import Difference
 from crocusrouter.templates.differences import compare_templates
+from crocusrouter.templates.history import Version
+from crocusrouter.templates.history import dump_version
+from crocusrouter.templates.history import name_version
+from crocusrouter.templates.history import parse_version
 from crocusrouter.templates.model import Cell
 from crocusrouter.templates.model import InvalidTemplateError
 from crocusrouter.templates.model import JobKind
@@ -29,13 +33,17 @@
     "Loss",
     "RequestKind",
     "Template",
+    "Version",
     "Versioned",
     "Weights",
     "compare_templates",
     "describe_errors",
     "dump_catalog",
     "dump_template",
+    "dump_version",
+    "name_version",
     "parse_catalog",
     "parse_template",
+    "parse_version",
     "replace_template",
 ]
--- a/crocusrouter/templates/catalog.py
+++ b/crocusrouter/templates/catalog.py
@@ -14,10 +14,17 @@
 
 @dataclasses.dataclass(frozen=True)
 class Versioned:
-    """A template and the catalog revision of its last change."""
+    """A template and the catalog revision of its last change.
+
+    Attributes:
+        revision: Catalog revision of the last change.
+        template: The template.
+        version: Name of its record in the history.
+    """
 
     revision: int
     template: model.Template
+    version: str = ""
 
 
 @dataclasses.dataclass(frozen=True)
@@ -67,7 +74,9 @@
         ) from error
 
 
-def replace_template(catalog: Catalog, template: model.Template) -> Catalog:
+def replace_template(
+    catalog: Catalog, template: model.Template, version: str = ""
+) -> Catalog:
     """Return the next catalog, in which the customer has `template`.
 
     >>> key = "0" * 64
@@ -76,5 +85,5 @@
     (4, 4)
     """
     revision = catalog.revision + 1
-    changed = {template.customer: Versioned(revision, template)}
+    changed = {template.customer: Versioned(revision, template, version)}
     return Catalog(revision, catalog.templates | changed)
--- a/standins/fuzzing.py
+++ b/standins/fuzzing.py
@@ -7,7 +7,7 @@
 _VARIABLE = "CROCUSROUTER_FUZZ_EXAMPLES"
 
 
-def build_settings(examples: int, steps: int) -> hypothesis.settings:
+def build_settings(examples: int, steps: int = 50) -> hypothesis.settings:
     """Return settings for a state machine.
 
     CI runs the same examples each time. `make fuzz` sets the variable to run
