Refuse a slot that comes too late; measure overload and a slow runner

Change: a waiting request needs the wait and the time of an answer within its deadline, and is refused at once otherwise.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -8,6 +8,7 @@
 
 from bench import deciding
 from bench import figures
+from bench import overload
 from bench import passing
 from bench import policy
 from bench import polling
@@ -26,6 +27,8 @@
     "worker_link": steady.measure_worker_link,
     "http_poll": polling.measure_polling,
     "passing": passing.measure_passing,
+    "overload": overload.measure_overload,
+    "slow_runner": overload.measure_slow_runner,
     "policy": policy.measure_policy,
     "edits": recovery.measure_edits,
     "takeovers": recovery.measure_takeovers,
--- a/crocusrouter/requests/pool.py
+++ b/crocusrouter/requests/pool.py
@@ -134,14 +134,21 @@
                 f"service {service} has no live runner",
                 self._spread(_NO_RUNNER_RETRY_S),
             )
+        # The answer takes its time too: a request that got its slot just
+        # before the deadline would use it for an answer that nobody awaits.
         wait_s = choice.estimate_wait(loads, waiting)
-        if wait_s > left_s:
+        if wait_s + self._find_service_s(service) > left_s:
             raise refuse(
                 RefusalReason.DEADLINE_UNMEETABLE,
                 f"{waiting} requests wait; a slot is {wait_s:.3f} s away",
                 self._spread(max(wait_s, 0.1)),
             )
 
+    def _find_service_s(self, service: str) -> float:
+        """Return the seconds in which the quickest runner answers."""
+        loads = self.list_loads(service)
+        return min((load.service_s for load in loads), default=0.0)
+
     def _spread(self, seconds: float) -> float:
         """Spread returns, so that refused callers don't come back at once."""
         return seconds * (1.0 + _JITTER * self._rng.random())
@@ -161,11 +168,12 @@
             with trio.move_on_at(limit):
                 await ticket.turn.wait()
             now = trio.current_time()
-            if queue[0] is ticket:
+            left_s = deadline - now
+            if queue[0] is ticket and left_s >= self._find_service_s(service):
                 runner = self._take(service, avoided, now)
                 if runner is not None:
                     return runner
-            self._check_wait(service, queue.index(ticket), deadline - now)
+            self._check_wait(service, queue.index(ticket), left_s)
             ticket.turn = trio.Event()
 
 
