Estimate the wait for a slot once, at the door

Waiting requests estimated their wait again each second; one whose slot was about to come free counted a whole answer's time for it and was refused.

Ruled out: the clock of the test (a chosen one); the order of the queue.

Change: the estimate is made at the door only; a waiting request is refused when what is left no longer holds an answer.

--- a/crocusrouter/requests/pool.py
+++ b/crocusrouter/requests/pool.py
@@ -11,12 +11,14 @@
 from crocusrouter.fleet import Vm
 from crocusrouter.fleet import VmState
 from crocusrouter.outcomes import RefusalReason
+from crocusrouter.outcomes import RefusedError
 from crocusrouter.outcomes import refuse
 from crocusrouter.requests import choice
 
 _SHUN_S = 1.0
 _NO_RUNNER_RETRY_S = 1.0
 _CONNECTIONS_PER_RUNNER = 8
+_LEAST_RETRY_S = 0.1
 _JITTER = 0.5
 # Retire idle connections before endpoints do: one that the endpoint closes
 # just as a request is sent leaves a non-idempotent request unknown.
@@ -133,23 +135,31 @@
         _count(runner)
         return Slot(runner, now)
 
-    def _check_wait(self, service: str, waiting: int, left_s: float) -> None:
-        loads = self.list_loads(service)
-        if not any(not load.leaving for load in loads):
+    def _check_live(self, service: str) -> None:
+        if all(load.leaving for load in self.list_loads(service)):
             raise refuse(
                 RefusalReason.NO_ENDPOINT,
                 f"service {service} has no live runner",
                 self._spread(_NO_RUNNER_RETRY_S),
             )
-        # The answer takes its time too: a request that got its slot just
-        # before the deadline would use it for an answer that nobody awaits.
-        wait_s = choice.estimate_wait(loads, waiting)
+
+    def _check_wait(self, service: str, waiting: int, left_s: float) -> None:
+        """Refuse a request at once that would wait too long.
+
+        The answer takes its time too: a request that got its slot just before
+        the deadline would use it for an answer that nobody awaits.
+        """
+        self._check_live(service)
+        wait_s = choice.estimate_wait(self.list_loads(service), waiting)
         if wait_s + self._find_service_s(service) > left_s:
-            raise refuse(
-                RefusalReason.DEADLINE_UNMEETABLE,
-                f"{waiting} requests wait; a slot is {wait_s:.3f} s away",
-                self._spread(max(wait_s, 0.1)),
-            )
+            raise self._refuse_late(wait_s, waiting)
+
+    def _refuse_late(self, wait_s: float, waiting: int) -> RefusedError:
+        return refuse(
+            RefusalReason.DEADLINE_UNMEETABLE,
+            f"{waiting} requests wait; a slot is {wait_s:.3f} s away",
+            self._spread(max(wait_s, _LEAST_RETRY_S)),
+        )
 
     def _find_service_s(self, service: str) -> float:
         """Return the seconds in which the quickest runner answers."""
@@ -169,18 +179,21 @@
     ) -> "Slot":
         queue = self._queues[service]
         while True:
+            # The estimate was made once, at the door. Made again here, it
+            # would refuse a request whose slot is about to come free.
+            latest = deadline - self._find_service_s(service)
             # A shunned runner opens again without a release, so look again
             # after a while even if nobody wakes us.
-            limit = min(deadline, trio.current_time() + _SHUN_S)
-            with trio.move_on_at(limit):
+            with trio.move_on_at(min(latest, trio.current_time() + _SHUN_S)):
                 await ticket.turn.wait()
             now = trio.current_time()
-            left_s = deadline - now
-            if queue[0] is ticket and left_s >= self._find_service_s(service):
+            if now >= latest:
+                raise self._refuse_late(0.0, queue.index(ticket))
+            self._check_live(service)
+            if queue[0] is ticket:
                 slot = self._take(service, avoided, now)
                 if slot is not None:
                     return slot
-            self._check_wait(service, queue.index(ticket), left_s)
             ticket.turn = trio.Event()
 
 
