--- a/crocusrouter/cli/main.py
+++ b/crocusrouter/cli/main.py
@@ -6,6 +6,7 @@
 
 import crocusrouter
 from crocusrouter.cli import client
+from crocusrouter.cli import entry
 from crocusrouter.cli import exits
 from crocusrouter.cli import job
 from crocusrouter.cli import options
@@ -74,6 +75,7 @@
 
 
 serve.add_serve(app)
+entry.add_entry(app)
 
 
 def main() -> None:
--- /dev/null
+++ b/crocusrouter/fleet/orders.py
@@ -0,0 +1,187 @@
+"""What a pool's owner asks of a worker, and what a worker answers.
+
+The port between the deciding core and whatever wire a worker speaks.
+"""
+
+import dataclasses
+import enum
+from typing import Protocol
+
+from crocusrouter.work import model
+
+
+class How(enum.StrEnum):
+    """How a run ended."""
+
+    DONE = "done"
+    FAILED = "failed"  # by its own fault or its worker's
+    STOPPED = "stopped"  # on our order
+    LAPSED = "lapsed"  # its lease ran out
+    BROKEN = "broken"  # another member of its gang ended
+    ALONE = "alone"  # the other members of its gang never came
+
+
+@dataclasses.dataclass(frozen=True)
+class Running:
+    """One run as its worker holds it.
+
+    Attributes:
+        key: The task.
+        run: The start's number.
+        saved: Latest checkpoint; empty for none.
+        percent: How far it says it is.
+        load: The tail of its answers in ms for a serving task, else the
+            thousandths of a core in use.
+    """
+
+    key: model.TaskKey
+    run: int
+    saved: str = ""
+    percent: float = 0.0
+    load: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Ended:
+    """One end; the worker lists it until told that it was noted.
+
+    Attributes:
+        number: Rises with each end of this incarnation.
+        key: The task.
+        run: The start's number.
+        how: How it ended.
+        saved: Latest checkpoint; empty for none.
+    """
+
+    number: int
+    key: model.TaskKey
+    run: int
+    how: How
+    saved: str = ""
+
+
+@dataclasses.dataclass(frozen=True)
+class Report:
+    """What a worker holds.
+
+    Attributes:
+        clock_ms: The worker's own clock.
+        running: All runs.
+        ended: Ends that nobody has confirmed.
+    """
+
+    clock_ms: int
+    running: tuple[Running, ...] = ()
+    ended: tuple[Ended, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True)
+class Taken:
+    """The order was carried out."""
+
+    clock_ms: int
+
+
+class Why(enum.StrEnum):
+    """Why a worker refused."""
+
+    FENCED = "fenced"  # it knows a later owner
+    OLD = "old"  # this run or a later one has ended there
+    LATE = "late"  # the lease that the order carries is past
+    NO_ROOM = "no-room"
+    NO_TICKET = "no-ticket"
+    OTHER_INCARNATION = "other-incarnation"
+    UNHEALTHY = "unhealthy"
+    INVALID = "invalid"
+
+
+@dataclasses.dataclass(frozen=True)
+class Rejected:
+    """The worker refused and did nothing."""
+
+    why: Why
+    clock_ms: int | None = None
+
+
+@dataclasses.dataclass(frozen=True)
+class Silent:
+    """No answer; the order may be carried out, even seconds later."""
+
+    cause: str
+    maybe_done: bool = True
+
+
+@dataclasses.dataclass(frozen=True)
+class Start:
+    """Run a task.
+
+    Attributes:
+        key: The task.
+        run: The start's number; members of a gang share it.
+        payload: Handed to the task.
+        saved: Checkpoint to go on from; empty for none.
+        ticket: The policy service's leave; empty if none is needed.
+    """
+
+    key: model.TaskKey
+    run: int
+    payload: str
+    saved: str = ""
+    ticket: str = ""
+
+
+@dataclasses.dataclass(frozen=True)
+class Stop:
+    """Stop a run, or keep one that has not come yet from starting."""
+
+    key: model.TaskKey
+    run: int
+
+
+class WorkerPort(Protocol):
+    """One incarnation of a worker."""
+
+    async def hold(
+        self, epoch: int, seen: int, until_ms: int | None, wait_s: float
+    ) -> Report | Rejected | Silent:
+        """Renew the lease, confirm ends up to `seen`, wait for an end."""
+        ...
+
+    async def start(
+        self, epoch: int, order: Start, until_ms: int, timeout_s: float
+    ) -> Taken | Rejected | Silent:
+        """Start a run."""
+        ...
+
+    async def stop(
+        self, epoch: int, order: Stop, timeout_s: float
+    ) -> Taken | Rejected | Silent:
+        """Stop a run."""
+        ...
+
+    async def aclose(self) -> None:
+        """Close all connections."""
+        ...
+
+
+@dataclasses.dataclass(frozen=True)
+class WorkerEntry:
+    """A worker as the platform lists it.
+
+    Attributes:
+        id: One life of a worker; a replacement gets another one.
+        pool: The service that it belongs to.
+        address: "IP:port".
+        data_centre: Where it is.
+        draining: Whether it leaves.
+        room: What it has.
+        labels: Its kind and its rack among them.
+    """
+
+    id: str
+    pool: str
+    address: str
+    data_centre: str
+    draining: bool
+    room: model.Room
+    labels: frozenset[str]
--- /dev/null
+++ b/crocusrouter/http/queue_calls.py
@@ -0,0 +1,168 @@
+"""Callers' calls on queues: hand in, state, cancel, how many wait."""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+import dataclasses
+
+from starlette import requests as starlette_requests
+
+from crocusrouter import platform
+from crocusrouter import pools
+from crocusrouter import queues
+from crocusrouter import work
+from crocusrouter.http import reading
+from crocusrouter.outcomes import RefusalReason
+from crocusrouter.outcomes import RefusedError
+from crocusrouter.outcomes import Rendered
+from crocusrouter.outcomes import refuse
+from crocusrouter.outcomes import render_refusal
+
+KEY_HEADER = "X-Api-Key"
+_JSON = {"Content-Type": "application/json"}
+# What an entry or the store lacks for a moment is back within about this.
+_RETRY_S = 1.0
+# Statuses that callers of the platform expect, where ours differ: 503 says
+# that a job never runs, so what is not known must be told by another one.
+_STATUS = {
+    RefusalReason.UNKNOWN_JOB: 410,
+    RefusalReason.COMMIT_UNKNOWN: 504,
+    RefusalReason.INVALID_DOCUMENT: 400,
+}
+
+
+@dataclasses.dataclass(frozen=True)
+class QueueCall:
+    """A call that a queue and, where needed, a key allow.
+
+    Attributes:
+        queue: The queue.
+        customer: Name of the customer; empty on a public queue.
+        job_id: What follows the queue's prefix; empty for the queue itself.
+    """
+
+    queue: queues.Queue
+    customer: str
+    job_id: str
+
+
+def identify(
+    entry: pools.PoolEntry, request: starlette_requests.Request
+) -> QueueCall:
+    """Find the queue and the customer of a call.
+
+    Raises:
+        RefusedError: Not ready, no such queue, or no such key.
+    """
+    config = entry.configuration.current
+    now = entry.times.steady()
+    if config is None or not entry.configuration.is_fresh(now):
+        raise refuse(RefusalReason.NOT_READY, "", _RETRY_S)
+    path = request.url.path
+    host = request.headers.get("Host", "")
+    queue = queues.find_queue(config, host, path)
+    if queue is None:
+        raise refuse(RefusalReason.UNKNOWN_QUEUE, f"{host}{path}")
+    customer = queues.find_customer(config, request.headers.get(KEY_HEADER, ""))
+    if customer is None and not queue.public:
+        raise refuse(RefusalReason.UNAUTHENTICATED, f"header {KEY_HEADER}")
+    name = customer.name if customer is not None else ""
+    return QueueCall(queue, name, queues.split_path(queue, path))
+
+
+Handle = Callable[[starlette_requests.Request, QueueCall], Awaitable[Rendered]]
+
+
+class QueueCalls:
+    """Answers the calls of one entry."""
+
+    def __init__(self, entry: pools.PoolEntry) -> None:
+        self._entry = entry
+        self._handlers: dict[str, Handle] = {
+            "POST": self._submit,
+            "GET": self._show,
+            "DELETE": self._cancel,
+        }
+
+    async def handle(self, request: starlette_requests.Request) -> Rendered:
+        """Answer one call; every refusal is counted."""
+        try:
+            handler = self._handlers.get(request.method)
+            if handler is None:
+                raise refuse(
+                    RefusalReason.MALFORMED_HTTP, f"method {request.method}"
+                )
+            return await handler(request, identify(self._entry, request))
+        except RefusedError as error:
+            reason = error.refusal.reason
+            self._entry.metrics.count_refusal(reason)
+            pools.note_refusal(request.method, request.url.path, error.refusal)
+            rendered = render_refusal(error.refusal)
+            status = _STATUS.get(reason, rendered.status)
+            return dataclasses.replace(rendered, status=status)
+
+    async def _submit(
+        self, request: starlette_requests.Request, call: QueueCall
+    ) -> Rendered:
+        _check_id(call)
+        config = self._entry.configuration.current
+        assert config is not None
+        body = await reading.read_body(request, config.limits.max_body)
+        job = platform.parse_submission(
+            body,
+            call.job_id,
+            call.queue,
+            call.customer,
+            self._entry.times.wall(),
+        )
+        match await self._entry.desk.accept(job):
+            case pools.Stored.STORED:
+                return Rendered(200, dict(_JSON), b"{}")
+            case pools.Stored.NOT_STORED:
+                raise refuse(RefusalReason.STORE_UNAVAILABLE, job.id, _RETRY_S)
+        raise refuse(RefusalReason.COMMIT_UNKNOWN, job.id, _RETRY_S)
+
+    async def _show(
+        self, request: starlette_requests.Request, call: QueueCall
+    ) -> Rendered:
+        if not call.job_id:
+            return await self._count(call)
+        _check_id(call)
+        try:
+            state = await self._entry.desk.find_state(
+                call.queue.pool, call.job_id
+            )
+        except pools.StateUnknownError as error:
+            raise refuse(
+                RefusalReason.STORE_UNAVAILABLE, str(error), _RETRY_S
+            ) from error
+        if state is None:
+            raise refuse(RefusalReason.UNKNOWN_JOB, f"job {call.job_id}")
+        return Rendered(
+            200, dict(_JSON), platform.render_state(work.State(state))
+        )
+
+    async def _count(self, call: QueueCall) -> Rendered:
+        count = await self._entry.desk.count_pending(
+            call.queue.pool, call.queue.name
+        )
+        if count is None:
+            raise refuse(
+                RefusalReason.OWNER_UNAVAILABLE, call.queue.name, _RETRY_S
+            )
+        return Rendered(200, dict(_JSON), platform.render_pending(count))
+
+    async def _cancel(
+        self, request: starlette_requests.Request, call: QueueCall
+    ) -> Rendered:
+        _check_id(call)
+        match await self._entry.desk.cancel(call.job_id):
+            case pools.Cancelled.DONE:
+                return Rendered(200, dict(_JSON), b"{}")
+            case pools.Cancelled.NO_JOB:
+                raise refuse(RefusalReason.UNKNOWN_JOB, f"job {call.job_id}")
+        raise refuse(RefusalReason.COMMIT_UNKNOWN, call.job_id, _RETRY_S)
+
+
+def _check_id(call: QueueCall) -> None:
+    if not platform.is_job_id(call.job_id):
+        raise refuse(RefusalReason.UNKNOWN_JOB, f"job id {call.job_id!r}")
--- a/crocusrouter/mesh/messages.py
+++ b/crocusrouter/mesh/messages.py
@@ -115,6 +115,86 @@
     content_type: str = ""
 
 
+@dataclasses.dataclass(frozen=True)
+class Beat:
+    """Tells a peer what the sender knows of the pools' configuration.
+
+    Attributes:
+        name: The sender.
+        version: Version of the configuration in force at the sender.
+        vouched_age_s: Seconds since the key-value service or a peer said
+            that this is the newest one; None if never.
+        owners: Epoch by pool, as the sender knows it.
+    """
+
+    name: str
+    version: int
+    vouched_age_s: float | None
+    owners: tuple[tuple[str, int], ...]
+
+
+@dataclasses.dataclass(frozen=True)
+class AskConfig:
+    """Asks for the configuration in force at the peer."""
+
+
+@dataclasses.dataclass(frozen=True)
+class ConfigReply:
+    """The configuration as the operators wrote it; empty if none."""
+
+    document: bytes
+
+
+@dataclasses.dataclass(frozen=True)
+class FindState:
+    """Asks a pool's owner for a job's state."""
+
+    pool: str
+    job: str
+
+
+@dataclasses.dataclass(frozen=True)
+class StateReply:
+    """A job's state; None if the sender does not know the job."""
+
+    state: str | None
+
+
+@dataclasses.dataclass(frozen=True)
+class CountPending:
+    """Asks a pool's owner how many jobs of a queue have not begun."""
+
+    pool: str
+    queue: str
+
+
+@dataclasses.dataclass(frozen=True)
+class PendingReply:
+    """The number; None if the sender is not the owner."""
+
+    count: int | None
+
+
+@dataclasses.dataclass(frozen=True)
+class StoreJob:
+    """Asks a peer to store a job for an entry that the store turns away.
+
+    Attributes:
+        job: The job's id.
+        record: What is stored.
+    """
+
+    job: str
+    record: bytes
+
+
+@dataclasses.dataclass(frozen=True)
+class StoreReply:
+    """How that went: "stored", "not-stored" or "unknown"."""
+
+    outcome: str
+
+
 REGISTRY = codec.Registry(
     Heartbeat,
     AskCatalog,
@@ -128,4 +208,13 @@
     RefusalReply,
     AskAnswer,
     AnswerReply,
+    Beat,
+    AskConfig,
+    ConfigReply,
+    FindState,
+    StateReply,
+    CountPending,
+    PendingReply,
+    StoreJob,
+    StoreReply,
 )
--- a/crocusrouter/outcomes/reasons.py
+++ b/crocusrouter/outcomes/reasons.py
@@ -14,6 +14,7 @@
     BODY_TOO_LARGE = "body-too-large"
     UNAUTHENTICATED = "unauthenticated"
     UNKNOWN_KIND = "unknown-kind"
+    UNKNOWN_QUEUE = "unknown-queue"
     UNKNOWN_CUSTOMER = "unknown-customer"
     UNKNOWN_JOB = "unknown-job"
     DEADLINE_PASSED = "deadline-passed"
@@ -84,6 +85,11 @@
     RefusalReason.UNKNOWN_KIND: _Fact(
         404, "The template has no such kind", "Use a kind of the template."
     ),
+    RefusalReason.UNKNOWN_QUEUE: _Fact(
+        404,
+        "No queue takes this host and path",
+        "Use the host and prefix of a queue in the configuration.",
+    ),
     RefusalReason.UNKNOWN_CUSTOMER: _Fact(
         404,
         "There is no such customer",
--- /dev/null
+++ b/crocusrouter/platform/__init__.py
@@ -0,0 +1,31 @@
+"""The users' platform: names, formats and calls; nothing that decides."""
+
+from crocusrouter.platform.calls import Caller
+from crocusrouter.platform.configuration import CONFIG_KEY
+from crocusrouter.platform.configuration import CONFIG_PREFIX
+from crocusrouter.platform.configuration import WrongConfigError
+from crocusrouter.platform.configuration import parse_config
+from crocusrouter.platform.kv import PlatformStore
+from crocusrouter.platform.submissions import is_job_id
+from crocusrouter.platform.submissions import parse_submission
+from crocusrouter.platform.submissions import render_pending
+from crocusrouter.platform.submissions import render_state
+from crocusrouter.platform.workers import WORKERS_PREFIX
+from crocusrouter.platform.workers import PlatformWorker
+from crocusrouter.platform.workers import parse_worker
+
+__all__ = [
+    "CONFIG_KEY",
+    "CONFIG_PREFIX",
+    "WORKERS_PREFIX",
+    "Caller",
+    "PlatformStore",
+    "PlatformWorker",
+    "WrongConfigError",
+    "is_job_id",
+    "parse_config",
+    "parse_submission",
+    "parse_worker",
+    "render_pending",
+    "render_state",
+]
--- /dev/null
+++ b/crocusrouter/platform/configuration.py
@@ -0,0 +1,96 @@
+"""The operators' configuration as it lies in the platform's store."""
+
+import pydantic
+
+from crocusrouter import queues
+
+CONFIG_PREFIX = "op/"
+CONFIG_KEY = "op/config"
+
+
+class _Route(pydantic.BaseModel):
+    name: str
+    host: str
+    prefix: str
+    service: str
+    priority: int = 0
+    max_attempts: int = 1
+    slack_factor: float = 1.0
+    target_duration_ms: float = 0.0
+    public: bool = False
+    advice: dict[str, float] | None = None
+
+
+class _Service(pydantic.BaseModel):
+    name: str
+    admission_check: bool = True
+    standby: bool = False
+
+
+class _Tenant(pydantic.BaseModel):
+    name: str
+    api_keys: list[str] = []
+    # Counts by kind of resource; accelerators are "gpu".
+    guaranteed: dict[str, float] = {}
+
+
+class _Limits(pydantic.BaseModel):
+    max_body_bytes: int = 262_144
+
+
+class _Document(pydantic.BaseModel):
+    version: int
+    routes: list[_Route] = []
+    services: list[_Service] = []
+    tenants: list[_Tenant] = []
+    limits: _Limits = _Limits()
+
+
+class WrongConfigError(Exception):
+    """The document is no configuration; keep the one in force."""
+
+
+def parse_config(value: bytes) -> queues.Config:
+    """Decode a configuration.
+
+    Raises:
+        WrongConfigError: Names the fields that are wrong.
+    """
+    try:
+        document = _Document.model_validate_json(value)
+    except pydantic.ValidationError as error:
+        raise WrongConfigError(str(error)) from error
+    return queues.Config(
+        document.version,
+        tuple(_build_queue(route) for route in document.routes),
+        {
+            service.name: queues.Service(
+                service.name, service.admission_check, service.standby
+            )
+            for service in document.services
+        },
+        {
+            tenant.name: queues.Customer(
+                tenant.name,
+                frozenset(tenant.api_keys),
+                int(tenant.guaranteed.get("gpu", 0)),
+            )
+            for tenant in document.tenants
+        },
+        queues.Limits(document.limits.max_body_bytes),
+    )
+
+
+def _build_queue(route: _Route) -> queues.Queue:
+    return queues.Queue(
+        route.name,
+        route.host.lower(),
+        route.prefix,
+        route.service,
+        route.priority,
+        route.max_attempts,
+        route.slack_factor,
+        route.target_duration_ms / 1000,
+        route.public,
+        bool(route.advice),
+    )
--- /dev/null
+++ b/crocusrouter/platform/names.py
@@ -0,0 +1,27 @@
+"""Names of tasks on the platform: ID.OCCURRENCE.STEP.INDEX."""
+
+from crocusrouter.work import model
+
+
+def build_task(key: model.TaskKey) -> str:
+    """Return a task's name.
+
+    >>> build_task(model.TaskKey("0a", 0, 1, 7))
+    '0a.0.1.7'
+    """
+    return f"{key.job}.{key.occurrence}.{key.step}.{key.position}"
+
+
+def parse_task(name: str) -> model.TaskKey:
+    """Return the task that a name names.
+
+    >>> parse_task("0a.0.1.7").position
+    7
+    """
+    job, occurrence, step, index = name.rsplit(".", 3)
+    return model.TaskKey(job, int(occurrence), int(step), int(index))
+
+
+def build_step(key: model.StepKey) -> str:
+    """Return a step's name."""
+    return f"{key.job}.{key.occurrence}.{key.step}"
--- /dev/null
+++ b/crocusrouter/platform/workers.py
@@ -0,0 +1,180 @@
+"""Workers over the platform's HTTP interface, and as the platform lists them.
+
+The platform calls a worker a runner and lists it under `servers/`.
+"""
+
+from typing import Any
+
+import orjson
+import pydantic
+
+from crocusrouter.fleet import orders
+from crocusrouter.platform import calls
+from crocusrouter.platform import names
+from crocusrouter.work import model
+
+WORKERS_PREFIX = "servers/"
+_HOLD_GRACE_S = 0.6
+# One look waits for an end; another may be asked for meanwhile.
+_HOLD_CONNECTIONS = 2
+# Orders to one worker that can be under way at once. Each new connection is
+# priced, and an unanswered order keeps one busy until its timeout.
+_ORDER_CONNECTIONS = 3
+_OK = 200
+_OTHER_INCARNATION = 421
+_CONFLICT = 409
+_UNHEALTHY = (429, 503)
+_WHY = {
+    "fence": orders.Why.FENCED,
+    "old": orders.Why.OLD,
+    "late": orders.Why.LATE,
+    "room": orders.Why.NO_ROOM,
+    "ticket": orders.Why.NO_TICKET,
+}
+
+
+class PlatformWorker:
+    """Implements `fleet.orders.WorkerPort`."""
+
+    def __init__(self, worker: str, address: str) -> None:
+        self._headers = {"X-Expect-Instance": worker}
+        self._holds = calls.Caller(address, _HOLD_CONNECTIONS)
+        self._orders = calls.Caller(address, _ORDER_CONNECTIONS)
+
+    async def hold(
+        self, epoch: int, seen: int, until_ms: int | None, wait_s: float
+    ) -> orders.Report | orders.Rejected | orders.Silent:
+        """Renew the lease, confirm ends, wait for an end."""
+        document: dict[str, Any] = {"fencing_token": epoch, "last_seen": seen}
+        if until_ms is not None:
+            document["until_ms"] = until_ms
+        if wait_s > 0:
+            document["wait_ms"] = int(wait_s * 1000)
+        result = await self._holds.call(
+            "POST", "/hold", document, wait_s + _HOLD_GRACE_S, self._headers
+        )
+        refused = _find_refusal(result)
+        if refused is not None:
+            return refused
+        assert isinstance(result, calls.Answered)
+        return _parse_report(result.document)
+
+    async def start(
+        self, epoch: int, order: orders.Start, until_ms: int, timeout_s: float
+    ) -> orders.Taken | orders.Rejected | orders.Silent:
+        """Start a run."""
+        document: dict[str, Any] = {
+            "task": names.build_task(order.key),
+            "run_id": order.run,
+            "spec": order.payload,
+            "until_ms": until_ms,
+            "fencing_token": epoch,
+        }
+        if order.saved:
+            document["checkpoint"] = order.saved
+        if order.ticket:
+            document["ticket"] = order.ticket
+        return await self._order("/run-start", document, timeout_s)
+
+    async def stop(
+        self, epoch: int, order: orders.Stop, timeout_s: float
+    ) -> orders.Taken | orders.Rejected | orders.Silent:
+        """Stop a run."""
+        document = {
+            "task": names.build_task(order.key),
+            "run_id": order.run,
+            "fencing_token": epoch,
+        }
+        return await self._order("/run-stop", document, timeout_s)
+
+    async def aclose(self) -> None:
+        """Close all connections."""
+        await self._holds.aclose()
+        await self._orders.aclose()
+
+    async def _order(
+        self, path: str, document: dict[str, Any], timeout_s: float
+    ) -> orders.Taken | orders.Rejected | orders.Silent:
+        result = await self._orders.call(
+            "POST", path, document, timeout_s, self._headers
+        )
+        refused = _find_refusal(result)
+        if refused is not None:
+            return refused
+        assert isinstance(result, calls.Answered)
+        return orders.Taken(int(result.document.get("clock_ms", 0)))
+
+
+def _find_refusal(
+    result: calls.Result,
+) -> orders.Rejected | orders.Silent | None:
+    if isinstance(result, calls.Unanswered):
+        return orders.Silent(result.cause, result.maybe_done)
+    clock = result.document.get("clock_ms")
+    if result.status == _OK:
+        return None
+    if result.status == _CONFLICT:
+        why = _WHY.get(result.document.get("reason", ""), orders.Why.INVALID)
+        return orders.Rejected(why, clock)
+    if result.status == _OTHER_INCARNATION:
+        return orders.Rejected(orders.Why.OTHER_INCARNATION)
+    if result.status in _UNHEALTHY:
+        return orders.Rejected(orders.Why.UNHEALTHY, clock)
+    return orders.Rejected(orders.Why.INVALID, clock)
+
+
+def _parse_report(document: dict[str, Any]) -> orders.Report:
+    running = tuple(
+        orders.Running(
+            names.parse_task(row[0]),
+            int(row[1]),
+            str(row[2] or ""),
+            float(row[3]),
+            float(row[4]) if len(row) > 4 else 0.0,
+        )
+        for row in document.get("running", ())
+    )
+    ended = tuple(
+        orders.Ended(
+            int(row[0]),
+            names.parse_task(row[1]),
+            int(row[2]),
+            orders.How(row[3]),
+            str(row[4] or ""),
+        )
+        for row in document.get("finished", ())
+    )
+    return orders.Report(int(document["clock_ms"]), running, ended)
+
+
+class _Room(pydantic.BaseModel):
+    cpu: int = 0
+    mem_mb: int = 0
+    gpu: int = 0
+
+
+class _Listed(pydantic.BaseModel):
+    service: str
+    address: str
+    zone: str = ""
+    state: str = "ready"
+    capacity: _Room = _Room()
+    labels: list[str] = []
+
+
+def parse_worker(key: str, value: bytes) -> orders.WorkerEntry | None:
+    """Decode an entry of the list of workers; None if it isn't one."""
+    try:
+        listed = _Listed.model_validate(orjson.loads(value))
+    except (orjson.JSONDecodeError, pydantic.ValidationError):
+        return None
+    room = listed.capacity
+    return orders.WorkerEntry(
+        key.removeprefix(WORKERS_PREFIX),
+        listed.service,
+        listed.address,
+        listed.zone,
+        listed.state != "ready",
+        model.Room(room.cpu, room.mem_mb, room.gpu),
+        frozenset(listed.labels),
+    )
--- /dev/null
+++ b/crocusrouter/pools/__init__.py
@@ -0,0 +1,29 @@
+"""Pools of workers: ownership, journal, links, and the callers' desk."""
+
+from crocusrouter.pools.clock import Clock
+from crocusrouter.pools.desk import Cancelled
+from crocusrouter.pools.desk import Desk
+from crocusrouter.pools.desk import StateUnknownError
+from crocusrouter.pools.desk import Stored
+from crocusrouter.pools.desk import note_refusal
+from crocusrouter.pools.entry import ConfigSource
+from crocusrouter.pools.entry import Identity
+from crocusrouter.pools.entry import PoolEntry
+from crocusrouter.pools.members import find_secret
+from crocusrouter.pools.owner import Platform
+from crocusrouter.pools.owner import PoolOwner
+
+__all__ = [
+    "Cancelled",
+    "Clock",
+    "ConfigSource",
+    "Desk",
+    "Identity",
+    "Platform",
+    "PoolEntry",
+    "PoolOwner",
+    "StateUnknownError",
+    "Stored",
+    "find_secret",
+    "note_refusal",
+]
--- /dev/null
+++ b/crocusrouter/pools/entry.py
@@ -0,0 +1,362 @@
+"""One entry: joins configuration, peers, ownership and the callers' desk."""
+
+from collections.abc import Callable
+import dataclasses
+import hashlib
+import traceback
+
+import trio
+
+from crocusrouter import queues
+from crocusrouter.mesh import messages
+from crocusrouter.pools import clock
+from crocusrouter.pools import configuration as configurations
+from crocusrouter.pools import desk as desks
+from crocusrouter.pools import intake
+from crocusrouter.pools import journal
+from crocusrouter.pools import keys
+from crocusrouter.pools import members
+from crocusrouter.pools import owner as owners
+from crocusrouter.pools import peers as peer_links
+from crocusrouter.pools import tenure as tenures
+from crocusrouter.store import client
+from crocusrouter.store import port
+from crocusrouter.store import records
+from crocusrouter.telemetry import Metrics
+from crocusrouter.telemetry import log
+
+_ELECTION_TICK_S = 0.1
+# Candidates take turns, so that one write settles most elections.
+_RANK_DELAY_S = 0.12
+_VOUCH_TICK_S = 0.5
+# An owner reads the configuration this often and vouches for it to all who
+# send it heartbeats; the others read only when no peer has vouched.
+_OWNER_READS_S = 1.5
+_OTHERS_READ_S = 3.0
+_DRAIN_S = 0.8
+
+
+@dataclasses.dataclass(frozen=True)
+class Identity:
+    """Who an entry is.
+
+    Attributes:
+        name: Unique among the entries.
+        mesh_address: "IP:port" on which peers reach it.
+    """
+
+    name: str
+    mesh_address: str
+
+
+@dataclasses.dataclass(frozen=True)
+class ConfigSource:
+    """Where the operators' configuration lies.
+
+    Attributes:
+        prefix: Watched.
+        key: The configuration itself.
+        parse: Decodes it.
+    """
+
+    prefix: str
+    key: str
+    parse: Callable[[bytes], queues.Config]
+
+
+class PoolEntry:
+    """Everything that one process runs, except its listeners."""
+
+    def __init__(
+        self,
+        identity: Identity,
+        secret: str,
+        store: port.KeyValueStore,
+        source: ConfigSource,
+        platform: owners.Platform,
+        metrics: Metrics,
+        times: clock.Clock | None = None,
+    ) -> None:
+        """Prepare an entry; `run` does the rest."""
+        self.name = identity.name
+        self.metrics = metrics
+        self.times = times or clock.Clock()
+        self.is_stopping = False
+        self.owned: dict[str, owners.PoolOwner] = {}
+        self.configuration = configurations.Configuration(
+            source.key, source.parse, self.times, metrics
+        )
+        self.configuration.listeners.append(self._spread_config)
+        self._store = store
+        self._platform = platform
+        self._epochs: dict[str, int] = {}
+        self._owner_names: dict[str, str] = {}
+        self._vacant_since: dict[str, float] = {}
+        self._scopes: dict[str, trio.CancelScope] = {}
+        self._tenures: dict[str, tenures.Tenure] = {}
+        self.peers = peer_links.Peers(
+            identity.name,
+            secret,
+            self.times,
+            self._describe,
+            self._take_beat,
+            lambda: set(self._owner_names.values()),
+        )
+        self._member_addresses: dict[str, str] = {}
+        self._membership = members.Membership(
+            store, identity.name, identity.mesh_address
+        )
+        self._config_watch = intake.Follower(
+            store,
+            source.prefix,
+            self.configuration.take_events,
+            self._vouch_now,
+        )
+        self._system_watch = intake.Follower(
+            store, keys.SYSTEM, self._take_system
+        )
+        self.desk = desks.Desk(
+            store,
+            self.peers,
+            self.owned,
+            self._owner_names,
+            self.times,
+            metrics,
+        )
+        self._nursery: trio.Nursery | None = None
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether this entry may take new callers."""
+        fresh = self.configuration.is_fresh(self.times.steady())
+        return fresh and not self.is_stopping
+
+    async def run(self) -> None:
+        """Run all controllers until cancelled."""
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            nursery.start_soon(self._config_watch.run)
+            nursery.start_soon(self._system_watch.run)
+            nursery.start_soon(self._membership.run)
+            nursery.start_soon(self.peers.run)
+            nursery.start_soon(self._keep_vouched)
+            nursery.start_soon(self._run_elections)
+
+    # Configuration.
+
+    def _vouch_now(self) -> None:
+        self.configuration.vouch(self.times.steady())
+
+    def _spread_config(self, config: queues.Config) -> None:
+        for held in self.owned.values():
+            held.set_config(config)
+
+    async def _keep_vouched(self) -> None:
+        """Read the configuration whenever nobody has vouched for it."""
+        while True:
+            await trio.sleep(_VOUCH_TICK_S)
+            sent_at = self.times.steady()
+            age = self.configuration.measure_age(sent_at)
+            limit = _OWNER_READS_S if self.owned else _OTHERS_READ_S
+            if age is not None and age < limit:
+                continue
+            try:
+                found = await self._store.read(self.configuration.key)
+            except client.StoreUnavailableError as error:
+                log("config:unvouched", age=age, cause=str(error))
+                continue
+            if found is not None and self.configuration.take(
+                found.value, "read"
+            ):
+                self.configuration.vouch(sent_at)
+
+    # Peers.
+
+    def _describe(self) -> messages.Beat:
+        now = self.times.steady()
+        return messages.Beat(
+            self.name,
+            self.configuration.version,
+            self.configuration.measure_age(now),
+            tuple(self._epochs.items()),
+        )
+
+    def _take_beat(self, beat: messages.Beat, asked_at: float) -> None:
+        if beat.version > self.configuration.version:
+            assert self._nursery is not None
+            self._nursery.start_soon(self._fetch_config, beat.name)
+        elif (
+            beat.vouched_age_s is not None
+            and beat.version == self.configuration.version
+        ):
+            self.configuration.vouch(asked_at - beat.vouched_age_s)
+        for pool, epoch in beat.owners:
+            held = self.owned.get(pool)
+            if held is not None and held.epoch < epoch:
+                log("owner:deposed", pool=pool, by=epoch, source=beat.name)
+                self._scopes[pool].cancel()
+            if epoch > self._epochs.get(pool, 0):
+                self._epochs[pool] = epoch
+
+    async def _fetch_config(self, peer: str) -> None:
+        reply = await self.peers.call(peer, messages.AskConfig())
+        if isinstance(reply, messages.ConfigReply) and reply.document:
+            self.configuration.take(reply.document, peer)
+
+    async def answer_peer(self, message: object) -> object:
+        """Answer another entry."""
+        match message:
+            case messages.Beat():
+                now = self.times.steady()
+                self.peers.note_heard(now)
+                self._take_beat(message, now)
+                return self._describe()
+            case messages.AskConfig():
+                return messages.ConfigReply(self.configuration.document)
+            case messages.FindState(pool, job):
+                return messages.StateReply(self.desk.show_here(pool, job))
+            case messages.CountPending(pool, queue):
+                return messages.PendingReply(self.desk.count_here(pool, queue))
+            case messages.StoreJob(job, record):
+                outcome = await self.desk.store_here(job, record)
+                return messages.StoreReply(str(outcome))
+            case _:
+                raise TypeError(f"no answer to {type(message).__name__}")
+
+    # Members and owners.
+
+    def _take_system(self, events: tuple[records.Event, ...]) -> None:
+        for event in events:
+            if isinstance(event, records.Removed):
+                self._remove_system(event.key)
+                continue
+            value = event.record.value.decode()
+            key = event.record.key
+            if key.startswith(keys.MEMBERS):
+                self._member_addresses[key.removeprefix(keys.MEMBERS)] = value
+            elif key.startswith(keys.OWNERS):
+                self._note_owner(
+                    key.removeprefix(keys.OWNERS), value, event.record.revision
+                )
+        self.peers.set_members(self._member_addresses)
+
+    def _remove_system(self, key: str) -> None:
+        if key.startswith(keys.MEMBERS):
+            self._member_addresses.pop(key.removeprefix(keys.MEMBERS), None)
+        elif key.startswith(keys.OWNERS):
+            pool = key.removeprefix(keys.OWNERS)
+            log("owner:vacant", pool=pool, before=self._owner_names.get(pool))
+            self._owner_names.pop(pool, None)
+            self._vacant_since[pool] = self.times.steady()
+
+    def _note_owner(self, pool: str, name: str, epoch: int) -> None:
+        log("owner:known", pool=pool, owner=name, epoch=epoch)
+        self._owner_names[pool] = name
+        self._epochs[pool] = max(epoch, self._epochs.get(pool, 0))
+        held = self.owned.get(pool)
+        if held is not None and held.epoch < epoch:
+            self._scopes[pool].cancel()
+
+    # Ownership.
+
+    async def _run_elections(self) -> None:
+        async with trio.open_nursery() as nursery:
+            while True:
+                await trio.sleep(_ELECTION_TICK_S)
+                config = self.configuration.current
+                if config is None or not self.is_ready:
+                    continue
+                now = self.times.steady()
+                for service in config.services.values():
+                    if service.standby or not self._may_take(service.name, now):
+                        continue
+                    self._vacant_since[service.name] = now + tenures.TTL_S
+                    nursery.start_soon(self._own, service.name)
+
+    def _may_take(self, pool: str, now: float) -> bool:
+        if pool in self._owner_names or pool in self._tenures:
+            return False
+        since = self._vacant_since.setdefault(pool, now)
+        names = sorted(
+            self.peers.list_members(), key=lambda name: _weigh(pool, name)
+        )
+        rank = names.index(self.name)
+        return now >= since + rank * _RANK_DELAY_S
+
+    async def _own(self, pool: str) -> None:
+        """Own a pool until it is lost or released."""
+        held = tenures.Tenure(self._store, pool, self.name, self.times)
+        self._tenures[pool] = held
+        try:
+            if await held.take():
+                self.metrics.count_event("owner-took-over")
+                await self._serve(held)
+        except* journal.DeposedError as errors:
+            self.metrics.count_event("owner-deposed")
+            log("owner:deposed", pool=pool, cause=repr(errors.exceptions))
+        except* Exception as errors:
+            # A fault in one pool's decisions must not end the entry, which
+            # serves callers too. The key's lease ends and another takes over.
+            self.metrics.count_event("owner-failed")
+            log(
+                "owner:failed",
+                pool=pool,
+                error="".join(traceback.format_exception(errors)),
+            )
+        finally:
+            del self._tenures[pool]
+
+    async def _serve(self, held: tenures.Tenure) -> None:
+        opened = owners.PoolOwner(
+            held,
+            self._store,
+            self._platform,
+            self.times,
+            self.metrics,
+            lambda: self.peers.may_hear(self.times.steady()),
+        )
+        self._note_owner(held.pool, self.name, held.epoch)
+        if self.configuration.current is not None:
+            opened.set_config(self.configuration.current)
+        self.owned[held.pool] = opened
+        scope = trio.CancelScope()
+        self._scopes[held.pool] = scope
+        log("owner:began", pool=held.pool, epoch=held.epoch)
+        try:
+            with scope:
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(_keep, held, scope)
+                    await opened.run()
+        finally:
+            del self.owned[held.pool]
+            del self._scopes[held.pool]
+            if self._owner_names.get(held.pool) == self.name:
+                self._owner_names.pop(held.pool)
+            log("owner:ended", pool=held.pool, epoch=held.epoch)
+
+    async def release_all(self) -> None:
+        """Hand every pool over; part of a planned stop."""
+        self.is_stopping = True
+        async with trio.open_nursery() as nursery:
+            for pool in list(self.owned):
+                nursery.start_soon(self._release, pool)
+        await self._membership.leave()
+
+    async def _release(self, pool: str) -> None:
+        await self.owned[pool].drain(_DRAIN_S)
+        held = self._tenures.get(pool)
+        scope = self._scopes.get(pool)
+        if held is not None and scope is not None:
+            scope.cancel()
+            await held.release()
+
+
+async def _keep(held: tenures.Tenure, scope: trio.CancelScope) -> None:
+    await held.keep()
+    log("owner:lease-ended", pool=held.pool, epoch=held.epoch)
+    scope.cancel()
+
+
+def _weigh(pool: str, name: str) -> bytes:
+    text = f"{pool}\0{name}".encode()
+    return hashlib.blake2b(text, digest_size=8).digest()
--- /dev/null
+++ b/crocusrouter/pools/links.py
@@ -0,0 +1,253 @@
+"""The owner's link to one worker: leases, reports and orders."""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+
+import trio
+
+from crocusrouter import work
+from crocusrouter.fleet import orders
+from crocusrouter.pools import clock
+from crocusrouter.pools import journal as journals
+from crocusrouter.pools import leases
+from crocusrouter.telemetry import log
+from crocusrouter.work import runs
+
+# A look waits this long for an end. Longer looks are fewer, shorter ones
+# show sooner that a worker is silent or a task stands still.
+_LOOK_S = 1.0
+_RETRY_S = 0.25
+# Without a confirmation the same ends are listed at once; this paces looks
+# while the journal can't be written.
+_UNCONFIRMED_PAUSE_S = 0.5
+# Orders are answered in milliseconds. One unanswered for this long is sent
+# again under the same number, which cannot run it twice.
+_ORDER_TIMEOUT_S = 0.35
+# Members of a gang wait 3 s for each other; past this an order is given up.
+_START_PATIENCE_S = 2.0
+
+
+class WorkerLink:
+    """Keeps one worker's lease and carries orders to it."""
+
+    def __init__(
+        self,
+        worker: str,
+        port: orders.WorkerPort,
+        epoch: int,
+        book: work.Book,
+        times: clock.Clock,
+        settle: Callable[[], Awaitable[None]],
+        may_renew: Callable[[], bool],
+        changed: Callable[[], None],
+    ) -> None:
+        """Open a link.
+
+        Args:
+            worker: The worker's id.
+            port: How to reach it.
+            epoch: The owner's epoch.
+            book: Told of everything that the worker says.
+            times: The present time.
+            settle: Waits until what the book has noted is durable.
+            may_renew: Whether leases may be renewed now.
+            changed: Called when the book has changed.
+        """
+        self.worker = worker
+        self.lease = leases.LeaseClock(times.steady())
+        self._port = port
+        self._epoch = epoch
+        self._book = book
+        self._times = times
+        self._settle = settle
+        self._may_renew = may_renew
+        self._changed = changed
+        self._seen = 0
+        self._wake = trio.Event()
+        self._gone = False
+
+    def wake(self) -> None:
+        """Say that the worker has something to hold."""
+        self._wake.set()
+
+    async def run(self) -> None:
+        """Look after the worker until another incarnation answers there.
+
+        Raises:
+            DeposedError: The worker knows a later owner.
+        """
+        try:
+            await self._look(0.0)
+            while not self._gone:
+                held = self._book.workers.get(self.worker)
+                if held is None:
+                    return
+                if not held.runs and held.silent_since is None:
+                    if not held.listed:
+                        return
+                    await self._wake.wait()
+                self._wake = trio.Event()
+                await self._look(_LOOK_S)
+        finally:
+            with trio.CancelScope(shield=True):
+                await self._port.aclose()
+
+    async def _look(self, wait_s: float) -> None:
+        now = self._times.steady()
+        held = self._book.workers[self.worker]
+        until_ms = None
+        # A worker that has not answered gets looks that renew nothing:
+        # each unanswered renewal may have been carried out, so the end of
+        # its lease would move on for ever.
+        if held.reached and held.silent_since is None and self._may_renew():
+            until_ms = self.lease.extend(now)
+        result = await self._port.hold(
+            self._epoch, self._seen, until_ms, wait_s
+        )
+        match result:
+            case orders.Report():
+                await self._take_report(result, now)
+            case orders.Rejected(orders.Why.FENCED):
+                raise journals.DeposedError(f"fenced by {self.worker}")
+            case orders.Rejected(orders.Why.OTHER_INCARNATION):
+                self._leave("another incarnation answers there")
+            case _:
+                await self._take_silence()
+
+    async def _take_report(self, report: orders.Report, sent_at: float) -> None:
+        now = self._times.steady()
+        self.lease.note(report.clock_ms, now)
+        self._book.note_report(self.worker, report, sent_at, now)
+        self._changed()
+        if not report.ended:
+            return
+        last = max(ended.number for ended in report.ended)
+        with trio.move_on_after(_UNCONFIRMED_PAUSE_S):
+            await self._settle()
+            self._seen = max(self._seen, last)
+
+    async def _take_silence(self) -> None:
+        now = self._times.steady()
+        self._book.note_silent(self.worker, now)
+        held = self._book.workers[self.worker]
+        if not held.lapsed and self.lease.has_lapsed(now):
+            self._book.note_lapsed(self.worker, "its lease has ended", now)
+            self._changed()
+            if not held.listed:
+                self._gone = True
+        await trio.sleep(_RETRY_S)
+
+    def _leave(self, why: str) -> None:
+        self._gone = True
+        self._book.note_lapsed(self.worker, why, self._times.steady())
+        self._changed()
+
+    # Orders.
+
+    async def start(self, order: orders.Start) -> None:
+        """Deliver a start; afterwards the book knows how it went.
+
+        Raises:
+            DeposedError: The worker knows a later owner.
+        """
+        give_up_at = self._times.steady() + _START_PATIENCE_S
+        maybe_begun = False
+        while self._is_wanted(order):
+            now = self._times.steady()
+            until_ms = self.lease.extend(now)
+            if until_ms is None or now > give_up_at:
+                break
+            result = await self._port.start(
+                self._epoch, order, until_ms, _ORDER_TIMEOUT_S
+            )
+            now = self._times.steady()
+            match result:
+                case orders.Taken(clock_ms):
+                    self.lease.note(clock_ms, now)
+                    self._book.note_taken(order.key, order.run, now)
+                    self.wake()
+                    self._changed()
+                    return
+                case orders.Rejected(orders.Why.FENCED):
+                    raise journals.DeposedError(f"fenced by {self.worker}")
+                case orders.Rejected(orders.Why.OTHER_INCARNATION):
+                    self._leave("another incarnation answers there")
+                    return
+                case orders.Rejected(why):
+                    if not maybe_begun:
+                        self._reject(order, str(why))
+                        return
+                    break
+                case orders.Silent(cause, maybe_done):
+                    maybe_begun = maybe_begun or maybe_done
+                    log(
+                        "order:unanswered",
+                        task=order.key,
+                        run=order.run,
+                        worker=self.worker,
+                        cause=cause,
+                    )
+        await self._give_up(order, maybe_begun)
+
+    def _is_wanted(self, order: orders.Start) -> bool:
+        run = self._book.runs.get(order.key)
+        return (
+            run is not None
+            and run.number == order.run
+            and run.phase is runs.Phase.ORDERED
+        )
+
+    def _reject(self, order: orders.Start, why: str) -> None:
+        now = self._times.steady()
+        self._book.note_not_begun(order.key, order.run, why, now)
+        self._changed()
+
+    async def _give_up(self, order: orders.Start, maybe_begun: bool) -> None:
+        """Settle a start that nobody has confirmed.
+
+        It may still be carried out. A stop that is answered keeps it from
+        starting afterwards; until then the task counts as running there.
+        """
+        run = self._book.runs.get(order.key)
+        if run is None or run.number != order.run:
+            return
+        if not maybe_begun and run.phase is runs.Phase.ORDERED:
+            self._reject(order, "unreachable")
+            return
+        if run.phase is runs.Phase.ORDERED:
+            now = self._times.steady()
+            self._book.stop_run(run, "its start was not answered", now)
+            self._changed()
+
+    async def stop(self, order: orders.Stop) -> None:
+        """Deliver a stop; repeated until it is answered or has no object.
+
+        Raises:
+            DeposedError: The worker knows a later owner.
+        """
+        while not self._gone:
+            result = await self._port.stop(self._epoch, order, _ORDER_TIMEOUT_S)
+            match result:
+                case orders.Rejected(orders.Why.FENCED):
+                    raise journals.DeposedError(f"fenced by {self.worker}")
+                case orders.Taken(clock_ms):
+                    now = self._times.steady()
+                    self.lease.note(clock_ms, now)
+                    await self._settle_stop(order, now)
+                    return
+                case orders.Rejected(orders.Why.OTHER_INCARNATION):
+                    self._leave("another incarnation answers there")
+                    return
+            run = self._book.runs.get(order.key)
+            if run is None or run.number != order.run:
+                return
+            self.wake()
+            await trio.sleep(_RETRY_S)
+
+    async def _settle_stop(self, order: orders.Stop, now: float) -> None:
+        run = self._book.runs.get(order.key)
+        ours = run is not None and run.number == order.run
+        if run is not None and ours and run.confirmed_at is None:
+            self._book.note_settled(order.key, order.run, now)
+            await self._look(0.0)
+        self.wake()
--- /dev/null
+++ b/crocusrouter/pools/members.py
@@ -0,0 +1,77 @@
+"""This entry's own key among the members, under a lease."""
+
+import os
+
+import trio
+
+from crocusrouter.pools import keys
+from crocusrouter.store import client
+from crocusrouter.store import port
+from crocusrouter.telemetry import log
+
+# A member that says nothing for this long is dropped from the list. Nobody
+# decides by it alone, so it need not be short: each renewal is a call.
+_TTL_S = 8.0
+_RENEWAL_S = 2.5
+_RETRY_S = 0.4
+_SECRET_BYTES = 24
+
+
+class Membership:
+    """Registers one entry and keeps it registered."""
+
+    def __init__(
+        self, store: port.KeyValueStore, name: str, address: str
+    ) -> None:
+        self._store = store
+        self._name = name
+        self._address = address
+        self._lease = 0
+        self._left = False
+
+    async def run(self) -> None:
+        """Stay registered until cancelled or gone."""
+        while not self._left:
+            try:
+                await self._register()
+                while await self._store.keep(self._lease):
+                    await trio.sleep(_RENEWAL_S)
+                log("member:lease-ended")
+            except client.StoreUnavailableError as error:
+                log("member:unregistered", cause=str(error))
+                await trio.sleep(_RETRY_S)
+
+    async def _register(self) -> None:
+        """Write our key under a fresh lease, whatever stands there."""
+        lease = await self._store.grant(_TTL_S)
+        key = keys.build_member_key(self._name)
+        outcome = await self._store.write(
+            (), (port.Write(key, self._address.encode(), lease),)
+        )
+        if not isinstance(outcome, port.Written):
+            raise client.StoreUnavailableError(type(outcome).__name__)
+        self._lease = lease
+
+    async def leave(self) -> None:
+        """Take our key away; part of a planned stop."""
+        self._left = True
+        key = keys.build_member_key(self._name)
+        await self._store.write((), (), (key,))
+
+
+async def find_secret(store: port.KeyValueStore) -> str:
+    """Return the secret that all entries share, making it if need be.
+
+    Raises:
+        StoreUnavailableError: Try again.
+    """
+    found = await store.read(keys.SECRET)
+    if found is None:
+        made = os.urandom(_SECRET_BYTES).hex().encode()
+        await store.write(
+            (port.Guard(keys.SECRET, 0),), (port.Write(keys.SECRET, made),)
+        )
+        found = await store.read(keys.SECRET)
+    if found is None:
+        raise client.StoreUnavailableError("the secret could not be stored")
+    return found.value.decode()
--- /dev/null
+++ b/crocusrouter/pools/owner.py
@@ -0,0 +1,395 @@
+"""The owner of one pool: joins book, journal, watches and worker links."""
+
+from collections.abc import Callable
+import dataclasses
+
+import cbor2
+import trio
+
+from crocusrouter import codec
+from crocusrouter import queues
+from crocusrouter import work
+from crocusrouter.fleet import orders
+from crocusrouter.pools import clock
+from crocusrouter.pools import intake
+from crocusrouter.pools import journal as journals
+from crocusrouter.pools import keys
+from crocusrouter.pools import links
+from crocusrouter.pools import reservations
+from crocusrouter.pools import tenure as tenures
+from crocusrouter.store import client
+from crocusrouter.store import port
+from crocusrouter.store import records
+from crocusrouter.telemetry import Metrics
+from crocusrouter.telemetry import log
+
+# Events that arrive within this time share one decision.
+_GATHER_S = 0.002
+# Decisions are also made this often: pauses and suspicions run out.
+_TICK_S = 0.25
+_RETRY_S = 0.2
+# A draining worker must get nothing new from 2 s on.
+_LIST_PACE_S = 0.4
+# Numbers of starts rise from the epoch on, so a successor's outrank all of
+# its predecessor's without a written counter.
+_RUN_BITS = 20
+
+MakeWorker = Callable[[str, str], orders.WorkerPort]
+ParseWorker = Callable[[str, bytes], orders.WorkerEntry | None]
+
+
+@dataclasses.dataclass(frozen=True)
+class Platform:
+    """How the owner meets the workers of the platform.
+
+    Attributes:
+        workers_prefix: Where they are listed in the key-value service.
+        parse_worker: Decodes an entry of that list.
+        make_worker: Opens a port to a worker's id and address.
+    """
+
+    workers_prefix: str
+    parse_worker: ParseWorker
+    make_worker: MakeWorker
+
+
+class PoolOwner:
+    """Decides on the jobs of one pool under one epoch."""
+
+    def __init__(
+        self,
+        held: tenures.Tenure,
+        store: port.KeyValueStore,
+        platform: Platform,
+        times: clock.Clock,
+        metrics: Metrics,
+        may_renew: Callable[[], bool],
+    ) -> None:
+        """Prepare an owner; `run` does the rest.
+
+        Args:
+            held: The tenure under which it decides.
+            store: The key-value service.
+            platform: How workers are met.
+            times: The present time.
+            metrics: Counts what happens.
+            may_renew: Whether leases may be renewed although the tenure is
+                not known to be valid.
+        """
+        self.pool = held.pool
+        self.epoch = held.epoch
+        self.book = work.Book(held.epoch)
+        self.is_loaded = False
+        self.is_recovered = False
+        self._tenure = held
+        self._store = store
+        self._platform = platform
+        self._times = times
+        self._metrics = metrics
+        self._may_renew = may_renew
+        self._revisions: dict[str, int] = {}
+        self._progress: dict[str, records.Record] = {}
+        self._journal = journals.Journal(
+            store, held, self.book, self._revisions
+        )
+        self._links: dict[str, links.WorkerLink] = {}
+        self._reservations = reservations.Reservations()
+        self._runs = held.epoch << _RUN_BITS
+        self._wake = trio.Event()
+        self._nursery: trio.Nursery | None = None
+        self._known_workers: dict[str, str] = {}
+        self._known_revision = 0
+        self._known_changed = trio.Event()
+        self._draining = False
+        self._jobs = intake.Follower(store, keys.JOBS, self._take_jobs)
+        self._list = intake.Follower(
+            store,
+            platform.workers_prefix,
+            self._take_workers,
+            pace_s=_LIST_PACE_S,
+        )
+
+    def set_config(self, config: queues.Config) -> None:
+        """Take the customers' guarantees of a configuration."""
+        self.book.guaranteed = {
+            customer.name: customer.guaranteed
+            for customer in config.customers.values()
+        }
+        self.wake()
+
+    def wake(self) -> None:
+        """Say that there may be something to decide."""
+        self._wake.set()
+        self._journal.wake()
+
+    async def run(self) -> None:
+        """Own the pool until deposed or cancelled.
+
+        Raises:
+            DeposedError: Another owner has taken over.
+        """
+        await self._load()
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            nursery.start_soon(self._journal.run)
+            nursery.start_soon(self._jobs.run)
+            nursery.start_soon(self._list.run)
+            nursery.start_soon(self._remember_workers)
+            for worker, address in self._known_workers.items():
+                self._open_link(worker, address)
+            for entry in list(self.book.workers.values()):
+                self._open_link(entry.entry.id, entry.entry.address)
+            self.is_loaded = True
+            await self._decide_forever()
+
+    async def drain(self, patience_s: float) -> None:
+        """Start nothing more and let what is under way settle."""
+        self._draining = True
+        with trio.move_on_after(patience_s):
+            await self._journal.settle()
+
+    # Loading.
+
+    async def _load(self) -> None:
+        """Read what earlier owners and the entries have stored."""
+        while True:
+            try:
+                snapshot = await self._store.read_prefix(keys.PROGRESS)
+                kept = {
+                    record.key.removeprefix(keys.PROGRESS): record
+                    for record in snapshot.records
+                }
+                self._progress = kept
+                known = await self._store.read(keys.KNOWN_WORKERS + self.pool)
+                await self._jobs.load()
+                await self._list.load()
+                break
+            except client.StoreUnavailableError as error:
+                log("owner:load-failed", pool=self.pool, cause=str(error))
+                await trio.sleep(_RETRY_S)
+        if known is not None:
+            self._known_revision = known.revision
+            self._known_workers = dict(cbor2.loads(known.value))
+        log(
+            "owner:loaded",
+            pool=self.pool,
+            epoch=self.epoch,
+            jobs=len(self.book.jobs),
+            workers=len(self.book.workers),
+        )
+
+    def _take_jobs(self, events: tuple[records.Event, ...]) -> None:
+        now = self._times.steady()
+        for event in events:
+            if isinstance(event, records.Removed):
+                self.book.forget_job(event.key.removeprefix(keys.JOBS))
+                continue
+            job: work.Job = codec.unpack(work.Job, event.record.value)
+            if job.pool != self.pool:
+                continue
+            self._put_job(job, event.record.revision, now)
+        self.wake()
+
+    def _put_job(self, job: work.Job, revision: int, now: float) -> None:
+        progress = work.Progress()
+        kept = self._progress.pop(job.id, None)
+        if kept is not None:
+            progress = work.parse_progress(kept.value)
+            self._revisions[job.id] = kept.revision
+        known = job.id in self.book.jobs
+        self.book.put_job(job, progress, revision, now)
+        log(
+            "job:seen",
+            job=job.id,
+            customer=job.customer,
+            priority=job.priority,
+            cancelled=job.cancelled,
+            revision=revision,
+            repeat=known,
+        )
+
+    # Workers.
+
+    def _take_workers(self, events: tuple[records.Event, ...]) -> None:
+        now = self._times.steady()
+        prefix = self._platform.workers_prefix
+        for event in events:
+            if isinstance(event, records.Removed):
+                worker = event.key.removeprefix(prefix)
+                self.book.unlist_worker(worker)
+                link = self._links.get(worker)
+                if link is not None:
+                    link.wake()
+                continue
+            entry = self._platform.parse_worker(
+                event.record.key, event.record.value
+            )
+            if entry is None or entry.pool != self.pool:
+                continue
+            self.book.set_worker(entry, now)
+            if self._nursery is not None:
+                self._open_link(entry.id, entry.address)
+        self.wake()
+
+    def _open_link(self, worker: str, address: str) -> None:
+        assert self._nursery is not None
+        if worker in self._links:
+            return
+        if worker not in self.book.workers:
+            # Listed in an earlier owner's time and not now: a worker that is
+            # cut off, or one that the store dropped while it was away. It
+            # may still run tasks, so it is asked or waited out.
+            unlisted = orders.WorkerEntry(
+                worker, self.pool, address, "", True, work.Room(), frozenset()
+            )
+            self.book.set_worker(unlisted, self._times.steady())
+            self.book.unlist_worker(worker)
+        link = links.WorkerLink(
+            worker,
+            self._platform.make_worker(worker, address),
+            self.epoch,
+            self.book,
+            self._times,
+            self._journal.settle,
+            self._may_hold,
+            self.wake,
+        )
+        self._links[worker] = link
+        if self._known_workers.get(worker) != address:
+            self._known_workers[worker] = address
+            self._known_changed.set()
+        self._nursery.start_soon(self._run_link, worker, link)
+
+    async def _run_link(self, worker: str, link: links.WorkerLink) -> None:
+        await link.run()
+        del self._links[worker]
+        held = self.book.workers.get(worker)
+        if held is not None and not held.listed and not held.runs:
+            self.book.forget_worker(worker)
+            self._known_workers.pop(worker, None)
+            self._known_changed.set()
+            log("worker:forgotten", worker=worker)
+
+    async def _remember_workers(self) -> None:
+        """Keep the list of workers that may run tasks of ours.
+
+        The platform's own list drops workers that are cut off, and all of
+        them while it is away; a successor must know whom to wait out.
+        """
+        while True:
+            await self._known_changed.wait()
+            await trio.sleep(_TICK_S)
+            self._known_changed = trio.Event()
+            key = keys.KNOWN_WORKERS + self.pool
+            value = cbor2.dumps(self._known_workers)
+            outcome = await self._store.write(
+                (
+                    self._tenure.guard,
+                    port.Guard(key, self._known_revision),
+                ),
+                (port.Write(key, value),),
+            )
+            if isinstance(outcome, port.Written):
+                self._known_revision = outcome.revision
+                continue
+            if isinstance(outcome, port.Mismatched):
+                current = outcome.current.get(key)
+                self._known_revision = current.revision if current else 0
+            self._known_changed.set()
+
+    def _may_hold(self) -> bool:
+        return self._tenure.is_valid() or self._may_renew()
+
+    # Decisions.
+
+    async def _decide_forever(self) -> None:
+        while True:
+            with trio.move_on_after(_TICK_S):
+                await self._wake.wait()
+                await trio.sleep(_GATHER_S)
+            self._wake = trio.Event()
+            self._decide(self._times.steady(), self._times.wall())
+            self._journal.wake()
+
+    def _decide(self, now: float, wall: float) -> None:
+        self.book.open_due(wall, now)
+        self._check_recovered(now)
+        if self._tenure.is_valid() and not self._draining:
+            self._start_reserved(now)
+            plan = work.plan(
+                self.book,
+                now,
+                wall,
+                reserved=self._reservations.list_spots(),
+                only_after=0 if self.is_recovered else self.epoch,
+            )
+            for placement in plan.placements:
+                self._start(placement, now)
+            for run, why in plan.stops:
+                self.book.stop_run(run, why, now)
+            for placement in plan.reservations:
+                self._reservations.add(placement, now)
+        self._send_stops()
+        self._write_log()
+
+    def _check_recovered(self, now: float) -> None:
+        """Note when every worker has told what an earlier owner started."""
+        if self.is_recovered:
+            return
+        open_ones = [
+            worker
+            for worker in self.book.workers.values()
+            if not worker.reached and not worker.lapsed
+        ]
+        if open_ones:
+            return
+        self.is_recovered = True
+        self.book.check_gangs(now)
+        log(
+            "owner:recovered",
+            pool=self.pool,
+            epoch=self.epoch,
+            runs=len(self.book.runs),
+        )
+
+    def _start_reserved(self, now: float) -> None:
+        for placement in self._reservations.take_ready(self.book, now):
+            self._start(placement, now)
+
+    def _start(self, placement: work.Placement, now: float) -> None:
+        assert self._nursery is not None
+        held = self.book.jobs[placement.step.job]
+        found = self.book.find_work(work.TaskKey(*placement.step, 0))
+        assert found is not None
+        shared = self._take_number()
+        for index, worker in placement.spots.items():
+            number = shared if found.step.gang else self._take_number()
+            key = work.TaskKey(*placement.step, index)
+            run = self.book.add_run(key, number, worker, now)
+            order = orders.Start(key, number, held.job.payload, run.saved)
+            link = self._links[worker]
+            self._nursery.start_soon(link.start, order)
+        log(
+            "step:start",
+            step=placement.step,
+            run=shared,
+            spots=placement.spots,
+            waited=round(now - (found.waiting_since or now), 3),
+        )
+
+    def _take_number(self) -> int:
+        self._runs += 1
+        return self._runs
+
+    def _send_stops(self) -> None:
+        assert self._nursery is not None
+        stops, self.book.outbox = self.book.outbox, []
+        for worker, order in stops:
+            link = self._links.get(worker)
+            if link is not None:
+                self._nursery.start_soon(link.stop, order)
+
+    def _write_log(self) -> None:
+        while self.book.events:
+            what, facts = self.book.events.popleft()
+            log(what, pool=self.pool, **facts)
--- /dev/null
+++ b/crocusrouter/pools/peers.py
@@ -0,0 +1,146 @@
+"""Other entries: who they are, and heartbeats with them.
+
+An entry that the store turns away learns of a new configuration, and of a
+later owner, from its peers. Heartbeats go to the owners and to two neighbours
+by name, so their number grows with the entries and not with its square.
+"""
+
+from collections.abc import Callable
+
+import trio
+
+from crocusrouter import mesh
+from crocusrouter.mesh import messages
+from crocusrouter.pools import clock
+from crocusrouter.telemetry import log
+
+_BEAT_S = 1.0
+_CALL_TIMEOUT_S = 0.7
+_NEIGHBOURS = 2
+# An owner that the store turns away goes on renewing leases only while some
+# peer would tell it of a successor.
+_HEARD_S = 2.5
+
+
+class Peers:
+    """Links to the other entries."""
+
+    def __init__(
+        self,
+        name: str,
+        secret: str,
+        times: clock.Clock,
+        describe: Callable[[], messages.Beat],
+        take: Callable[[messages.Beat, float], None],
+        find_owners: Callable[[], set[str]],
+    ) -> None:
+        """Prepare the links.
+
+        Args:
+            name: This entry.
+            secret: Shared by all entries.
+            times: The present time.
+            describe: Returns this entry's heartbeat.
+            take: Called with a peer's heartbeat and when it was asked for.
+            find_owners: Returns the names of the pools' owners.
+        """
+        self._name = name
+        self._secret = secret
+        self._times = times
+        self._describe = describe
+        self._take = take
+        self._find_owners = find_owners
+        self._addresses: dict[str, str] = {}
+        self._links: dict[str, tuple[str, mesh.PeerLink, trio.CancelScope]] = {}
+        self._nursery: trio.Nursery | None = None
+        self._heard_at: float | None = None
+
+    def set_members(self, addresses: dict[str, str]) -> None:
+        """Take the members' mesh addresses by name."""
+        self._addresses = {
+            name: address
+            for name, address in addresses.items()
+            if name != self._name
+        }
+        for name in list(self._links):
+            if self._addresses.get(name) != self._links[name][0]:
+                _, _, scope = self._links.pop(name)
+                scope.cancel()
+
+    def list_members(self) -> list[str]:
+        """Return all members by name, this entry included."""
+        return sorted({*self._addresses, self._name})
+
+    def may_hear(self, now: float) -> bool:
+        """Tell whether some peer would have told us of a successor."""
+        if not self._addresses:
+            return True
+        return self._heard_at is not None and now - self._heard_at < _HEARD_S
+
+    def note_heard(self, now: float) -> None:
+        """Note that a peer was heard."""
+        self._heard_at = now
+
+    async def call(self, name: str, message: object) -> object | None:
+        """Ask a peer; None if it gave no answer in time."""
+        link = self._find_link(name)
+        if link is None:
+            return None
+        try:
+            reply: object = await link.call(message, _CALL_TIMEOUT_S)
+        except mesh.PeerUnreachableError as error:
+            log(
+                "peer:no-answer",
+                peer=name,
+                message=type(message).__name__,
+                cause=str(error),
+            )
+            return None
+        return reply
+
+    def _find_link(self, name: str) -> mesh.PeerLink | None:
+        address = self._addresses.get(name)
+        if address is None or self._nursery is None:
+            return None
+        if name not in self._links:
+            link = mesh.PeerLink(name, address, self._secret)
+            scope = trio.CancelScope()
+            self._links[name] = address, link, scope
+            self._nursery.start_soon(_run_link, link, scope)
+        return self._links[name][1]
+
+    def choose_helpers(self) -> list[str]:
+        """Return the peers to ask for help, owners first."""
+        owners = self._find_owners() - {self._name}
+        return [*sorted(owners), *sorted(self._choose_neighbours() - owners)]
+
+    def _choose_neighbours(self) -> set[str]:
+        names = self.list_members()
+        at = names.index(self._name)
+        chosen = (
+            names[(at + step) % len(names)]
+            for step in range(1, _NEIGHBOURS + 1)
+        )
+        return set(chosen) - {self._name}
+
+    async def run(self) -> None:
+        """Exchange heartbeats until cancelled."""
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            while True:
+                owners = self._find_owners() - {self._name}
+                for name in owners | self._choose_neighbours():
+                    nursery.start_soon(self._beat, name)
+                await trio.sleep(_BEAT_S)
+
+    async def _beat(self, name: str) -> None:
+        asked_at = self._times.steady()
+        reply = await self.call(name, self._describe())
+        if isinstance(reply, messages.Beat):
+            self.note_heard(self._times.steady())
+            self._take(reply, asked_at)
+
+
+async def _run_link(link: mesh.PeerLink, scope: trio.CancelScope) -> None:
+    with scope:
+        await link.run()
--- /dev/null
+++ b/crocusrouter/pools/reservations.py
@@ -0,0 +1,71 @@
+"""Room kept for guaranteed work while what was in its way still ends."""
+
+from collections.abc import Iterator
+import dataclasses
+
+from crocusrouter import work
+
+# A stop takes 0.2 s and some retries of its order; a reservation that is
+# still not free then is dropped, and the step planned anew.
+_LONGEST_S = 1.0
+
+
+@dataclasses.dataclass(frozen=True)
+class _Reservation:
+    placement: work.Placement
+    since: float
+
+
+class Reservations:
+    """All reservations of one owner."""
+
+    def __init__(self) -> None:
+        self._held: dict[work.StepKey, _Reservation] = {}
+
+    def add(self, placement: work.Placement, now: float) -> None:
+        """Keep room for a placement."""
+        self._held[placement.step] = _Reservation(placement, now)
+
+    def list_spots(self) -> Iterator[tuple[work.StepKey, dict[int, str]]]:
+        """Yield each reserved step with its workers by index."""
+        for key, held in self._held.items():
+            yield key, held.placement.spots
+
+    def take_ready(self, book: work.Book, now: float) -> list[work.Placement]:
+        """Return the placements whose room is free now, and drop them.
+
+        Reservations that can't be kept any more are dropped too.
+        """
+        ready = []
+        for key, held in list(self._held.items()):
+            placement = held.placement
+            if not _is_wanted(book, placement):
+                del self._held[key]
+            elif _has_room(book, placement, now):
+                ready.append(placement)
+                del self._held[key]
+            elif now > held.since + _LONGEST_S:
+                book.note("reservation:dropped", step=key)
+                del self._held[key]
+        return ready
+
+
+def _is_wanted(book: work.Book, placement: work.Placement) -> bool:
+    held = book.live.get(placement.step.job)
+    found = book.find_work(placement.step)
+    if held is None or found is None:
+        return False
+    return set(placement.spots) <= found.waiting
+
+
+def _has_room(book: work.Book, placement: work.Placement, now: float) -> bool:
+    found = book.find_work(placement.step)
+    assert found is not None
+    workers = list(placement.spots.values())
+    for name in set(workers):
+        worker = book.workers.get(name)
+        if worker is None or not worker.may_take(now):
+            return False
+        if worker.free.count(found.step.charge) < workers.count(name):
+            return False
+    return True
--- /dev/null
+++ b/crocusrouter/queues/__init__.py
@@ -0,0 +1,21 @@
+"""Queues: where callers hand jobs in, under which key and policy."""
+
+from crocusrouter.queues.model import Config
+from crocusrouter.queues.model import Customer
+from crocusrouter.queues.model import Limits
+from crocusrouter.queues.model import Queue
+from crocusrouter.queues.model import Service
+from crocusrouter.queues.model import find_customer
+from crocusrouter.queues.model import find_queue
+from crocusrouter.queues.model import split_path
+
+__all__ = [
+    "Config",
+    "Customer",
+    "Limits",
+    "Queue",
+    "Service",
+    "find_customer",
+    "find_queue",
+    "split_path",
+]
--- a/crocusrouter/settings/model.py
+++ b/crocusrouter/settings/model.py
@@ -110,8 +110,13 @@
     try:
         return Settings(**flags)
     except pydantic.ValidationError as error:
-        lines = [_describe(dict(item)) for item in error.errors()]
-        raise WrongSettingsError("\n".join(lines)) from error
+        raise describe_settings(error) from error
+
+
+def describe_settings(error: pydantic.ValidationError) -> WrongSettingsError:
+    """Name each wrong setting, its value and the remedy."""
+    lines = [_describe(dict(item)) for item in error.errors()]
+    return WrongSettingsError("\n".join(lines))
 
 
 def parse_address(value: str) -> tuple[str, int]:
--- /dev/null
+++ b/crocusrouter/work/__init__.py
@@ -0,0 +1,33 @@
+"""Jobs of steps and tasks: the book of a pool and what it decides."""
+
+from crocusrouter.work.book import Book
+from crocusrouter.work.model import FINAL
+from crocusrouter.work.model import Job
+from crocusrouter.work.model import Room
+from crocusrouter.work.model import State
+from crocusrouter.work.model import Step
+from crocusrouter.work.model import StepKey
+from crocusrouter.work.model import TaskKey
+from crocusrouter.work.planner import Placement
+from crocusrouter.work.planner import Plan
+from crocusrouter.work.planner import plan
+from crocusrouter.work.progress import Progress
+from crocusrouter.work.progress import dump_progress
+from crocusrouter.work.progress import parse_progress
+
+__all__ = [
+    "FINAL",
+    "Book",
+    "Job",
+    "Placement",
+    "Plan",
+    "Progress",
+    "Room",
+    "State",
+    "Step",
+    "StepKey",
+    "TaskKey",
+    "dump_progress",
+    "parse_progress",
+    "plan",
+]
--- /dev/null
+++ b/crocusrouter/work/book.py
@@ -0,0 +1,511 @@
+"""The book of one pool: its jobs, runs and workers in memory.
+
+Methods take an event and the present time. What follows from it is collected
+in `outbox` (orders for workers) and `dirty` (jobs whose progress must be
+journaled). The book does no I/O.
+"""
+
+import collections
+from collections.abc import Iterable
+
+from crocusrouter.fleet import orders
+from crocusrouter.work import model
+from crocusrouter.work import progress as progresses
+from crocusrouter.work import runs
+from crocusrouter.work import suspicion
+
+# A failed task comes back after this pause, so that a task which fails at
+# once does not spend its attempts on one bad second of the fleet.
+_RETRY_PAUSE_S = 0.3
+Stopping = tuple[str, orders.Stop]
+
+
+class Book:
+    """Jobs, runs and workers of one pool."""
+
+    def __init__(self, epoch: int) -> None:
+        self.epoch = epoch
+        self.jobs: dict[str, runs.JobWork] = {}
+        self.live: dict[str, runs.JobWork] = {}
+        self.workers: dict[str, runs.Worker] = {}
+        self.runs: dict[model.TaskKey, runs.Run] = {}
+        self.dirty: set[str] = set()
+        self.outbox: list[Stopping] = []
+        self.guaranteed: dict[str, int] = {}
+        self.events: collections.deque[tuple[str, dict[str, object]]] = (
+            collections.deque(maxlen=2000)
+        )
+
+    def note(self, what: str, **facts: object) -> None:
+        """Keep one line for the log; the controller writes it."""
+        self.events.append((what, facts))
+
+    # Jobs.
+
+    def put_job(
+        self,
+        job: model.Job,
+        progress: progresses.Progress,
+        created: int,
+        now: float,
+    ) -> None:
+        """Take an accepted job, or its cancelled form."""
+        held = self.jobs.get(job.id)
+        if held is None:
+            held = runs.JobWork(job, progress, created)
+            held.begun = bool(progress.steps) or progress.final is not None
+            held.durable = progress.final is not None
+            self.jobs[job.id] = held
+            if not held.is_final:
+                self.live[job.id] = held
+            return
+        if job.cancelled and not held.job.cancelled:
+            held.job = job
+            self._close(held, "cancelled", now)
+
+    def open_due(self, wall: float, now: float) -> None:
+        """Open the occurrences whose time has come.
+
+        Args:
+            wall: Unix time in seconds.
+            now: Steady time in seconds.
+        """
+        for held in self.live.values():
+            while held.opened < held.job.occurrences:
+                if held.job.find_due(held.opened) > wall:
+                    break
+                self._open(held, held.opened, now)
+                held.opened += 1
+
+    def find_next_due(self) -> float | None:
+        """Return the Unix time of the next occurrence."""
+        return min(
+            (
+                held.job.find_due(held.opened)
+                for held in self.live.values()
+                if held.opened < held.job.occurrences
+            ),
+            default=None,
+        )
+
+    def _open(self, held: runs.JobWork, number: int, now: float) -> None:
+        for position, step in enumerate(held.job.steps):
+            key = model.StepKey(held.job.id, number, position)
+            kept = held.progress.get(number, position)
+            waiting = set(range(step.count)) - kept.done
+            work = runs.StepWork(key, step, kept, waiting)
+            work.waiting_since = now
+            held.steps[key] = work
+
+    def _close(self, held: runs.JobWork, why: str, now: float) -> None:
+        """Stop all that runs of a job that is over."""
+        self.live.pop(held.job.id, None)
+        for run in self.list_runs(held):
+            self.stop_run(run, why, now)
+
+    def forget_job(self, job_id: str) -> None:
+        """Drop a job that has been over for long enough."""
+        self.jobs.pop(job_id, None)
+        self.live.pop(job_id, None)
+
+    def list_runs(self, held: runs.JobWork) -> list[runs.Run]:
+        """Return the runs of a job."""
+        return [
+            run
+            for work in held.steps.values()
+            for run in self.list_step_runs(work)
+        ]
+
+    def list_step_runs(self, work: runs.StepWork) -> list[runs.Run]:
+        """Return the runs of a step."""
+        found = (
+            self.runs.get(model.TaskKey(*work.key, index))
+            for index in range(work.step.count)
+            if index not in work.waiting
+        )
+        return [run for run in found if run is not None]
+
+    def find_work(
+        self, key: model.TaskKey | model.StepKey
+    ) -> runs.StepWork | None:
+        """Return the step that a task belongs to, if its job is known."""
+        held = self.jobs.get(key.job)
+        if held is None:
+            return None
+        return held.steps.get(model.StepKey(key.job, key.occurrence, key.step))
+
+    def is_ready(self, held: runs.JobWork, work: runs.StepWork) -> bool:
+        """Tell whether all earlier steps of a step have ended well."""
+        key = work.key
+        for earlier in work.step.after:
+            before = held.steps.get(key._replace(step=earlier))
+            if before is None or not before.is_done:
+                return False
+        return True
+
+    def count_pending(self, queue: str) -> int:
+        """Return how many jobs of a queue have not begun."""
+        return sum(
+            1
+            for held in self.live.values()
+            if held.job.queue == queue and not held.begun
+        )
+
+    # Workers.
+
+    def set_worker(self, entry: orders.WorkerEntry, now: float) -> bool:
+        """Note what the platform lists; True if the worker is new."""
+        held = self.workers.get(entry.id)
+        if held is None:
+            self.workers[entry.id] = runs.Worker(entry)
+            self.note("worker:listed", worker=entry.id)
+            return True
+        if held.entry.draining != entry.draining:
+            self.note("worker:state", worker=entry.id, draining=entry.draining)
+        held.entry = entry
+        held.listed = True
+        return False
+
+    def unlist_worker(self, worker: str) -> None:
+        """Note that the platform lists a worker no more.
+
+        Its runs stay counted: a worker that is cut off is dropped from the
+        list too, and runs on until its lease ends.
+        """
+        held = self.workers.get(worker)
+        if held is not None and held.listed:
+            held.listed = False
+            self.note("worker:unlisted", worker=worker, runs=len(held.runs))
+
+    def note_silent(self, worker: str, now: float) -> None:
+        """Note that a worker does not answer."""
+        held = self.workers.get(worker)
+        if held is not None and held.silent_since is None:
+            held.silent_since = now
+            self.note("worker:silent", worker=worker, runs=len(held.runs))
+
+    def note_lapsed(self, worker: str, why: str, now: float) -> None:
+        """Note that nothing can run on a worker any more."""
+        held = self.workers.get(worker)
+        if held is None:
+            return
+        self.note("worker:lapsed", worker=worker, why=why, runs=len(held.runs))
+        for key in list(held.runs):
+            run = self.runs[key]
+            self._drop_run(run)
+            self._requeue(run, orders.How.LAPSED, now)
+        held.lapsed = True
+
+    def forget_worker(self, worker: str) -> None:
+        """Drop a worker that is unlisted and runs nothing."""
+        self.workers.pop(worker, None)
+
+    # Runs.
+
+    def add_run(
+        self, key: model.TaskKey, number: int, worker: str, now: float
+    ) -> runs.Run:
+        """Note that a start is about to be ordered."""
+        run = runs.Run(key, number, worker, now, moved_at=now)
+        work = self.find_work(key)
+        if work is not None:
+            work.waiting.discard(key.position)
+            run.saved = work.find_saved(key.position)
+            self._charge(run, work, worker)
+        self.runs[key] = run
+        return run
+
+    def _charge(self, run: runs.Run, work: runs.StepWork, worker: str) -> None:
+        held = self.workers[worker]
+        if run.key not in held.runs:
+            held.used = held.used.plus(work.step.charge)
+            held.runs.add(run.key)
+            held.lapsed = False
+
+    def _drop_run(self, run: runs.Run) -> None:
+        """Remove a run that has certainly ended."""
+        if self.runs.get(run.key) is run:
+            del self.runs[run.key]
+        held = self.workers.get(run.worker)
+        work = self.find_work(run.key)
+        if held is not None and run.key in held.runs:
+            held.runs.discard(run.key)
+            if work is not None:
+                held.used = held.used.minus(work.step.charge)
+
+    def stop_run(self, run: runs.Run, why: str, now: float) -> None:
+        """Order a stop; the room is free once the end is listed."""
+        if run.phase is runs.Phase.STOPPING:
+            return
+        run.phase = runs.Phase.STOPPING
+        run.why = why
+        self.note(
+            "run:stop", task=run.key, run=run.number, worker=run.worker, why=why
+        )
+        self.outbox.append((run.worker, orders.Stop(run.key, run.number)))
+
+    def stop_step(self, work: runs.StepWork, why: str, now: float) -> None:
+        """Stop all runs of a step."""
+        for run in self.list_step_runs(work):
+            self.stop_run(run, why, now)
+
+    def note_taken(self, key: model.TaskKey, number: int, now: float) -> None:
+        """Note that a worker has begun a run."""
+        run = self.runs.get(key)
+        if run is None or run.number != number:
+            return
+        if run.confirmed_at is None:
+            run.confirmed_at = now
+            run.moved_at = now
+        if run.phase is runs.Phase.ORDERED:
+            run.phase = runs.Phase.RUNNING
+        held = self.jobs.get(key.job)
+        if held is not None:
+            held.begun = True
+
+    def note_not_begun(
+        self, key: model.TaskKey, number: int, why: str, now: float
+    ) -> None:
+        """Note that an ordered run certainly never begins."""
+        run = self.runs.get(key)
+        if run is None or run.number != number or run.confirmed_at is not None:
+            return
+        self.note(
+            "run:rejected", task=key, run=number, worker=run.worker, why=why
+        )
+        self._drop_run(run)
+        self._requeue(run, orders.How.STOPPED, now)
+        work = self.find_work(key)
+        if work is not None:
+            work.not_before = max(work.not_before, now + _RETRY_PAUSE_S)
+            work.avoid.add(run.worker)
+
+    def _requeue(self, run: runs.Run, how: orders.How, now: float) -> None:
+        """Put a task back after a run that has not ended well."""
+        work = self.find_work(run.key)
+        if work is None or run.key.position in work.kept.done:
+            return
+        work.waiting.add(run.key.position)
+        work.waiting_since = now
+        self._keep_checkpoint(work, run.key, run.saved)
+        if work.step.gang:
+            # Members that are left would wait for this one, or run without
+            # use; all of them start again together.
+            self.stop_step(work, f"a member ended: {how}", now)
+
+    def _keep_checkpoint(
+        self, work: runs.StepWork, key: model.TaskKey, saved: str
+    ) -> None:
+        index = 0 if work.step.gang else key.position
+        if saved and saved != work.kept.saved.get(index):
+            work.kept.saved[index] = saved
+            self.dirty.add(key.job)
+
+    # Reports.
+
+    def note_report(
+        self, worker: str, report: orders.Report, sent_at: float, now: float
+    ) -> None:
+        """Take what a worker says that it holds.
+
+        Args:
+            worker: Which.
+            report: What it said.
+            sent_at: Steady time at which it was asked; what was ordered
+                after that may be missing from the report.
+            now: Steady time.
+        """
+        held = self.workers.get(worker)
+        if held is None:
+            return
+        if held.silent_since is not None or not held.reached:
+            self.note("worker:reached", worker=worker)
+        held.silent_since = None
+        held.reached = True
+        for ended in report.ended:
+            # An end is listed again until it is confirmed.
+            if ended.number > held.noted:
+                held.noted = ended.number
+                self._note_end(worker, ended, now)
+        listed = {row.key: row for row in report.running}
+        ended_keys = {(row.key, row.run) for row in report.ended}
+        for row in report.running:
+            if (row.key, row.run) not in ended_keys:
+                self._note_running(worker, row, now)
+        self._find_missing(held, listed, sent_at, now)
+
+    def _note_running(
+        self, worker: str, row: orders.Running, now: float
+    ) -> None:
+        run = self.runs.get(row.key)
+        if run is not None and run.number == row.run and run.worker == worker:
+            self.note_taken(row.key, row.run, now)
+            if row.percent != run.percent:
+                run.moved_at = now
+            run.percent = row.percent
+            run.load = row.load
+            run.saved = row.saved or run.saved
+            return
+        if run is None and self._may_adopt(row.key):
+            adopted = self.add_run(row.key, row.run, worker, now)
+            adopted.saved = row.saved or adopted.saved
+            adopted.percent = row.percent
+            self.note_taken(row.key, row.run, now)
+            self.note("run:adopted", task=row.key, run=row.run, worker=worker)
+            return
+        self.outbox.append((worker, orders.Stop(row.key, row.run)))
+        self.note("run:stray", task=row.key, run=row.run, worker=worker)
+
+    def _may_adopt(self, key: model.TaskKey) -> bool:
+        held = self.jobs.get(key.job)
+        work = self.find_work(key)
+        return (
+            held is not None
+            and not held.is_final
+            and work is not None
+            and key.position in work.waiting
+        )
+
+    def _find_missing(
+        self,
+        held: runs.Worker,
+        listed: dict[model.TaskKey, orders.Running],
+        sent_at: float,
+        now: float,
+    ) -> None:
+        """Drop runs that their worker no longer knows.
+
+        An end may have been confirmed by an earlier owner that died before
+        it could tell; without this the task would count as running for ever.
+        """
+        for key in list(held.runs):
+            run = self.runs[key]
+            confirmed = run.confirmed_at
+            if key in listed or confirmed is None or confirmed >= sent_at:
+                continue
+            self.note("run:missing", task=key, worker=run.worker)
+            self._drop_run(run)
+            self._requeue(run, orders.How.LAPSED, now)
+
+    def _note_end(self, worker: str, ended: orders.Ended, now: float) -> None:
+        key = ended.key
+        run = self.runs.get(key)
+        ours = (
+            run is not None and run.number == ended.run and run.worker == worker
+        )
+        work = self.find_work(key)
+        held = self.jobs.get(key.job)
+        if ours and run is not None:
+            run.saved = ended.saved or run.saved
+            self._drop_run(run)
+        if held is None or work is None:
+            return
+        held.begun = True
+        if key.position in work.kept.done:
+            return
+        self.note(
+            "run:ended",
+            task=key,
+            run=ended.run,
+            worker=worker,
+            how=str(ended.how),
+        )
+        if ended.how is orders.How.DONE:
+            self._note_done(held, work, key, worker, now)
+            return
+        if ended.how is orders.How.FAILED:
+            self._note_failed(held, work, ended, worker, now)
+        if ours and run is not None:
+            self._requeue(run, ended.how, now)
+        elif run is None:
+            self._keep_checkpoint(work, key, ended.saved)
+
+    def _note_done(
+        self,
+        held: runs.JobWork,
+        work: runs.StepWork,
+        key: model.TaskKey,
+        worker: str,
+        now: float,
+    ) -> None:
+        suspicion.note_good(self.workers.get(worker))
+        if work.step.lasting:
+            # It must run until cancelled, however it ends.
+            work.waiting.add(key.position)
+            return
+        indices = range(work.step.count) if work.step.gang else (key.position,)
+        for index in indices:
+            work.kept.done.add(index)
+            work.kept.saved.pop(index, None)
+            work.waiting.discard(index)
+            other = self.runs.get(key._replace(position=index))
+            if other is not None and not work.step.gang:
+                self.stop_run(other, "its task has ended elsewhere", now)
+        self.dirty.add(held.job.id)
+        self._check_done(held, now)
+
+    def _note_failed(
+        self,
+        held: runs.JobWork,
+        work: runs.StepWork,
+        ended: orders.Ended,
+        worker: str,
+        now: float,
+    ) -> None:
+        suspicion.note_failure(
+            self.workers.get(worker), held.job.id, now, self.note
+        )
+        work.avoid.add(worker)
+        work.not_before = max(work.not_before, now + _RETRY_PAUSE_S)
+        index = 0 if work.step.gang else ended.key.position
+        failed = work.kept.failed.setdefault(index, [])
+        if ended.run in failed:
+            return
+        failed.append(ended.run)
+        self.dirty.add(held.job.id)
+        if len(failed) >= held.job.max_attempts and not work.step.lasting:
+            self._finish(held, model.State.FAILED, now)
+
+    def _check_done(self, held: runs.JobWork, now: float) -> None:
+        if held.opened < held.job.occurrences:
+            return
+        if all(work.is_done for work in held.steps.values()):
+            self._finish(held, model.State.DONE, now)
+
+    def _finish(
+        self, held: runs.JobWork, state: model.State, now: float
+    ) -> None:
+        if held.is_final:
+            return
+        held.progress.final = state
+        self.dirty.add(held.job.id)
+        self.note("job:final", job=held.job.id, state=str(state))
+        self._close(held, f"job {state}", now)
+
+    def check_gangs(self, now: float) -> None:
+        """Stop gangs of which an earlier owner had started only a part."""
+        for held in self.live.values():
+            for work in held.steps.values():
+                if not work.step.gang or not work.waiting:
+                    continue
+                if len(work.waiting) < work.step.count:
+                    self.stop_step(work, "members are missing", now)
+
+    def note_settled(self, key: model.TaskKey, number: int, now: float) -> None:
+        """Note that a worker has taken a stop.
+
+        A run that had not begun is rejected from now on and is never listed
+        as ended; the next report that leaves it out settles it.
+        """
+        run = self.runs.get(key)
+        if run is None or run.number != number:
+            return
+        if run.confirmed_at is None:
+            run.confirmed_at = now
+
+    def note_durable(self, job_ids: Iterable[str]) -> None:
+        """Note that the journal holds what these jobs' progress says."""
+        for job_id in job_ids:
+            held = self.jobs.get(job_id)
+            if held is not None and held.progress.final is not None:
+                held.durable = True
--- /dev/null
+++ b/crocusrouter/work/planner.py
@@ -0,0 +1,336 @@
+"""Which waiting tasks start now, where, and which runs make room for them.
+
+`plan` looks at a book and returns what to do; it changes nothing. Steps are
+taken by priority, then by the latest moment at which they can begin and still
+meet their objective. A step that finds no place holds the workers that will
+have room for it first; what comes later passes these by.
+"""
+
+from collections.abc import Iterable
+import dataclasses
+
+from crocusrouter.work import book as books
+from crocusrouter.work import model
+from crocusrouter.work import packing
+from crocusrouter.work import runs
+from crocusrouter.work import victims
+
+# A gang that would run across racks takes several times as long. It waits for
+# one rack for this share of its expected time before it accepts that.
+_RACK_PATIENCE = 1.0
+# Priority 0 under a guarantee must begin within seconds; it waits less.
+_GUARANTEED_RACK_PATIENCE_S = 0.8
+# Steps that find no place and hold workers, at most.
+_MAX_HOLDING = 3
+# Benefit ends at three times the objective; later work goes last.
+_LATE_FACTOR = 3.0
+_REMOTE_PENALTY = 3.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Placement:
+    """Tasks of one step that start together.
+
+    Attributes:
+        step: The step.
+        spots: Worker by index of the task.
+    """
+
+    step: model.StepKey
+    spots: dict[int, str]
+
+
+@dataclasses.dataclass
+class Plan:
+    """What to do now.
+
+    Attributes:
+        placements: Tasks to start.
+        stops: Runs to stop so that guaranteed work finds room, and why.
+        reservations: Where that work goes once they have ended.
+    """
+
+    placements: list[Placement] = dataclasses.field(default_factory=list)
+    stops: list[tuple[runs.Run, str]] = dataclasses.field(default_factory=list)
+    reservations: list[Placement] = dataclasses.field(default_factory=list)
+
+
+@dataclasses.dataclass(frozen=True)
+class Waiting:
+    """A step in turn, with what decides its place in the order."""
+
+    held: runs.JobWork
+    work: runs.StepWork
+    latest_start: float
+    hopeless: bool
+
+    @property
+    def rank(self) -> tuple[bool, int, float]:
+        """Steps of lower rank go first."""
+        return self.hopeless, self.held.job.priority, self.latest_start
+
+
+def list_waiting(
+    book: books.Book, now: float, wall: float, only_after: int = 0
+) -> list[Waiting]:
+    """Return the steps with tasks in turn, in order.
+
+    Args:
+        book: The pool's book.
+        now: Steady time in seconds.
+        wall: Unix time in seconds.
+        only_after: Leave out jobs accepted at or before this revision.
+    """
+    found = []
+    for held in book.live.values():
+        if held.is_final or held.created <= only_after:
+            continue
+        for work in held.steps.values():
+            if not work.waiting or work.not_before > now:
+                continue
+            if work.step.gang and len(work.waiting) < work.step.count:
+                continue
+            if book.is_ready(held, work):
+                found.append(_rank(held, work, wall))
+    return sorted(found, key=lambda waiting: waiting.rank)
+
+
+def _rank(held: runs.JobWork, work: runs.StepWork, wall: float) -> Waiting:
+    job = held.job
+    due = job.find_due(work.key.occurrence)
+    objective = job.objective_s
+    rest = job.tails[work.key.step]
+    hopeless = wall > due + _LATE_FACTOR * objective and not work.step.lasting
+    return Waiting(held, work, due + objective - rest, hopeless)
+
+
+class Planner:
+    """Works one plan out, on a copy of the workers' free room."""
+
+    def __init__(
+        self,
+        book: books.Book,
+        now: float,
+        wall: float,
+        reserved: Iterable[tuple[model.StepKey, dict[int, str]]] = (),
+    ) -> None:
+        self._book = book
+        self._now = now
+        self._wall = wall
+        self._plan = Plan()
+        self._spaces = {
+            name: packing.Space(
+                name, packing.find_rack(worker.entry.labels), worker.free
+            )
+            for name, worker in book.workers.items()
+            if worker.may_take(now)
+        }
+        self._held: set[str] = set()
+        self._reserved = dict(reserved)
+        for key, spots in self._reserved.items():
+            self._take_reserved(key, spots)
+
+    def _take_reserved(self, key: model.StepKey, spots: dict[int, str]) -> None:
+        work = self._book.find_work(key)
+        if work is None:
+            return
+        for worker in spots.values():
+            space = self._spaces.get(worker)
+            if space is not None:
+                space.take(work.step.charge)
+
+    def run(self, only_after: int = 0) -> Plan:
+        """Place all steps in order."""
+        holding = 0
+        for waiting in list_waiting(
+            self._book, self._now, self._wall, only_after
+        ):
+            if waiting.work.key in self._reserved:
+                continue
+            placed = self._place(waiting)
+            if placed or holding >= _MAX_HOLDING:
+                continue
+            self._hold_workers(waiting)
+            holding += 1
+        return self._plan
+
+    def _place(self, waiting: Waiting) -> bool:
+        """Place what can be placed; True if nothing is left waiting."""
+        if waiting.work.step.gang:
+            return self._place_gang(waiting)
+        spots: dict[int, str] = {}
+        for index in sorted(waiting.work.waiting):
+            space = self._choose_space(waiting)
+            if space is None:
+                break
+            space.take(waiting.work.step.charge)
+            space.note_task(waiting.work.key)
+            spots[index] = space.worker
+        if spots:
+            self._plan.placements.append(Placement(waiting.work.key, spots))
+        if len(spots) == len(waiting.work.waiting):
+            return True
+        return self._reclaim(waiting, set(waiting.work.waiting) - set(spots))
+
+    def _list_open(self, waiting: Waiting) -> list[packing.Space]:
+        work = waiting.work
+        usable = [
+            space
+            for space in self._spaces.values()
+            if space.worker not in self._held
+            and self._has_label(space.worker, work.step.label)
+        ]
+        fresh = [s for s in usable if s.worker not in work.avoid]
+        return fresh or usable
+
+    def _has_label(self, worker: str, label: str) -> bool:
+        return not label or label in self._book.workers[worker].entry.labels
+
+    def _count_bound(self, waiting: Waiting, space: packing.Space) -> int:
+        """Return how many more tasks of the step a worker may take."""
+        bound = waiting.work.step.per_worker
+        if not bound:
+            return waiting.work.step.count
+        here = sum(
+            1
+            for key in self._book.workers[space.worker].runs
+            if model.find_step(key) == waiting.work.key
+        )
+        return max(0, bound - here - space.count_task(waiting.work.key))
+
+    def _choose_space(self, waiting: Waiting) -> packing.Space | None:
+        step = waiting.work.step
+        fitting = [
+            space
+            for space in self._list_open(waiting)
+            if space.free.holds(step.charge)
+            and self._count_bound(waiting, space) > 0
+        ]
+        if step.rack:
+            near = [s for s in fitting if s.rack == step.rack]
+            if near or not self._may_spread(waiting):
+                fitting = near
+        return min(
+            fitting, key=lambda s: s.measure_rest(step.charge), default=None
+        )
+
+    def _may_spread(self, waiting: Waiting) -> bool:
+        """Tell whether a step has waited long enough for its rack."""
+        since = waiting.work.waiting_since
+        waited = self._now - since if since is not None else 0.0
+        patience = _RACK_PATIENCE * waiting.work.step.expected_s
+        if self._is_guaranteed(waiting):
+            patience = min(patience, _GUARANTEED_RACK_PATIENCE_S)
+        return waited >= patience
+
+    def _place_gang(self, waiting: Waiting) -> bool:
+        spots = self._choose_gang(waiting, self._list_open(waiting))
+        if spots is None:
+            return self._reclaim(waiting, set(waiting.work.waiting))
+        indices = sorted(waiting.work.waiting)
+        for space in spots:
+            space.take(waiting.work.step.charge)
+        self._plan.placements.append(
+            Placement(
+                waiting.work.key,
+                {
+                    index: space.worker
+                    for index, space in zip(indices, spots, strict=True)
+                },
+            )
+        )
+        return True
+
+    def _choose_gang(
+        self, waiting: Waiting, spaces: list[packing.Space]
+    ) -> list[packing.Space] | None:
+        step = waiting.work.step
+
+        def bound(space: packing.Space) -> int:
+            return self._count_bound(waiting, space)
+
+        narrow = step.one_rack or bool(step.rack)
+        groups = packing.group_by_rack(spaces)
+        if step.rack and step.rack in groups:
+            groups = {step.rack: groups[step.rack]}
+        best = packing.choose_rack(
+            list(groups.values()), step.charge, step.count, bound
+        )
+        if best is not None:
+            return best
+        if narrow and not self._may_spread(waiting):
+            return None
+        return packing.fill(spaces, step.charge, step.count, bound)
+
+    # Guarantees.
+
+    def _is_guaranteed(self, waiting: Waiting) -> bool:
+        """Tell whether a step is covered by its customer's guarantee."""
+        job = waiting.held.job
+        if job.priority != 0:
+            return False
+        wanted = waiting.work.step.charge.accelerators * len(
+            waiting.work.waiting
+        )
+        used = victims.count_guaranteed(self._book, job.customer)
+        return used + wanted <= self._book.guaranteed.get(job.customer, 0)
+
+    def _reclaim(self, waiting: Waiting, missing: set[int]) -> bool:
+        """Stop work of lower priority in the way of guaranteed work."""
+        if not self._is_guaranteed(waiting):
+            return False
+        chosen = victims.choose_victims(
+            self._book,
+            waiting.held.job.priority,
+            waiting.work.step,
+            len(missing),
+            {
+                space.worker: space
+                for space in self._list_open(waiting)
+                if self._count_bound(waiting, space) > 0
+            },
+            self._now,
+        )
+        if chosen is None:
+            return False
+        spots = dict(zip(sorted(missing), chosen.workers, strict=True))
+        why = f"its room is guaranteed to job {waiting.held.job.id}"
+        self._plan.stops += [(run, why) for run in chosen.runs]
+        self._plan.reservations.append(Placement(waiting.work.key, spots))
+        for worker in chosen.workers:
+            self._spaces[worker].take(waiting.work.step.charge)
+        return True
+
+    def _hold_workers(self, waiting: Waiting) -> None:
+        """Keep later steps off the workers that will fit this one first."""
+        step = waiting.work.step
+        missing = len(waiting.work.waiting)
+        ranked = sorted(
+            self._list_open(waiting),
+            key=lambda space: victims.find_free_time(
+                self._book, space.worker, step.charge, self._now
+            ),
+        )
+        for space in ranked[: packing.count_workers(missing, step, ranked)]:
+            self._held.add(space.worker)
+
+
+def plan(
+    book: books.Book,
+    now: float,
+    wall: float,
+    *,
+    reserved: Iterable[tuple[model.StepKey, dict[int, str]]] = (),
+    only_after: int = 0,
+) -> Plan:
+    """Return what to start and stop now.
+
+    Args:
+        book: The pool's book; not changed.
+        now: Steady time in seconds.
+        wall: Unix time in seconds.
+        reserved: Room kept for guaranteed work whose victims still end.
+        only_after: Leave out jobs accepted at or before this revision; an
+            earlier owner may have started them where nobody can look yet.
+    """
+    return Planner(book, now, wall, reserved).run(only_after)
--- /dev/null
+++ b/crocusrouter/work/runs.py
@@ -0,0 +1,165 @@
+"""Runs of tasks, workers and steps as the owner of a pool knows them."""
+
+import dataclasses
+import enum
+
+from crocusrouter.fleet import orders
+from crocusrouter.work import model
+from crocusrouter.work import progress as progresses
+
+
+class Phase(enum.StrEnum):
+    """Where a run stands."""
+
+    ORDERED = "ordered"  # a start is under way; it may be carried out late
+    RUNNING = "running"
+    STOPPING = "stopping"  # a stop is under way; the room is still taken
+
+
+@dataclasses.dataclass
+class Run:
+    """One start of one task.
+
+    Attributes:
+        key: The task.
+        number: Of the start; rises, and is shared by the members of a gang.
+        worker: Where.
+        since: When it was ordered, on the steady clock.
+        phase: Where it stands.
+        confirmed_at: When its worker first said that it runs.
+        saved: Latest checkpoint.
+        percent: How far it says it is.
+        moved_at: When `percent` last changed.
+        load: See `orders.Running`.
+        why: Why it is being stopped.
+    """
+
+    key: model.TaskKey
+    number: int
+    worker: str
+    since: float
+    phase: Phase = Phase.ORDERED
+    confirmed_at: float | None = None
+    saved: str = ""
+    percent: float = 0.0
+    moved_at: float = 0.0
+    load: float = 0.0
+    why: str = ""
+
+
+@dataclasses.dataclass
+class Worker:
+    """One incarnation of a worker.
+
+    Attributes:
+        entry: As the platform lists it.
+        listed: Whether the platform still lists it.
+        reached: Whether it has answered under this owner's epoch.
+        silent_since: Since when it has not answered; None if it does.
+        lapsed: Whether all that ran there has certainly ended.
+        used: Room that runs take.
+        runs: Tasks whose runs are there.
+        failures: Jobs whose tasks failed here since a task last ended well.
+        suspect_until: Until when nothing new goes there.
+        noted: Number of the last end that the book has taken in.
+    """
+
+    entry: orders.WorkerEntry
+    listed: bool = True
+    reached: bool = False
+    silent_since: float | None = None
+    lapsed: bool = False
+    used: model.Room = model.Room()
+    runs: set[model.TaskKey] = dataclasses.field(default_factory=set)
+    failures: set[str] = dataclasses.field(default_factory=set)
+    suspect_until: float = 0.0
+    noted: int = 0
+
+    @property
+    def free(self) -> model.Room:
+        """Room that no run takes."""
+        return self.entry.room.minus(self.used)
+
+    def may_take(self, now: float) -> bool:
+        """Tell whether new work may go there."""
+        return (
+            self.listed
+            and self.reached
+            and not self.entry.draining
+            and self.silent_since is None
+            and now >= self.suspect_until
+        )
+
+
+@dataclasses.dataclass
+class StepWork:
+    """One step of one occurrence, while its job lives.
+
+    Attributes:
+        key: Which.
+        step: What its tasks ask for.
+        kept: What has ended of it.
+        waiting: Tasks that neither run nor have ended well.
+        avoid: Workers on which one of its tasks failed.
+        not_before: Steady time before which nothing of it starts again.
+        waiting_since: Steady time since which tasks have waited in turn.
+    """
+
+    key: model.StepKey
+    step: model.Step
+    kept: progresses.StepProgress
+    waiting: set[int]
+    avoid: set[str] = dataclasses.field(default_factory=set)
+    not_before: float = 0.0
+    waiting_since: float | None = None
+
+    @property
+    def is_done(self) -> bool:
+        """Whether all tasks have ended well."""
+        return len(self.kept.done) == self.step.count
+
+    def find_saved(self, index: int) -> str:
+        """Return the checkpoint from which a task goes on."""
+        return self.kept.saved.get(0 if self.step.gang else index, "")
+
+
+@dataclasses.dataclass
+class JobWork:
+    """One accepted job.
+
+    Attributes:
+        job: What is fixed.
+        progress: What has ended.
+        created: Revision of its acceptance.
+        steps: The steps of occurrences that are not over.
+        opened: Occurrences that have come due so far.
+        begun: Whether a task of it has started.
+        durable: Whether the final state is in the journal.
+    """
+
+    job: model.Job
+    progress: progresses.Progress
+    created: int = 0
+    steps: dict[model.StepKey, StepWork] = dataclasses.field(
+        default_factory=dict
+    )
+    opened: int = 0
+    begun: bool = False
+    durable: bool = False
+
+    @property
+    def is_final(self) -> bool:
+        """Whether nothing of it will start any more."""
+        return self.job.cancelled or self.progress.final is not None
+
+    def show_state(self) -> model.State:
+        """Return what its caller is told.
+
+        A final state is told only once it is durable: a successor that had
+        not read it would say "running" after "done".
+        """
+        if self.progress.final is not None and self.durable:
+            return self.progress.final
+        if self.job.cancelled:
+            return model.State.CANCELLED
+        return model.State.RUNNING if self.begun else model.State.QUEUED
