--- a/crocusrouter/pools/entry.py
+++ b/crocusrouter/pools/entry.py
@@ -7,6 +7,7 @@
 
 import trio
 
+from crocusrouter import mesh
 from crocusrouter import queues
 from crocusrouter.mesh import messages
 from crocusrouter.pools import clock
@@ -76,8 +77,20 @@
         platform: owners.Platform,
         metrics: Metrics,
         times: clock.Clock | None = None,
+        make_link: peer_links.MakeLink | None = None,
     ) -> None:
-        """Prepare an entry; `run` does the rest."""
+        """Prepare an entry; `run` does the rest.
+
+        Args:
+            identity: Who it is.
+            secret: Shared by all entries.
+            store: The key-value service.
+            source: Where the operators' configuration lies.
+            platform: How workers are met.
+            metrics: Counts what happens.
+            times: The present time; the machine's if None.
+            make_link: Opens the calls to a peer; websockets if None.
+        """
         self.name = identity.name
         self.metrics = metrics
         self.times = times or clock.Clock()
@@ -96,7 +109,8 @@
         self._tenures: dict[str, tenures.Tenure] = {}
         self.peers = peer_links.Peers(
             identity.name,
-            secret,
+            make_link
+            or (lambda name, where: mesh.PeerLink(name, where, secret)),
             self.times,
             self._describe,
             self._take_beat,
--- a/crocusrouter/pools/peers.py
+++ b/crocusrouter/pools/peers.py
@@ -6,6 +6,8 @@
 """
 
 from collections.abc import Callable
+from typing import Any
+from typing import Protocol
 
 import trio
 
@@ -22,13 +24,29 @@
 _HEARD_S = 2.5
 
 
+class PeerPort(Protocol):
+    """Calls to one peer."""
+
+    async def call(self, message: object, timeout_s: float) -> Any:
+        """Ask the peer; raises PeerUnreachableError."""
+        ...
+
+    async def run(self) -> None:
+        """Keep a connection open until cancelled."""
+        ...
+
+
+# Opens the calls to a peer by its name and address.
+MakeLink = Callable[[str, str], PeerPort]
+
+
 class Peers:
     """Links to the other entries."""
 
     def __init__(
         self,
         name: str,
-        secret: str,
+        make_link: MakeLink,
         times: clock.Clock,
         describe: Callable[[], messages.Beat],
         take: Callable[[messages.Beat, float], None],
@@ -38,20 +56,20 @@
 
         Args:
             name: This entry.
-            secret: Shared by all entries.
+            make_link: Opens the calls to a peer.
             times: The present time.
             describe: Returns this entry's heartbeat.
             take: Called with a peer's heartbeat and when it was asked for.
             find_owners: Returns the names of the pools' owners.
         """
         self._name = name
-        self._secret = secret
+        self._make_link = make_link
         self._times = times
         self._describe = describe
         self._take = take
         self._find_owners = find_owners
         self._addresses: dict[str, str] = {}
-        self._links: dict[str, tuple[str, mesh.PeerLink, trio.CancelScope]] = {}
+        self._links: dict[str, tuple[str, PeerPort, trio.CancelScope]] = {}
         self._nursery: trio.Nursery | None = None
         self._heard_at: float | None = None
 
@@ -98,12 +116,12 @@
             return None
         return reply
 
-    def _find_link(self, name: str) -> mesh.PeerLink | None:
+    def _find_link(self, name: str) -> PeerPort | None:
         address = self._addresses.get(name)
         if address is None or self._nursery is None:
             return None
         if name not in self._links:
-            link = mesh.PeerLink(name, address, self._secret)
+            link = self._make_link(name, address)
             scope = trio.CancelScope()
             self._links[name] = address, link, scope
             self._nursery.start_soon(_run_link, link, scope)
@@ -141,6 +159,6 @@
             self._take(reply, asked_at)
 
 
-async def _run_link(link: mesh.PeerLink, scope: trio.CancelScope) -> None:
+async def _run_link(link: PeerPort, scope: trio.CancelScope) -> None:
     with scope:
         await link.run()
--- a/crocusrouter/work/book.py
+++ b/crocusrouter/work/book.py
@@ -63,6 +63,21 @@
             held.job = job
             self._close(held, "cancelled", now)
 
+    def _open_reported(self, key: model.TaskKey, now: float) -> None:
+        """Open an occurrence that a worker reports before its time has come.
+
+        A successor hears from workers before its first decision, and its
+        clock may be behind its predecessor's. What it did not know it would
+        take for a stray, and start again after the end it had passed over.
+        """
+        held = self.jobs.get(key.job)
+        if held is None or held.is_final:
+            return
+        last = min(key.occurrence + 1, held.job.occurrences)
+        while held.opened < last:
+            self._open(held, held.opened, now)
+            held.opened += 1
+
     def open_due(self, wall: float, now: float) -> None:
         """Open the occurrences whose time has come.
 
@@ -337,6 +352,7 @@
     def _note_running(
         self, worker: str, row: orders.Running, now: float
     ) -> None:
+        self._open_reported(row.key, now)
         run = self.runs.get(row.key)
         if run is not None and run.number == row.run and run.worker == worker:
             self.note_taken(row.key, row.run, now)
@@ -389,6 +405,7 @@
 
     def _note_end(self, worker: str, ended: orders.Ended, now: float) -> None:
         key = ended.key
+        self._open_reported(key, now)
         run = self.runs.get(key)
         ours = (
             run is not None and run.number == ended.run and run.worker == worker
--- /dev/null
+++ b/crocusrouter/work/tests/test_book.py
@@ -0,0 +1,214 @@
+import pytest
+
+from crocusrouter import work
+from crocusrouter.fleet import orders
+from crocusrouter.work import runs
+from crocusrouter.work.tests import build
+
+HOW = orders.How
+
+
+def _key(job, index=0, step=0, occurrence=0):
+    return work.TaskKey(job, occurrence, step, index)
+
+
+@pytest.mark.parametrize(
+    ("steps", "hows", "state"),
+    [
+        ([build.make_step(2)], [HOW.DONE, HOW.DONE], work.State.DONE),
+        ([build.make_step(2)], [HOW.DONE, HOW.FAILED], None),
+        ([build.make_step(2, gang=True)], [HOW.DONE], work.State.DONE),
+        ([build.make_step(1, lasting=True)], [HOW.DONE], None),
+        ([build.make_step(1, lasting=True)], [HOW.FAILED], None),
+    ],
+)
+def test_ends_decide_the_final_state(steps, hows, state):
+    book = build.make_book(build.make_job("j", *steps))
+    build.start_planned(book)
+    for index, how in enumerate(hows):
+        run = book.runs[_key("j", index)]
+        build.report(book, run.worker, (_key("j", index), how))
+    assert book.jobs["j"].progress.final is state
+
+
+def test_final_state_is_told_once_durable():
+    """A caller reads "done", the owner is killed, and its successor, which
+    has not read the last end, says "running".
+
+    So the state is told only after the journal holds it.
+    """
+    book = build.make_book(build.make_job("j", build.make_step()))
+    build.start_planned(book)
+    run = book.runs[_key("j")]
+    build.report(book, run.worker, (_key("j"), HOW.DONE))
+    assert book.jobs["j"].show_state() is work.State.RUNNING
+    book.note_durable(["j"])
+    assert book.jobs["j"].show_state() is work.State.DONE
+
+
+def test_failed_end_listed_again_counts_once():
+    """A job fails although it had an attempt left.
+
+    A task fails, the owner journals that and is killed before it confirms
+    the end; its successor reads the journal and the same end once more.
+    Failures are kept by number of run, so it counts once.
+    """
+    job = build.make_job("j", build.make_step(), max_attempts=2)
+    book = build.make_book(job, workers=("w0",))
+    progress = work.Progress()
+    progress.get(0, 0).failed[0] = [7]
+    successor = build.make_book(workers=("w0",))
+    successor.put_job(
+        job, work.parse_progress(work.dump_progress(progress)), 2, 0.0
+    )
+    successor.open_due(build.WALL, 0.0)
+    ended = orders.Ended(3, _key("j"), 7, HOW.FAILED)
+    successor.note_report("w0", orders.Report(0, (), (ended,)), 0.0, 0.0)
+    assert book.jobs["j"].progress.final is None
+    assert successor.jobs["j"].progress.final is None
+
+
+def test_failures_of_all_attempts_end_the_job():
+    book = build.make_book(
+        build.make_job("j", build.make_step(2), max_attempts=2)
+    )
+    for now in (0.0, 10.0):
+        build.start_planned(book, now=now)
+        run = book.runs[_key("j")]
+        build.report(book, run.worker, (_key("j"), HOW.FAILED), now=now + 1)
+    assert book.jobs["j"].progress.final is work.State.FAILED
+    other = book.runs[_key("j", 1)]
+    assert other.phase is runs.Phase.STOPPING
+
+
+def test_member_that_is_lost_takes_the_gang_with_it():
+    """Part of a gang runs on without use after a member's worker is lost.
+
+    The others are stopped, and none starts again before all have ended.
+    """
+    book = build.make_book(
+        build.make_job("j", build.make_step(2, gpu=8, gang=True))
+    )
+    build.start_planned(book)
+    first, second = (book.runs[_key("j", index)] for index in (0, 1))
+    book.note_lapsed(first.worker, "test", 1.0)
+    assert second.phase is runs.Phase.STOPPING
+    assert build.start_planned(book, now=5.0).placements == []
+    build.report(book, second.worker, (second.key, HOW.STOPPED), now=6.0)
+    assert book.find_work(first.key).waiting == {0, 1}
+
+
+@pytest.mark.parametrize(
+    ("confirmed", "sent_at", "still_runs"),
+    [(True, 2.0, False), (True, -1.0, True), (False, 2.0, True)],
+)
+def test_run_missing_from_a_report(confirmed, sent_at, still_runs):
+    """A task counts as running for ever although its worker knows nothing
+    of it: an earlier owner confirmed its end and died.
+
+    Only a report asked for after the start was confirmed tells that.
+    """
+    book = build.make_book(
+        build.make_job("j", build.make_step()), workers=("w0",)
+    )
+    build.start_planned(book, confirm=confirmed)
+    build.report(book, "w0", now=3.0, sent_at=sent_at, running=())
+    assert (_key("j") in book.runs) is still_runs
+
+
+def test_successor_adopts_what_runs_and_stops_strays():
+    """After a takeover a task must neither start twice nor run unwanted."""
+    job = build.make_job("j", build.make_step(2))
+    gone = build.make_job("x", build.make_step(1), cancelled=True)
+    book = build.make_book(job, gone)
+    rows = (orders.Running(_key("j"), 5), orders.Running(_key("x"), 6))
+    build.report(book, "w0", running=rows)
+    assert book.runs[_key("j")].number == 5
+    assert book.find_work(_key("j")).waiting == {1}
+    assert [order.key for _, order in book.outbox] == [_key("x")]
+
+
+def test_rejected_start_waits_and_goes_elsewhere():
+    book = build.make_book(build.make_job("j", build.make_step()))
+    build.start_planned(book, confirm=False)
+    run = book.runs[_key("j")]
+    book.note_not_begun(_key("j"), run.number, "no-room", 0.0)
+    assert build.start_planned(book, now=0.1).placements == []
+    plan = build.start_planned(book, now=1.0)
+    assert plan.placements[0].spots[0] != run.worker
+
+
+def test_cancelled_job_stops_and_starts_nothing():
+    job = build.make_job("j", build.make_step(2))
+    book = build.make_book(job)
+    build.start_planned(book)
+    cancelled = build.make_job("j", build.make_step(2), cancelled=True)
+    book.put_job(cancelled, work.Progress(), 9, 1.0)
+    assert {run.phase for run in book.runs.values()} == {runs.Phase.STOPPING}
+    assert work.plan(book, 2.0, build.WALL).placements == []
+    assert book.jobs["j"].show_state() is work.State.CANCELLED
+
+
+def test_occurrences_open_on_time():
+    job = build.make_job(
+        "j",
+        build.make_step(),
+        repeats=3,
+        first_due=build.WALL + 10,
+        interval_s=5.0,
+    )
+    book = build.make_book(job)
+    assert book.find_next_due() == build.WALL + 10
+    for wall, opened in ((9.9, 0), (10.0, 1), (14.9, 1), (21.0, 3)):
+        book.open_due(build.WALL + wall, wall)
+        assert book.jobs["j"].opened == opened
+
+
+def test_pending_counts_jobs_that_have_not_begun():
+    book = build.make_book(
+        build.make_job("j", build.make_step()),
+        build.make_job("k", build.make_step(1, gpu=99)),
+    )
+    build.start_planned(book)
+    assert book.count_pending("q") == 1
+
+
+@pytest.mark.parametrize(
+    ("jobs", "suspected"), [(("j", "j"), False), (("j", "k"), True)]
+)
+def test_failures_of_different_jobs_are_the_workers_fault(jobs, suspected):
+    """Jobs spend their attempts on a worker that fails all it starts."""
+    book = build.make_book(
+        build.make_job("j", build.make_step(2), max_attempts=9),
+        build.make_job("k", build.make_step(2), max_attempts=9),
+        workers=("w0",),
+    )
+    build.start_planned(book)
+    for index, job in enumerate(jobs):
+        build.report(book, "w0", (_key(job, index), HOW.FAILED))
+    assert book.workers["w0"].may_take(2.0) is not suspected
+    assert book.workers["w0"].may_take(20.0)
+
+
+@pytest.mark.parametrize("how", [None, HOW.DONE])
+def test_report_before_the_first_decision(how):
+    """A successor starts tasks again that have run, or stops what runs.
+
+    Workers report before it has made its first decision, when no occurrence
+    is open yet; such a report opens the occurrence.
+    """
+    book = build.make_book()
+    job = build.make_job(
+        "j",
+        build.make_step(1),
+        repeats=2,
+        first_due=build.WALL + 9,
+        interval_s=50.0,
+    )
+    book.put_job(job, work.Progress(), 2, 0.0)
+    running = () if how else (orders.Running(_key("j"), 5),)
+    ended = (orders.Ended(1, _key("j"), 5, how),) if how else ()
+    book.note_report("w0", orders.Report(0, running, ended), 0.0, 0.0)
+    book.open_due(build.WALL + 9, 9.0)
+    assert book.outbox == []
+    assert work.plan(book, 9.0, build.WALL + 9).placements == []
--- /dev/null
+++ b/crocusrouter/work/tests/test_planner.py
@@ -0,0 +1,170 @@
+import pytest
+
+from crocusrouter import work
+from crocusrouter.work import runs
+from crocusrouter.work.tests import build
+
+
+def _find_workers(plan, job):
+    return [
+        set(placement.spots.values())
+        for placement in plan.placements
+        if placement.step.job == job
+    ]
+
+
+@pytest.mark.parametrize(
+    ("gpus", "free", "chosen"),
+    [
+        (1, {"w0": 8, "w1": 2}, "w1"),
+        (2, {"w0": 8, "w1": 2}, "w1"),
+        (4, {"w0": 8, "w1": 2}, "w0"),
+    ],
+)
+def test_small_tasks_leave_whole_workers_free(gpus, free, chosen):
+    book = build.make_book(build.make_job("j", build.make_step(1, gpu=gpus)))
+    for name, count in free.items():
+        used = book.workers[name].used
+        book.workers[name].used = used._replace(accelerators=8 - count)
+    plan = work.plan(book, 0.0, build.WALL)
+    assert _find_workers(plan, "j") == [{chosen}]
+
+
+def test_gang_is_placed_whole_or_not_at_all():
+    book = build.make_book(
+        build.make_job("j", build.make_step(3, gpu=8, gang=True))
+    )
+    assert work.plan(book, 0.0, build.WALL).placements == []
+
+
+@pytest.mark.parametrize(("waited", "placed"), [(0.0, False), (6.0, True)])
+def test_gang_waits_for_one_rack_for_a_while(waited, placed):
+    """A gang across racks takes three times as long as one in a rack."""
+    step = build.make_step(2, gpu=8, gang=True, one_rack=True)
+    book = build.make_book(build.make_job("j", step), racks=("r0-0", "r0-1"))
+    plan = work.plan(book, waited, build.WALL + waited)
+    assert bool(plan.placements) is placed
+
+
+@pytest.mark.parametrize(
+    ("change", "expected"),
+    [
+        ({"label": "b"}, set()),
+        ({"label": "a"}, {"w0", "w1"}),
+        ({"per_worker": 1}, {"w0", "w1"}),
+        ({"rack": "r0-1"}, {"w1"}),
+    ],
+)
+def test_where_tasks_may_go(change, expected):
+    step = build.make_step(2, gpu=5, **change)
+    book = build.make_book(build.make_job("j", step), racks=("r0-0", "r0-1"))
+    plan = work.plan(book, 0.0, build.WALL)
+    assert set().union(*_find_workers(plan, "j")) == expected
+
+
+def test_tasks_wait_for_the_steps_before():
+    book = build.make_book(
+        build.make_job("j", build.make_step(2), build.make_step(1, after=(0,)))
+    )
+    plan = build.start_planned(book)
+    assert [p.step.step for p in plan.placements] == [0]
+
+
+@pytest.mark.parametrize(("guaranteed", "stopped"), [(8, True), (4, False)])
+def test_guaranteed_work_stops_what_is_in_its_way(guaranteed, stopped):
+    """A customer claims its accelerators while others use all of them.
+
+    Runs of lower priority are stopped; the room is kept for the claim until
+    they have ended, and nothing else takes it.
+    """
+    book = build.make_book(
+        build.make_job("low", build.make_step(16, gpu=1), priority=2),
+        guaranteed={"a": guaranteed},
+    )
+    build.start_planned(book)
+    build.put(
+        book, build.make_job("high", build.make_step(1, gpu=8), priority=0)
+    )
+    plan = work.plan(book, 1.0, build.WALL)
+    assert bool(plan.stops) is stopped
+    assert bool(plan.reservations) is stopped
+
+
+def test_victims_are_those_that_lose_least():
+    book = build.make_book(
+        build.make_job("old", build.make_step(1, gpu=8), priority=2),
+        build.make_job("new", build.make_step(1, gpu=8), priority=2),
+        guaranteed={"a": 8},
+    )
+    build.start_planned(book)
+    old = book.runs[work.TaskKey("old", 0, 0, 0)]
+    new = book.runs[work.TaskKey("new", 0, 0, 0)]
+    old.confirmed_at, new.confirmed_at = 0.0, 50.0
+    build.put(
+        book, build.make_job("high", build.make_step(1, gpu=8), priority=0)
+    )
+    plan = work.plan(book, 60.0, build.WALL)
+    assert [run for run, _ in plan.stops] == [new]
+
+
+def test_gang_is_stopped_whole():
+    book = build.make_book(
+        build.make_job("g", build.make_step(2, gpu=8, gang=True), priority=2),
+        guaranteed={"a": 8},
+    )
+    build.start_planned(book)
+    build.put(
+        book, build.make_job("high", build.make_step(1, gpu=8), priority=0)
+    )
+    plan = work.plan(book, 1.0, build.WALL)
+    assert len(plan.stops) == 2
+
+
+def test_large_work_is_not_starved_by_small_work():
+    """A task that needs a whole worker waits while single accelerators that
+    come free go to smaller tasks behind it, again and again.
+
+    The worker that will have room first is held for it.
+    """
+    book = build.make_book(
+        build.make_job("s", build.make_step(1, gpu=1), priority=2),
+        workers=("w0",),
+    )
+    build.start_planned(book)
+    build.put(book, build.make_job("big", build.make_step(1, gpu=8)))
+    build.put(book, build.make_job("t", build.make_step(1), priority=2))
+    assert work.plan(book, 1.0, build.WALL).placements == []
+
+
+@pytest.mark.parametrize("only_after", [0, 50])
+def test_before_recovery_only_fresh_jobs_start(only_after):
+    """A successor starts a task that its predecessor had started on a
+    worker which nobody can reach yet, and it runs twice.
+
+    Until all workers have told, only jobs start that the predecessor cannot
+    have known.
+    """
+    book = build.make_book(build.make_job("old", build.make_step()))
+    build.put(book, build.make_job("new", build.make_step()), created=60)
+    plan = work.plan(book, 0.0, build.WALL, only_after=only_after)
+    started = {placement.step.job for placement in plan.placements}
+    assert started == ({"new"} if only_after else {"old", "new"})
+
+
+def test_draining_and_silent_workers_get_nothing():
+    book = build.make_book(build.make_job("j", build.make_step(4, gpu=4)))
+    book.set_worker(build.make_entry("w0", draining=True), 0.0)
+    book.note_silent("w1", 0.0)
+    assert work.plan(book, 0.0, build.WALL).placements == []
+
+
+def test_run_that_stops_keeps_its_room():
+    book = build.make_book(
+        build.make_job("j", build.make_step(1, gpu=8)), workers=("w0",)
+    )
+    build.start_planned(book)
+    run = book.runs[work.TaskKey("j", 0, 0, 0)]
+    book.stop_run(run, "test", 1.0)
+    build.put(book, build.make_job("k", build.make_step(1, gpu=8)))
+    assert run.phase is runs.Phase.STOPPING
+    assert work.plan(book, 1.0, build.WALL).placements == []
--- /dev/null
+++ b/standins/emulator/cluster.py
@@ -0,0 +1,240 @@
+"""Entries, workers, store and callers, joined in one process."""
+
+from collections.abc import Callable
+import dataclasses
+import random
+
+import orjson
+import trio
+
+from crocusrouter import mesh
+from crocusrouter import pools
+from crocusrouter import queues
+from crocusrouter import work
+from crocusrouter.fleet import orders
+from crocusrouter.telemetry import Metrics
+from standins.emulator import oracle as oracles
+from standins.emulator import store as stores
+from standins.emulator import worker as workers
+
+POOL = "match"
+WORKERS = "listed/"
+CONFIG = "op/config"
+_STEP_S = 0.02
+_PEER_S = 0.001
+_WALL = 1_700_000_000.0
+
+
+def _encode_worker(entry: orders.WorkerEntry) -> bytes:
+    return orjson.dumps(
+        dataclasses.asdict(entry)
+        | {"labels": sorted(entry.labels), "room": list(entry.room)}
+    )
+
+
+def _parse_worker(key: str, value: bytes) -> orders.WorkerEntry | None:
+    fields = orjson.loads(value)
+    fields["room"] = work.Room(*fields["room"])
+    fields["labels"] = frozenset(fields["labels"])
+    return orders.WorkerEntry(**fields)
+
+
+def _parse_config(value: bytes) -> queues.Config:
+    version, guaranteed = orjson.loads(value)
+    customers = {
+        name: queues.Customer(name, frozenset({name}), count)
+        for name, count in guaranteed.items()
+    }
+    queue = queues.Queue("q", "h", "/q/", POOL)
+    services = {POOL: queues.Service(POOL)}
+    return queues.Config(version, (queue,), services, customers)
+
+
+class _Link:
+    """Calls another entry in the same process."""
+
+    def __init__(self, cluster: "Cluster", source: str, target: str) -> None:
+        self._cluster = cluster
+        self._source = source
+        self._target = target
+
+    async def run(self) -> None:
+        """Keep nothing open."""
+        await trio.sleep_forever()
+
+    async def call(self, message: object, timeout_s: float) -> object:
+        """Ask the other entry."""
+        await trio.sleep(_PEER_S)
+        target = self._cluster.entries.get(self._target)
+        cut = {self._source, self._target} & self._cluster.cut_off
+        if target is None or cut:
+            await trio.sleep(timeout_s)
+            raise mesh.PeerUnreachableError("cut", maybe_received=False)
+        return await target.answer_peer(message)
+
+
+class Cluster:
+    """The whole system on a controlled clock."""
+
+    def __init__(self, seed: int, entries: int = 4, hosts: int = 6) -> None:
+        self.random = random.Random(seed)
+        self.store = stores.Store(seed)
+        self.oracle = oracles.Oracle()
+        self.gangs = workers.Gangs()
+        self.workers: dict[str, workers.Worker] = {}
+        self.entries: dict[str, pools.PoolEntry] = {}
+        self.cut_off: set[str] = set()
+        self.names = [f"e{number}" for number in range(entries)]
+        self._scopes: dict[str, trio.CancelScope] = {}
+        self._nursery: trio.Nursery | None = None
+        self._version = 1
+        for number in range(hosts):
+            self.add_worker(f"w{number}", f"r0-{number // 3}")
+        self.put_config({"a": 16, "b": 8})
+
+    def put_config(self, guaranteed: dict[str, int]) -> None:
+        """Write a configuration as the operators do."""
+        self._version += 1
+        value = orjson.dumps([self._version, guaranteed])
+        self.store.put(CONFIG, value)
+
+    # Workers.
+
+    def add_worker(self, name: str, rack: str) -> None:
+        """Start a worker and list it."""
+        entry = orders.WorkerEntry(
+            name,
+            POOL,
+            f"{name}:1",
+            "liege",
+            False,
+            work.Room(32_000, 131_072, 8),
+            frozenset({"a", rack}),
+        )
+        seed = self.random.getrandbits(32)
+        held = workers.Worker(entry, self.oracle, self.gangs, seed)
+        self.workers[name] = held
+        self.store.put(WORKERS + name, _encode_worker(entry))
+
+    def drain_worker(self, name: str) -> None:
+        """Say that a worker leaves."""
+        held = self.workers[name]
+        held.entry = dataclasses.replace(held.entry, draining=True)
+        self.store.put(WORKERS + name, _encode_worker(held.entry))
+
+    def crash_worker(self, name: str) -> None:
+        """End a worker; the platform drops it from the list."""
+        self.workers[name].crash()
+        self.store.remove(WORKERS + name)
+
+    # Entries.
+
+    def start_entry(self, name: str) -> None:
+        """Start an entry under a name."""
+        assert self._nursery is not None
+        clock = pools.Clock(
+            trio.current_time, lambda: _WALL + trio.current_time()
+        )
+        entry = pools.PoolEntry(
+            pools.Identity(name, f"{name}:7000"),
+            "secret",
+            stores.StoreView(self.store, name),
+            pools.ConfigSource("op/", CONFIG, _parse_config),
+            pools.Platform(WORKERS, _parse_worker, self._find_view(name)),
+            Metrics(),
+            clock,
+            make_link=lambda peer, _: _Link(self, name, peer),
+        )
+        self.entries[name] = entry
+        scope = trio.CancelScope()
+        self._scopes[name] = scope
+        self._nursery.start_soon(self._run_entry, entry, scope)
+
+    def _find_view(self, name: str) -> Callable[[str, str], orders.WorkerPort]:
+        return lambda worker, _: workers.WorkerView(self.workers[worker], name)
+
+    async def _run_entry(
+        self, entry: pools.PoolEntry, scope: trio.CancelScope
+    ) -> None:
+        with scope:
+            await entry.run()
+
+    def kill_entry(self, name: str) -> None:
+        """End an entry without notice."""
+        if name in self.entries:
+            del self.entries[name]
+            self._scopes.pop(name).cancel()
+
+    def find_owner(self) -> str | None:
+        """Return the entry that owns the pool."""
+        for name, entry in self.entries.items():
+            if POOL in entry.owned:
+                return name
+        return None
+
+    def list_failures(self) -> list[str]:
+        """Return the faults that ended an owner's decisions."""
+        return [
+            f"{name}: an owner failed"
+            for name, entry in self.entries.items()
+            if entry.metrics.counts["event:owner-failed"]
+        ]
+
+    # Callers.
+
+    async def submit(self, job: work.Job) -> str:
+        """Hand a job in as a caller with retries does."""
+        self.oracle.jobs[job.id] = job
+        for _ in range(5):
+            name = self.random.choice(list(self.entries) or [""])
+            entry = self.entries.get(name)
+            if entry is None or not entry.is_ready:
+                await trio.sleep(0.5)
+                continue
+            outcome = await entry.desk.accept(job)
+            if outcome is pools.Stored.STORED:
+                self.oracle.accepted.add(job.id)
+                return "accepted"
+            if outcome is pools.Stored.NOT_STORED:
+                self.oracle.refused.add(job.id)
+                return "refused"
+            await trio.sleep(0.3)
+        return "unknown"
+
+    async def cancel(self, job_id: str) -> None:
+        """Cancel a job; takes note of the confirmation only."""
+        for entry in list(self.entries.values()):
+            outcome = await entry.desk.cancel(job_id)
+            if outcome is pools.Cancelled.DONE:
+                self.oracle.cancelled[job_id] = trio.current_time()
+                return
+
+    async def read_states(self) -> dict[str, str | None]:
+        """Return what a caller reads of each accepted job."""
+        states: dict[str, str | None] = {}
+        for job_id in sorted(self.oracle.accepted):
+            entry = self.random.choice(list(self.entries.values()))
+            try:
+                state = await entry.desk.find_state(POOL, job_id)
+            except pools.StateUnknownError:
+                state = None
+            states[job_id] = str(state) if state is not None else None
+        return states
+
+    # Time.
+
+    async def run(
+        self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Run everything until cancelled."""
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            for name in self.names:
+                self.start_entry(name)
+            task_status.started()
+            while True:
+                now = trio.current_time()
+                for held in list(self.workers.values()):
+                    held.step(now)
+                self.store.expire(now)
+                await trio.sleep(_STEP_S)
--- /dev/null
+++ b/standins/emulator/faults.py
@@ -0,0 +1,193 @@
+"""Faults put in while the emulated platform runs, drawn from a seed."""
+
+import dataclasses
+import enum
+import random
+
+import trio
+
+from crocusrouter import work
+from standins.emulator import cluster as clusters
+from standins.emulator import load as loads
+from standins.emulator import store as stores
+
+_CALM_S = 25.0
+_RESTART_S = 1.5
+
+
+class Fault(enum.StrEnum):
+    """What happens."""
+
+    KILL_OWNER = "kill-owner"
+    KILL_ALL = "kill-all"
+    CUT_OWNER_FROM_STORE = "cut-owner-from-store"
+    CUT_OWNER = "cut-owner"
+    STORE_BUSY = "store-busy"
+    STORE_SILENT = "store-silent"
+    STORE_SLOW = "store-slow"
+    STORE_LOST = "store-lost"
+    STORE_LATE = "store-late"
+    COMPACT = "compact"
+    CUT_WORKER = "cut-worker"
+    CRASH_WORKER = "crash-worker"
+    DRAIN_WORKER = "drain-worker"
+    LATE_ORDERS = "late-orders"
+    FAIL_ALL = "fail-all"
+    CANCEL_MANY = "cancel-many"
+
+
+_STORE = {
+    Fault.STORE_BUSY: stores.StoreFault.BUSY,
+    Fault.STORE_SILENT: stores.StoreFault.SILENT,
+    Fault.STORE_SLOW: stores.StoreFault.SLOW,
+    Fault.STORE_LOST: stores.StoreFault.LOST,
+    Fault.STORE_LATE: stores.StoreFault.LATE,
+}
+
+
+@dataclasses.dataclass(frozen=True)
+class Event:
+    """A fault at a time, in seconds, for some seconds."""
+
+    at: float
+    fault: Fault
+    for_s: float
+
+
+def choose_faults(seed: int, count: int, length_s: float) -> list[Event]:
+    """Draw `count` faults over a day."""
+    rng = random.Random(seed)
+    drawn = [
+        Event(
+            rng.uniform(1.0, length_s),
+            rng.choice(list(Fault)),
+            rng.uniform(1.0, 6.0),
+        )
+        for _ in range(count)
+    ]
+    return sorted(drawn, key=lambda event: event.at)
+
+
+async def play(
+    seed: int, load: loads.Load, faults: list[Event]
+) -> clusters.Cluster:
+    """Play a day and check its end.
+
+    Returns:
+        The cluster; its oracle lists what was broken.
+    """
+    held = clusters.Cluster(seed)
+    async with trio.open_nursery() as nursery:
+        await nursery.start(held.run)
+        await trio.sleep(2.0)
+        async with trio.open_nursery() as day:
+            for at, job in load.draw(seed):
+                day.start_soon(_submit, held, at, job)
+            for event in faults:
+                day.start_soon(_strike, held, event)
+        await _wait_until_idle(held)
+        held.oracle.check_over(await held.read_states())
+        held.oracle.broken += held.list_failures()
+        nursery.cancel_scope.cancel()
+    return held
+
+
+async def _submit(held: clusters.Cluster, at: float, job: work.Job) -> None:
+    await trio.sleep(at)
+    await held.submit(job)
+
+
+async def _wait_until_idle(held: clusters.Cluster) -> None:
+    """Wait until nothing has run for a while, or long enough."""
+    await trio.sleep(_CALM_S)
+    with trio.move_on_after(120.0):
+        while any(worker.tasks for worker in held.workers.values()):
+            await trio.sleep(1.0)
+        await trio.sleep(3.0)
+
+
+async def _strike(held: clusters.Cluster, event: Event) -> None:
+    """Put one fault in, and take it back after its time."""
+    await trio.sleep(event.at)
+    fault = event.fault
+    owner = held.find_owner()
+    if fault in _STORE:
+        held.store.fault = _STORE[fault]
+        await trio.sleep(event.for_s)
+        held.store.fault = stores.StoreFault.NONE
+    elif fault is Fault.COMPACT:
+        held.store.forget_history()
+    elif fault is Fault.KILL_ALL:
+        await _kill(held, list(held.entries))
+    elif fault is Fault.KILL_OWNER and owner is not None:
+        await _kill(held, [owner])
+    elif fault in (Fault.CUT_OWNER_FROM_STORE, Fault.CUT_OWNER):
+        if owner is not None:
+            await _cut(held, owner, event)
+    elif fault is Fault.CANCEL_MANY:
+        await _cancel_many(held)
+    else:
+        await _strike_worker(held, event)
+
+
+async def _kill(held: clusters.Cluster, names: list[str]) -> None:
+    for name in names:
+        held.kill_entry(name)
+    await trio.sleep(_RESTART_S)
+    for name in names:
+        if name not in held.entries:
+            held.start_entry(name)
+
+
+async def _cut(held: clusters.Cluster, owner: str, event: Event) -> None:
+    held.store.turned_away[owner] = stores.StoreFault.SILENT
+    if event.fault is Fault.CUT_OWNER:
+        held.cut_off.add(owner)
+    await trio.sleep(event.for_s)
+    held.store.turned_away.pop(owner, None)
+    held.cut_off.discard(owner)
+
+
+async def _cancel_many(held: clusters.Cluster) -> None:
+    chosen = [
+        job_id
+        for job_id in sorted(held.oracle.accepted)
+        if held.random.random() < 0.25
+    ]
+    async with trio.open_nursery() as nursery:
+        for job_id in chosen:
+            nursery.start_soon(held.cancel, job_id)
+
+
+async def _strike_worker(held: clusters.Cluster, event: Event) -> None:
+    live = [name for name, worker in held.workers.items() if worker.alive]
+    name = held.random.choice(live)
+    worker = held.workers[name]
+    match event.fault:
+        case Fault.CUT_WORKER:
+            worker.cut_from = set(held.names)
+            await trio.sleep(event.for_s)
+            worker.cut_from = set()
+        case Fault.LATE_ORDERS:
+            worker.late_share = 0.5
+            await trio.sleep(event.for_s)
+            worker.late_share = 0.0
+        case Fault.FAIL_ALL:
+            worker.fails_all = True
+            await trio.sleep(event.for_s)
+            worker.fails_all = False
+        case Fault.CRASH_WORKER:
+            await _replace(held, name, event.for_s)
+        case Fault.DRAIN_WORKER:
+            held.drain_worker(name)
+            await trio.sleep(3.0)
+            await _replace(held, name, event.for_s)
+
+
+async def _replace(held: clusters.Cluster, name: str, after_s: float) -> None:
+    """End a worker; another incarnation comes later."""
+    rack = next(r for r in held.workers[name].entry.labels if "-" in r)
+    held.crash_worker(name)
+    await trio.sleep(after_s)
+    base = name.partition("+")[0]
+    held.add_worker(f"{base}+{held.random.getrandbits(16)}", rack)
--- /dev/null
+++ b/standins/emulator/load.py
@@ -0,0 +1,79 @@
+"""Jobs as the users' sheets describe them, drawn from a seed."""
+
+import dataclasses
+import random
+
+from crocusrouter import work
+from standins.emulator import cluster
+
+_WALL = 1_700_000_000.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Load:
+    """How much comes, and how mixed.
+
+    Attributes:
+        per_s: Jobs a second.
+        length_s: For how long.
+        gangs: Share of gangs.
+        poison: Share of jobs that can never be done.
+    """
+
+    per_s: float = 1.0
+    length_s: float = 20.0
+    gangs: float = 0.4
+    poison: float = 0.05
+
+    def draw(self, seed: int) -> list[tuple[float, work.Job]]:
+        """Return jobs with the times at which they are handed in."""
+        rng = random.Random(seed)
+        drawn: list[tuple[float, work.Job]] = []
+        at = 0.5
+        while at < self.length_s:
+            drawn.append((at, self._draw_job(rng, len(drawn), at)))
+            at += rng.expovariate(self.per_s)
+        return drawn
+
+    def _draw_job(self, rng: random.Random, number: int, at: float) -> work.Job:
+        priority = rng.choice((0, 1, 1, 2))
+        gang = rng.random() < self.gangs
+        steps = [self._draw_step(rng, gang, ())]
+        if rng.random() < 0.3:
+            steps.append(self._draw_step(rng, False, (0,)))
+        poisoned = rng.random() < self.poison
+        repeats = 3 if rng.random() < 0.1 else 0
+        return work.Job(
+            f"{rng.getrandbits(64):016x}",
+            "q",
+            cluster.POOL,
+            rng.choice(("a", "b")),
+            priority,
+            3,
+            2.0,
+            1.0,
+            "poison" if poisoned else f"job {number}",
+            tuple(steps),
+            _WALL + at,
+            repeats,
+            _WALL + at + 1.0,
+            2.0,
+        )
+
+    def _draw_step(
+        self, rng: random.Random, gang: bool, after: tuple[int, ...]
+    ) -> work.Step:
+        room = work.Room(
+            rng.choice((1000, 3700, 13000)),
+            rng.choice((4096, 15000)),
+            rng.choice((1, 1, 2, 4, 8)),
+        )
+        count = rng.randint(2, 4) if gang else rng.randint(1, 6)
+        return work.Step(
+            count,
+            room,
+            rng.uniform(0.5, 4.0),
+            after,
+            gang,
+            one_rack=gang and rng.random() < 0.5,
+        )
--- /dev/null
+++ b/standins/emulator/oracle.py
@@ -0,0 +1,136 @@
+"""Checks the rules from what workers and callers see."""
+
+import collections
+
+from crocusrouter import work
+
+# A start that crosses a cancel on its way, or a stop on its way, is allowed
+# for this long.
+_CANCEL_S = 3.0
+_NOTED_S = 1.0
+
+
+class Oracle:
+    """Collects broken rules, each as one line."""
+
+    def __init__(self) -> None:
+        self.broken: list[str] = []
+        self.jobs: dict[str, work.Job] = {}
+        self.accepted: set[str] = set()
+        self.refused: set[str] = set()
+        self.cancelled: dict[str, float] = {}
+        self.done: dict[work.TaskKey, float] = {}
+        self.begun: set[str] = set()
+        self.failed: collections.Counter[work.TaskKey] = collections.Counter()
+        self._again: set[work.TaskKey] = set()
+        self._running: dict[work.TaskKey, set[tuple[str, int]]] = (
+            collections.defaultdict(set)
+        )
+
+    def note_start(
+        self, worker: str, key: work.TaskKey, run: int, now: float
+    ) -> None:
+        """Take note of a start that a worker has begun."""
+        job = self.jobs.get(key.job)
+        if job is None:
+            self.broken.append(f"{now:.3f} unasked: {key} on {worker}")
+            return
+        self.begun.add(key.job)
+        step = job.steps[key.step]
+        others = self._running[key]
+        if others:
+            self.broken.append(
+                f"{now:.3f} twice: {key} run {run} on {worker} beside {others}"
+            )
+        if key in self.done and key not in self._again:
+            self.broken.append(
+                f"{now:.3f} twice: {key} run {run} on {worker} after its end"
+            )
+        for earlier in step.after:
+            if not self._is_step_done(job, key, earlier):
+                self.broken.append(f"{now:.3f} order: {key} before {earlier}")
+        if self.failed[key] >= job.max_attempts:
+            self.broken.append(f"{now:.3f} budget: {key}")
+        cancelled = self.cancelled.get(key.job)
+        if cancelled is not None and now > cancelled + _CANCEL_S:
+            self.broken.append(f"{now:.3f} unasked: {key} after its cancel")
+        others.add((worker, run))
+
+    def _is_step_done(
+        self, job: work.Job, key: work.TaskKey, earlier: int
+    ) -> bool:
+        return all(
+            work.TaskKey(key.job, key.occurrence, earlier, index) in self.done
+            for index in range(job.steps[earlier].count)
+        )
+
+    def note_end(
+        self, worker: str, key: work.TaskKey, run: int, how: str, now: float
+    ) -> None:
+        """Take note of an end that a worker has listed."""
+        self._running[key].discard((worker, run))
+        job = self.jobs.get(key.job)
+        if job is None:
+            return
+        if how == "failed":
+            self.failed[key] += 1
+        if how == "done":
+            step = job.steps[key.step]
+            indices = range(step.count) if step.gang else (key.position,)
+            for index in indices:
+                self.done.setdefault(key._replace(position=index), now)
+
+    def note_lost(self, worker: str, key: work.TaskKey, run: int) -> None:
+        """Take note that a run ended with its worker."""
+        self._running[key].discard((worker, run))
+
+    def allow_again(self, key: work.TaskKey) -> None:
+        """Allow another run after an end that may have been lost.
+
+        Its worker is gone and was never told that the end was noted. It has
+        ended well all the same: steps after it may have begun.
+        """
+        self._again.add(key)
+
+    def check_over(self, states: dict[str, str | None]) -> None:
+        """Check the end of a day, after calm.
+
+        Args:
+            states: What callers read of each accepted job.
+        """
+        for job_id in self.refused & self.begun:
+            if job_id not in self.accepted:
+                self.broken.append(f"refused: {job_id} has run")
+        for job_id in self.accepted:
+            state = states.get(job_id)
+            wanted = self._find_wanted(job_id)
+            if state not in wanted:
+                self.broken.append(
+                    f"lost: {job_id} is {state}, should be one of {wanted}"
+                )
+
+    def _find_wanted(self, job_id: str) -> set[str]:
+        job = self.jobs[job_id]
+        if job_id in self.cancelled:
+            return {"cancelled", "done", "failed"}
+        tasks = [
+            work.TaskKey(job_id, occurrence, number, index)
+            for occurrence in range(job.occurrences)
+            for number, step in enumerate(job.steps)
+            for index in range(step.count)
+        ]
+        if all(key in self.done for key in tasks):
+            return {"done"}
+        spent = any(
+            self._count_failed(job, key) >= job.max_attempts for key in tasks
+        )
+        return {"failed"} if spent else {"done"}
+
+    def _count_failed(self, job: work.Job, key: work.TaskKey) -> int:
+        step = job.steps[key.step]
+        if not step.gang:
+            return self.failed[key]
+        return sum(
+            self.failed[key._replace(position=index)]
+            for index in range(step.count)
+        )
--- /dev/null
+++ b/standins/emulator/store.py
@@ -0,0 +1,262 @@
+"""The platform's key-value service in memory, one view an entry."""
+
+import dataclasses
+import enum
+import random
+
+import trio
+
+from crocusrouter.store import client
+from crocusrouter.store import port
+from crocusrouter.store import records
+
+_ANSWER_S = 0.004
+_LATEST_S = 6.0
+
+
+class StoreFault(enum.StrEnum):
+    """What the service does wrong."""
+
+    NONE = "none"
+    BUSY = "busy"  # refuses every call
+    SILENT = "silent"  # takes calls and never answers
+    SLOW = "slow"  # answers 75 times later
+    LOST = "lost"  # does a third of the writes and does not answer them
+    LATE = "late"  # does them seconds later, if their condition still holds
+
+
+@dataclasses.dataclass
+class _Item:
+    value: bytes
+    revision: int
+    lease: int
+
+
+class Store:
+    """Keys, leases, history and faults, shared by all views."""
+
+    def __init__(self, seed: int) -> None:
+        self.items: dict[str, _Item] = {}
+        self.revision = 1
+        self.leases: dict[int, tuple[float, float]] = {}
+        self.history: list[records.Event] = []
+        self.dropped_to = 0
+        self.fault = StoreFault.NONE
+        self.lapses = True
+        self.turned_away: dict[str, StoreFault] = {}
+        self.calls = 0
+        self.random = random.Random(seed)
+        self._changed = trio.Event()
+
+    def put(self, key: str, value: bytes, lease: int = 0) -> int:
+        """Write one key as the operators or the workers do."""
+        self.revision += 1
+        self._set(key, value, lease)
+        return self.revision
+
+    def remove(self, key: str) -> None:
+        """Remove one key as its lease's end does."""
+        if key in self.items:
+            self.revision += 1
+            self._drop(key)
+
+    def _set(self, key: str, value: bytes, lease: int) -> None:
+        self.items[key] = _Item(value, self.revision, lease)
+        self._tell(records.Changed(records.Record(key, value, self.revision)))
+
+    def _drop(self, key: str) -> None:
+        del self.items[key]
+        self._tell(records.Removed(key, self.revision))
+
+    def _tell(self, event: records.Event) -> None:
+        self.history.append(event)
+        self._changed.set()
+        self._changed = trio.Event()
+
+    def forget_history(self) -> None:
+        """Drop all history, as a compaction does."""
+        self.dropped_to = self.revision
+        self.history.clear()
+        self._changed.set()
+        self._changed = trio.Event()
+
+    async def wait_for_change(self) -> None:
+        """Wait until some key has changed."""
+        await self._changed.wait()
+
+    def expire(self, now: float) -> None:
+        """Remove the keys of leases that have run out."""
+        away = self.fault in (StoreFault.BUSY, StoreFault.SILENT)
+        if away and not self.lapses:
+            return
+        gone = {n for n, (_, end) in self.leases.items() if end <= now}
+        for number in gone:
+            del self.leases[number]
+        for key in [k for k, i in self.items.items() if i.lease in gone]:
+            self.remove(key)
+
+    def apply(
+        self,
+        guards: tuple[port.Guard, ...],
+        writes: tuple[port.Write, ...],
+        removals: tuple[str, ...],
+    ) -> port.WriteOutcome:
+        """Carry a write out, all or nothing."""
+        for guard in guards:
+            held = self.items.get(guard.key)
+            if (held.revision if held else 0) != guard.revision:
+                return port.Mismatched(
+                    {
+                        g.key: self.read(g.key)
+                        for g in guards
+                        if g.key in self.items
+                    }
+                )
+        if any(w.lease and w.lease not in self.leases for w in writes):
+            return port.LeaseEnded()
+        self.revision += 1
+        for write in writes:
+            self._set(write.key, write.value, write.lease)
+        for key in removals:
+            if key in self.items:
+                self._drop(key)
+        return port.Written(self.revision)
+
+    def read(self, key: str) -> records.Record:
+        """Return a key that is there."""
+        held = self.items[key]
+        return records.Record(key, held.value, held.revision)
+
+
+class StoreView:
+    """The store as one entry meets it; implements `KeyValueStore`."""
+
+    def __init__(self, store: Store, entry: str) -> None:
+        self._store = store
+        self._entry = entry
+
+    async def _arrive(self) -> StoreFault:
+        """Bring a call to the store; raises for what never gets there."""
+        self._store.calls += 1
+        fault = self._store.turned_away.get(self._entry, self._store.fault)
+        slow = 75 if fault is StoreFault.SLOW else 1
+        await trio.sleep(_ANSWER_S * slow * self._store.random.uniform(0.5, 1))
+        if fault is StoreFault.SLOW and _ANSWER_S * slow > 1:
+            raise client.StoreUnavailableError("slow")
+        return fault
+
+    async def _fetch(self) -> None:
+        fault = await self._arrive()
+        if fault is StoreFault.BUSY:
+            raise client.StoreUnavailableError("busy")
+        if fault is StoreFault.SILENT:
+            await trio.sleep(1.0)
+            raise client.StoreUnavailableError("silent")
+
+    async def read(self, key: str) -> records.Record | None:
+        """Return a key's record."""
+        await self._fetch()
+        return self._store.read(key) if key in self._store.items else None
+
+    async def read_prefix(self, prefix: str) -> records.Snapshot:
+        """Return all records under a prefix."""
+        await self._fetch()
+        found = (k for k in sorted(self._store.items) if k.startswith(prefix))
+        return records.Snapshot(
+            tuple(map(self._store.read, found)), self._store.revision
+        )
+
+    async def write(
+        self,
+        guards: tuple[port.Guard, ...],
+        writes: tuple[port.Write, ...],
+        removals: tuple[str, ...] = (),
+        *,
+        timeout_s: float = 1.0,
+    ) -> port.WriteOutcome:
+        """Write all or nothing; some answers are lost."""
+        fault = await self._arrive()
+        if fault is StoreFault.BUSY:
+            return port.NotWritten("busy")
+        if fault is StoreFault.SILENT:
+            await trio.sleep(timeout_s)
+            return port.MaybeWritten("silent")
+        lossy = fault in (StoreFault.LOST, StoreFault.LATE)
+        if lossy and self._store.random.random() < 1 / 3:
+            if fault is StoreFault.LATE:
+                trio.lowlevel.spawn_system_task(
+                    self._apply_late, guards, writes, removals
+                )
+            else:
+                self._store.apply(guards, writes, removals)
+            await trio.sleep(timeout_s)
+            return port.MaybeWritten("lost")
+        outcome = self._store.apply(guards, writes, removals)
+        await trio.sleep(_ANSWER_S / 2)
+        return outcome
+
+    async def _apply_late(
+        self,
+        guards: tuple[port.Guard, ...],
+        writes: tuple[port.Write, ...],
+        removals: tuple[str, ...],
+    ) -> None:
+        await trio.sleep(self._store.random.uniform(1.0, _LATEST_S))
+        self._store.apply(guards, writes, removals)
+
+    async def watch(
+        self, prefix: str, revision: int, wait_s: float
+    ) -> port.Changes:
+        """Wait for changes under a prefix."""
+        await self._fetch()
+        with trio.move_on_after(wait_s):
+            while True:
+                if revision < self._store.dropped_to:
+                    raise port.HistoryGoneError(prefix)
+                found = self._find_events(prefix, revision)
+                if found:
+                    break
+                await self._store.wait_for_change()
+        await self._fetch()
+        found = self._find_events(prefix, revision)
+        return port.Changes(found, self._store.revision)
+
+    def _find_events(
+        self, prefix: str, revision: int
+    ) -> tuple[records.Event, ...]:
+        return tuple(
+            event
+            for event in self._store.history
+            if _find_revision(event) > revision
+            and _find_key(event).startswith(prefix)
+        )
+
+    async def grant(self, ttl_s: float) -> int:
+        """Open a lease."""
+        await self._fetch()
+        self._store.revision += 1
+        number = self._store.revision
+        self._store.leases[number] = (ttl_s, trio.current_time() + ttl_s)
+        return number
+
+    async def keep(self, lease: int) -> bool:
+        """Renew a lease."""
+        await self._fetch()
+        self._store.expire(trio.current_time())
+        if lease not in self._store.leases:
+            return False
+        ttl_s, _ = self._store.leases[lease]
+        self._store.leases[lease] = (ttl_s, trio.current_time() + ttl_s)
+        return True
+
+
+def _find_revision(event: records.Event) -> int:
+    if isinstance(event, records.Removed):
+        return event.revision
+    return event.record.revision
+
+
+def _find_key(event: records.Event) -> str:
+    if isinstance(event, records.Removed):
+        return event.key
+    return event.record.key
--- /dev/null
+++ b/standins/emulator/tests/test_days.py
@@ -0,0 +1,46 @@
+"""Whole days of the emulated platform under drawn and scripted faults."""
+
+import os
+
+import pytest
+import trio
+
+from standins import emulator
+from standins.emulator import faults
+
+_SEEDS = int(os.environ.get("CROCUSROUTER_DAYS", "12"))
+
+
+@pytest.mark.parametrize("seed", range(_SEEDS))
+async def test_days_with_drawn_faults_keep_the_rules(seed, autojump_clock):
+    """Faults of all kinds come at drawn times, several at once.
+
+    Callers hand jobs in and cancel some. Afterwards all is calm, and every
+    accepted job must have ended as its tasks did; no task may have run
+    twice, out of order or unasked at any time.
+    """
+    load = emulator.Load()
+    drawn = emulator.choose_faults(seed, 6, load.length_s)
+    held = await emulator.play(seed, load, drawn)
+    assert held.oracle.broken == []
+
+
+@pytest.mark.parametrize("fault", list(emulator.Fault))
+async def test_each_fault_twice(fault, autojump_clock):
+    """One kind of fault comes twice in a day, the second time while the
+    system still recovers from the first.
+    """
+    load = emulator.Load(length_s=15.0)
+    events = [faults.Event(5.0, fault, 4.0), faults.Event(10.0, fault, 3.0)]
+    held = await emulator.play(7, load, events)
+    assert held.oracle.broken == []
+    assert len(held.oracle.accepted) > 5
+
+
+async def test_calm_day_needs_few_calls(autojump_clock):
+    """Nothing fails; calls to the store are priced and must stay few."""
+    load = emulator.Load(poison=0.0)
+    held = await emulator.play(3, load, [])
+    assert held.oracle.broken == []
+    seconds = trio.current_time()
+    assert held.store.calls / seconds < 12
--- /dev/null
+++ b/standins/emulator/worker.py
@@ -0,0 +1,310 @@
+"""A worker of the platform in memory: leases, fences, rooms and gangs."""
+
+import dataclasses
+import random
+
+import trio
+
+from crocusrouter import work
+from crocusrouter.fleet import orders
+from standins.emulator import oracle as oracles
+
+_GANG_S = 3.0
+_STOP_S = 0.15
+_ORDER_S = 0.001
+_HOLD_MAX_MS = 10_000
+_SLOWEST = 0.98
+
+
+@dataclasses.dataclass
+class Task:
+    """One run here."""
+
+    key: work.TaskKey
+    run: int
+    began_at: float
+    works_from: float | None
+    ends_at: float | None
+    stops_at: float | None = None
+    how: orders.How = orders.How.DONE
+
+
+class Gangs:
+    """Which members of each run of a gang are present, over all workers."""
+
+    def __init__(self) -> None:
+        self.present: dict[tuple[work.StepKey, int], list[Worker]] = {}
+
+    def add(self, key: work.TaskKey, run: int, worker: "Worker") -> int:
+        """Note a member; returns how many are present."""
+        held = self.present.setdefault((work.StepKey(*key[:3]), run), [])
+        held.append(worker)
+        return len(held)
+
+    def list(self, key: work.TaskKey, run: int) -> list["Worker"]:
+        """Return the workers of a run's members."""
+        return self.present.get((work.StepKey(*key[:3]), run), [])
+
+
+class Worker:
+    """One incarnation of a worker."""
+
+    def __init__(
+        self,
+        entry: orders.WorkerEntry,
+        oracle: oracles.Oracle,
+        gangs: Gangs,
+        seed: int,
+    ) -> None:
+        self.entry = entry
+        self.oracle = oracle
+        self.gangs = gangs
+        self.random = random.Random(seed)
+        self.alive = True
+        self.fails_all = False
+        self.cut_from: set[str] = set()
+        self.late_share = 0.0
+        self.fence = 0
+        self.until_ms = 0.0
+        self.tasks: dict[work.TaskKey, Task] = {}
+        self.ended: list[orders.Ended] = []
+        self.highest: dict[work.TaskKey, int] = {}
+        self.numbers = 0
+        self.noted = 0
+        self.offset_ms = self.random.uniform(1e5, 1e6)
+        self.rate = self.random.uniform(_SLOWEST, 1.0)
+        self._news = trio.Event()
+
+    def read_clock(self) -> float:
+        """Return this worker's own milliseconds."""
+        return self.offset_ms + trio.current_time() * 1000 * self.rate
+
+    def step(self, now: float) -> None:
+        """Let time pass: ends, stops, lapses."""
+        if not self.alive:
+            return
+        lapsed = self.read_clock() > self.until_ms
+        if lapsed:
+            # An end that nobody noted before the lease ended stands for
+            # nothing: the owner could only wait the lease out.
+            self._allow_again()
+        for task in list(self.tasks.values()):
+            if lapsed:
+                self._end(task, orders.How.LAPSED, now)
+            elif task.stops_at is not None and now >= task.stops_at:
+                self._end(task, orders.How.STOPPED, now)
+            elif task.works_from is None:
+                if now > task.began_at + _GANG_S:
+                    self._end(task, orders.How.ALONE, now)
+            elif task.ends_at is not None and now >= task.ends_at:
+                self._end(task, task.how, now)
+
+    def _end(self, task: Task, how: orders.How, now: float) -> None:
+        if self.tasks.get(task.key) is not task:
+            return
+        del self.tasks[task.key]
+        self.numbers += 1
+        self.highest[task.key] = task.run
+        self.ended.append(
+            orders.Ended(self.numbers, task.key, task.run, how, "")
+        )
+        self.oracle.note_end(self.entry.id, task.key, task.run, how, now)
+        self._news.set()
+        self._news = trio.Event()
+        step = self.oracle.jobs[task.key.job].steps[task.key.step]
+        if step.gang and how is not orders.How.DONE:
+            self._break_gang(task, now)
+
+    def _break_gang(self, task: Task, now: float) -> None:
+        for worker in self.gangs.list(task.key, task.run):
+            for other in list(worker.tasks.values()):
+                if other.run == task.run and other.key[:3] == task.key[:3]:
+                    worker._end(other, orders.How.BROKEN, now)
+
+    def crash(self) -> None:
+        """Lose everything that runs or is listed here."""
+        self.alive = False
+        now = trio.current_time()
+        for task in list(self.tasks.values()):
+            self.oracle.note_lost(self.entry.id, task.key, task.run)
+            step = self.oracle.jobs[task.key.job].steps[task.key.step]
+            self.tasks.pop(task.key, None)
+            if step.gang:
+                self._break_gang(task, now)
+        self._allow_again()
+        self.ended.clear()
+
+    def _allow_again(self) -> None:
+        for ended in self.ended:
+            if ended.number > self.noted and ended.how is orders.How.DONE:
+                self.oracle.allow_again(ended.key)
+
+    # Orders.
+
+    def check(self, epoch: int) -> orders.Rejected | None:
+        """Refuse what an earlier owner orders."""
+        if epoch < self.fence:
+            return orders.Rejected(orders.Why.FENCED, int(self.read_clock()))
+        self.fence = epoch
+        return None
+
+    def begin(
+        self, epoch: int, order: orders.Start, until_ms: int
+    ) -> orders.Taken | orders.Rejected:
+        """Carry a start out."""
+        refused = self.check(epoch)
+        if refused is not None:
+            return refused
+        clock = self.read_clock()
+        if until_ms <= clock:
+            return orders.Rejected(orders.Why.LATE, int(clock))
+        self.until_ms = max(self.until_ms, min(until_ms, clock + _HOLD_MAX_MS))
+        held = self.tasks.get(order.key)
+        if held is not None and held.run == order.run:
+            return orders.Taken(int(clock))
+        if order.run <= self.highest.get(order.key, 0):
+            return orders.Rejected(orders.Why.OLD, int(clock))
+        job = self.oracle.jobs[order.key.job]
+        step = job.steps[order.key.step]
+        if not self._find_free().holds(step.room):
+            return orders.Rejected(orders.Why.NO_ROOM, int(clock))
+        self._add(order, job, step)
+        return orders.Taken(int(clock))
+
+    def _find_free(self) -> work.Room:
+        free = self.entry.room
+        for key in self.tasks:
+            step = self.oracle.jobs[key.job].steps[key.step]
+            free = free.minus(step.room)
+        return free
+
+    def _add(self, order: orders.Start, job: work.Job, step: work.Step) -> None:
+        now = trio.current_time()
+        task = Task(order.key, order.run, now, now, None)
+        task.ends_at = now + step.expected_s
+        poisoned = job.payload == "poison"
+        if poisoned or self.fails_all:
+            task.how = orders.How.FAILED
+            task.ends_at = now + 0.2
+        self.tasks[order.key] = task
+        self.oracle.note_start(self.entry.id, order.key, order.run, now)
+        if not step.gang:
+            return
+        task.works_from = None
+        if self.gangs.add(order.key, order.run, self) < step.count:
+            return
+        for worker in self.gangs.list(order.key, order.run):
+            for other in worker.tasks.values():
+                if other.run == order.run and other.key[:3] == order.key[:3]:
+                    other.works_from = now
+                    other.ends_at = (
+                        now + (other.ends_at or now) - other.began_at
+                    )
+
+    def halt(
+        self, epoch: int, order: orders.Stop
+    ) -> orders.Taken | orders.Rejected:
+        """Carry a stop out."""
+        refused = self.check(epoch)
+        if refused is not None:
+            return refused
+        highest = self.highest.get(order.key, 0)
+        held = self.tasks.get(order.key)
+        if held is not None and held.run == order.run:
+            held.stops_at = trio.current_time() + _STOP_S
+        else:
+            self.highest[order.key] = max(highest, order.run)
+        return orders.Taken(int(self.read_clock()))
+
+    def look(
+        self, epoch: int, seen: int, until_ms: int | None
+    ) -> orders.Report | orders.Rejected:
+        """Carry a look out."""
+        refused = self.check(epoch)
+        if refused is not None:
+            return refused
+        clock = self.read_clock()
+        if until_ms is not None:
+            self.until_ms = max(
+                self.until_ms, min(until_ms, clock + _HOLD_MAX_MS)
+            )
+        self.noted = max(self.noted, seen)
+        self.ended = [e for e in self.ended if e.number > self.noted]
+        running = tuple(
+            orders.Running(task.key, task.run) for task in self.tasks.values()
+        )
+        return orders.Report(int(clock), running, tuple(self.ended))
+
+    async def wait_for_news(self, wait_s: float) -> None:
+        """Wait for an end."""
+        with trio.move_on_after(wait_s):
+            await self._news.wait()
+
+
+class WorkerView:
+    """A worker as one entry meets it; implements `WorkerPort`."""
+
+    def __init__(self, worker: Worker, entry: str) -> None:
+        self._worker = worker
+        self._entry = entry
+
+    def _is_reachable(self) -> bool:
+        return self._worker.alive and self._entry not in self._worker.cut_from
+
+    async def hold(
+        self, epoch: int, seen: int, until_ms: int | None, wait_s: float
+    ) -> orders.Report | orders.Rejected | orders.Silent:
+        """Look, and wait for an end."""
+        await trio.sleep(_ORDER_S)
+        if not self._is_reachable():
+            await trio.sleep(wait_s + 0.6)
+            return orders.Silent("cut")
+        report = self._worker.look(epoch, seen, until_ms)
+        if isinstance(report, orders.Report) and not report.ended and wait_s:
+            await self._worker.wait_for_news(wait_s)
+            if not self._is_reachable():
+                await trio.sleep(0.6)
+                return orders.Silent("cut")
+            report = self._worker.look(epoch, seen, None)
+        await trio.sleep(_ORDER_S)
+        return report
+
+    async def start(
+        self, epoch: int, order: orders.Start, until_ms: int, timeout_s: float
+    ) -> orders.Taken | orders.Rejected | orders.Silent:
+        """Start a run; some starts are carried out late."""
+        await trio.sleep(_ORDER_S)
+        if not self._is_reachable():
+            await trio.sleep(timeout_s)
+            return orders.Silent("cut")
+        if self._worker.random.random() < self._worker.late_share:
+            trio.lowlevel.spawn_system_task(
+                self._begin_late, epoch, order, until_ms
+            )
+            await trio.sleep(timeout_s)
+            return orders.Silent("late")
+        outcome = self._worker.begin(epoch, order, until_ms)
+        await trio.sleep(_ORDER_S)
+        return outcome
+
+    async def _begin_late(
+        self, epoch: int, order: orders.Start, until_ms: int
+    ) -> None:
+        await trio.sleep(self._worker.random.uniform(2.0, 12.0))
+        if self._worker.alive:
+            self._worker.begin(epoch, order, until_ms)
+
+    async def stop(
+        self, epoch: int, order: orders.Stop, timeout_s: float
+    ) -> orders.Taken | orders.Rejected | orders.Silent:
+        """Stop a run."""
+        await trio.sleep(_ORDER_S)
+        if not self._is_reachable():
+            await trio.sleep(timeout_s)
+            return orders.Silent("cut")
+        outcome = self._worker.halt(epoch, order)
+        await trio.sleep(_ORDER_S)
+        return outcome
+
+    async def aclose(self) -> None:
+        """Close nothing."""
