Relay the store for entries that it turns away; let the first priority stop loans

Change: single reads and writes go by a peer when the own path fails; priority 0 may stop lower work that has done no more than twice its own core-seconds.

--- a/crocusrouter/mesh/messages.py
+++ b/crocusrouter/mesh/messages.py
@@ -176,23 +176,55 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class StoreJob:
-    """Asks a peer to store a job for an entry that the store turns away.
+class RelayRead:
+    """Asks a peer to read a key for an entry that the store turns away."""
+
+    key: str
+
+
+@dataclasses.dataclass(frozen=True)
+class RelayRecord:
+    """What the peer read.
 
     Attributes:
-        job: The job's id.
-        record: What is stored.
+        known: Whether the store answered the peer.
+        value: The record's body.
+        revision: Its revision; 0 if there is no such key.
     """
 
-    job: str
-    record: bytes
+    known: bool
+    value: bytes = b""
+    revision: int = 0
+
+
+@dataclasses.dataclass(frozen=True)
+class RelayWrite:
+    """Asks a peer to write a key whose revision is as given.
+
+    Attributes:
+        key: The key.
+        revision: Its present revision; 0 if it must not exist.
+        value: The new body.
+    """
+
+    key: str
+    revision: int
+    value: bytes
 
 
 @dataclasses.dataclass(frozen=True)
-class StoreReply:
-    """How that went: "stored", "not-stored" or "unknown"."""
+class RelayOutcome:
+    """How the peer's write went.
+
+    Attributes:
+        outcome: "written", "mismatched", "not-written" or "unknown".
+        revision: The new revision, or the present one after a mismatch.
+        value: The present body after a mismatch.
+    """
 
     outcome: str
+    revision: int = 0
+    value: bytes = b""
 
 
 REGISTRY = codec.Registry(
@@ -215,6 +247,8 @@
     StateReply,
     CountPending,
     PendingReply,
-    StoreJob,
-    StoreReply,
+    RelayRead,
+    RelayRecord,
+    RelayWrite,
+    RelayOutcome,
 )
--- a/crocusrouter/pools/desk.py
+++ b/crocusrouter/pools/desk.py
@@ -11,14 +11,12 @@
 from crocusrouter.pools import keys
 from crocusrouter.pools import owner as owners
 from crocusrouter.pools import peers as peer_links
+from crocusrouter.pools import relay
 from crocusrouter.store import client
 from crocusrouter.store import port
 from crocusrouter.telemetry import Metrics
 from crocusrouter.telemetry import log
 
-# Callers wait 3 s. An unanswered write is sent once more after this.
-_STORE_TIMEOUT_S = 0.6
-_MAX_HELPERS = 2
 _CANCEL_TRIES = 3
 
 
@@ -42,6 +40,15 @@
     """Neither the owner nor the store could be asked."""
 
 
+def _judge(outcome: port.WriteOutcome) -> Stored:
+    """Tell what the write of a job under a key that must not exist means."""
+    if isinstance(outcome, port.Written | port.Mismatched):
+        return Stored.STORED
+    if isinstance(outcome, port.NotWritten):
+        return Stored.NOT_STORED
+    return Stored.UNKNOWN
+
+
 def note_refusal(method: str, path: str, refusal: Refusal) -> None:
     """Write the line that explains a refusal, with the job's id in it."""
     log(
@@ -59,7 +66,7 @@
 
     def __init__(
         self,
-        store: port.KeyValueStore,
+        store: relay.RelayedStore,
         peers: peer_links.Peers,
         owned: dict[str, owners.PoolOwner],
         owner_names: dict[str, str],
@@ -76,58 +83,26 @@
     # Acceptance.
 
     async def accept(self, job: work.Job) -> Stored:
-        """Store a job, with a peer's help if the store turns us away.
+        """Store a job.
 
         A job is stored under a key that must not exist, so any number of
         tries by any entry make one job. Only if every try was certainly
         without effect may the caller hear that the job never runs.
         """
-        record = codec.pack(job)
-        outcome = await self.store_here(job.id, record)
-        if outcome is not Stored.STORED:
-            for helper in self._peers.choose_helpers()[:_MAX_HELPERS]:
-                helped = await self._ask_helper(helper, job.id, record)
-                if helped is Stored.STORED:
-                    outcome = helped
-                    break
-                if helped is Stored.UNKNOWN:
-                    outcome = helped
-        self._metrics.count_job(f"accept-{outcome}")
+        key = keys.build_job_key(job.id)
+        outcome = await self._store.write(
+            port.Guard(key, 0), port.Write(key, codec.pack(job))
+        )
+        stored = _judge(outcome)
+        self._metrics.count_job(f"accept-{stored}")
         log(
             "job:accept",
             job=job.id,
             queue=job.queue,
             customer=job.customer,
-            outcome=str(outcome),
-        )
-        return outcome
-
-    async def _ask_helper(
-        self, helper: str, job_id: str, record: bytes
-    ) -> Stored:
-        reply = await self._peers.call(
-            helper, messages.StoreJob(job_id, record)
+            outcome=str(stored),
         )
-        if isinstance(reply, messages.StoreReply):
-            return Stored(reply.outcome)
-        return Stored.UNKNOWN
-
-    async def store_here(self, job_id: str, record: bytes) -> Stored:
-        """Store a job by this entry's own path to the store."""
-        key = keys.build_job_key(job_id)
-        unknown = False
-        for _ in range(2):
-            outcome = await self._store.write(
-                (port.Guard(key, 0),),
-                (port.Write(key, record),),
-                timeout_s=_STORE_TIMEOUT_S,
-            )
-            if isinstance(outcome, port.Written | port.Mismatched):
-                return Stored.STORED
-            if isinstance(outcome, port.NotWritten):
-                break
-            unknown = True
-        return Stored.UNKNOWN if unknown else Stored.NOT_STORED
+        return stored
 
     # Cancelling.
 
@@ -146,9 +121,8 @@
                 return Cancelled.DONE
             marked = dataclasses.replace(job, cancelled=True)
             outcome = await self._store.write(
-                (port.Guard(key, found.revision),),
-                (port.Write(key, codec.pack(marked)),),
-                timeout_s=_STORE_TIMEOUT_S,
+                port.Guard(key, found.revision),
+                port.Write(key, codec.pack(marked)),
             )
             log("job:cancel", job=job_id, outcome=type(outcome).__name__)
             if isinstance(outcome, port.Written):
--- a/crocusrouter/pools/entry.py
+++ b/crocusrouter/pools/entry.py
@@ -19,6 +19,7 @@
 from crocusrouter.pools import members
 from crocusrouter.pools import owner as owners
 from crocusrouter.pools import peers as peer_links
+from crocusrouter.pools import relay
 from crocusrouter.pools import tenure as tenures
 from crocusrouter.store import client
 from crocusrouter.store import port
@@ -129,8 +130,9 @@
         self._system_watch = intake.Follower(
             store, keys.SYSTEM, self._take_system
         )
+        self._relay = relay.RelayedStore(store, self.peers, self.times)
         self.desk = desks.Desk(
-            store,
+            self._relay,
             self.peers,
             self.owned,
             self._owner_names,
@@ -231,9 +233,10 @@
                 return messages.StateReply(self.desk.show_here(pool, job))
             case messages.CountPending(pool, queue):
                 return messages.PendingReply(self.desk.count_here(pool, queue))
-            case messages.StoreJob(job, record):
-                outcome = await self.desk.store_here(job, record)
-                return messages.StoreReply(str(outcome))
+            case messages.RelayRead():
+                return await self._relay.answer_read(message)
+            case messages.RelayWrite():
+                return await self._relay.answer_write(message)
             case _:
                 raise TypeError(f"no answer to {type(message).__name__}")
 
--- a/crocusrouter/pools/owner.py
+++ b/crocusrouter/pools/owner.py
@@ -373,7 +373,7 @@
             "step:start",
             step=placement.step,
             run=shared,
-            spots=placement.spots,
+            spots=list(placement.spots.items()),
             waited=round(now - (found.waiting_since or now), 3),
         )
 
--- /dev/null
+++ b/crocusrouter/pools/relay.py
@@ -0,0 +1,161 @@
+"""The store by way of a peer, for an entry that it turns away.
+
+The store may refuse some entries and serve the others. Callers of such an
+entry would hear nothing but "come back" for seconds, although a peer beside
+it can store their job in a few milliseconds.
+"""
+
+from crocusrouter.mesh import messages
+from crocusrouter.pools import clock
+from crocusrouter.pools import peers as peer_links
+from crocusrouter.store import client
+from crocusrouter.store import port
+from crocusrouter.store import records
+
+# Callers wait 3 s: one try of our own, two of peers.
+_STORE_TIMEOUT_S = 0.6
+_MAX_HELPERS = 2
+# After a failure of our own path, peers are asked first for this long.
+_AVOID_S = 1.5
+
+
+class RelayedStore:
+    """Reads and writes single keys by the first path that serves."""
+
+    def __init__(
+        self,
+        store: port.KeyValueStore,
+        peers: peer_links.Peers,
+        times: clock.Clock,
+    ) -> None:
+        self._store = store
+        self._peers = peers
+        self._times = times
+        self._failed_at: float | None = None
+
+    async def read(self, key: str) -> records.Record | None:
+        """Return a key's record, or None if there is none.
+
+        Raises:
+            StoreUnavailableError: No path serves.
+        """
+        avoided = self._is_avoided()
+        if not avoided:
+            try:
+                return await self._store.read(key)
+            except client.StoreUnavailableError:
+                self._failed_at = self._times.steady()
+        for helper in self._peers.choose_helpers()[:_MAX_HELPERS]:
+            reply = await self._peers.call(helper, messages.RelayRead(key))
+            if isinstance(reply, messages.RelayRecord) and reply.known:
+                if reply.revision == 0:
+                    return None
+                return records.Record(key, reply.value, reply.revision)
+        if avoided:
+            return await self._store.read(key)
+        raise client.StoreUnavailableError("no path to the store")
+
+    async def write(
+        self, guard: port.Guard, write: port.Write
+    ) -> port.WriteOutcome:
+        """Write one guarded key.
+
+        Returns:
+            NotWritten only if every try was certainly without effect.
+        """
+        outcome: port.WriteOutcome = port.NotWritten("not tried")
+        avoided = self._is_avoided()
+        if not avoided:
+            outcome = await self._write_here(guard, write)
+            if not _has_failed(outcome):
+                return outcome
+            self._failed_at = self._times.steady()
+        for helper in self._peers.choose_helpers()[:_MAX_HELPERS]:
+            helped = await self._ask(helper, guard, write)
+            if not _has_failed(helped):
+                return helped
+            outcome = _join(outcome, helped)
+        if avoided:
+            outcome = _join(outcome, await self._write_here(guard, write))
+        return outcome
+
+    def _is_avoided(self) -> bool:
+        return (
+            self._failed_at is not None
+            and self._times.steady() < self._failed_at + _AVOID_S
+        )
+
+    async def _write_here(
+        self, guard: port.Guard, write: port.Write
+    ) -> port.WriteOutcome:
+        return await self._store.write(
+            (guard,), (write,), timeout_s=_STORE_TIMEOUT_S
+        )
+
+    async def _ask(
+        self, helper: str, guard: port.Guard, write: port.Write
+    ) -> port.WriteOutcome:
+        request = messages.RelayWrite(guard.key, guard.revision, write.value)
+        reply = await self._peers.call(helper, request)
+        if not isinstance(reply, messages.RelayOutcome):
+            return port.MaybeWritten("a peer gave no answer")
+        return _read_outcome(guard.key, reply)
+
+    # For peers.
+
+    async def answer_read(
+        self, request: messages.RelayRead
+    ) -> messages.RelayRecord:
+        """Read for a peer, by our own path only."""
+        try:
+            found = await self._store.read(request.key)
+        except client.StoreUnavailableError:
+            return messages.RelayRecord(known=False)
+        if found is None:
+            return messages.RelayRecord(known=True)
+        return messages.RelayRecord(True, found.value, found.revision)
+
+    async def answer_write(
+        self, request: messages.RelayWrite
+    ) -> messages.RelayOutcome:
+        """Write for a peer, by our own path only."""
+        outcome = await self._write_here(
+            port.Guard(request.key, request.revision),
+            port.Write(request.key, request.value),
+        )
+        match outcome:
+            case port.Written(revision):
+                return messages.RelayOutcome("written", revision)
+            case port.Mismatched(current):
+                found = current.get(request.key)
+                if found is None:
+                    return messages.RelayOutcome("mismatched")
+                return messages.RelayOutcome(
+                    "mismatched", found.revision, found.value
+                )
+            case port.NotWritten():
+                return messages.RelayOutcome("not-written")
+        return messages.RelayOutcome("unknown")
+
+
+def _read_outcome(key: str, reply: messages.RelayOutcome) -> port.WriteOutcome:
+    match reply.outcome:
+        case "written":
+            return port.Written(reply.revision)
+        case "mismatched":
+            found = records.Record(key, reply.value, reply.revision)
+            return port.Mismatched({key: found} if reply.revision else {})
+        case "not-written":
+            return port.NotWritten("a peer was refused too")
+    return port.MaybeWritten("a peer's write was not answered")
+
+
+def _has_failed(outcome: port.WriteOutcome) -> bool:
+    return isinstance(outcome, port.NotWritten | port.MaybeWritten)
+
+
+def _join(
+    first: port.WriteOutcome, second: port.WriteOutcome
+) -> port.WriteOutcome:
+    """Return the less certain of two failures."""
+    return first if isinstance(first, port.MaybeWritten) else second
--- a/crocusrouter/work/planner.py
+++ b/crocusrouter/work/planner.py
@@ -24,7 +24,9 @@
 _MAX_HOLDING = 3
 # Benefit ends at three times the objective; later work goes last.
 _LATE_FACTOR = 3.0
-_REMOTE_PENALTY = 3.0
+# Work of the first priority is worth four times as much as what it stops and
+# has no slack; losing twice its own core-seconds costs about what it earns.
+_LOSS_FACTOR = 2.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -276,13 +278,19 @@
         return used + wanted <= self._book.guaranteed.get(job.customer, 0)
 
     def _reclaim(self, waiting: Waiting, missing: set[int]) -> bool:
-        """Stop work of lower priority in the way of guaranteed work."""
-        if not self._is_guaranteed(waiting):
+        """Stop work of lower priority in the way of the first priority.
+
+        Under its guarantee it may stop whatever is needed. Beyond that only
+        what throws little work away beside its own.
+        """
+        job = waiting.held.job
+        step = waiting.work.step
+        if job.priority != 0 or waiting.hopeless or step.lasting:
             return False
         chosen = victims.choose_victims(
             self._book,
-            waiting.held.job.priority,
-            waiting.work.step,
+            job.priority,
+            step,
             len(missing),
             {
                 space.worker: space
@@ -293,12 +301,17 @@
         )
         if chosen is None:
             return False
+        own = step.charge.cores * step.expected_s * len(missing)
+        if not self._is_guaranteed(waiting) and chosen.cost > (
+            _LOSS_FACTOR * own
+        ):
+            return False
         spots = dict(zip(sorted(missing), chosen.workers, strict=True))
         why = f"its room is guaranteed to job {waiting.held.job.id}"
         self._plan.stops += [(run, why) for run in chosen.runs]
         self._plan.reservations.append(Placement(waiting.work.key, spots))
         for worker in chosen.workers:
-            self._spaces[worker].take(waiting.work.step.charge)
+            self._spaces[worker].take(step.charge)
         return True
 
     def _hold_workers(self, waiting: Waiting) -> None:
--- a/crocusrouter/work/tests/test_planner.py
+++ b/crocusrouter/work/tests/test_planner.py
@@ -70,12 +70,16 @@
     assert [p.step.step for p in plan.placements] == [0]
 
 
-@pytest.mark.parametrize(("guaranteed", "stopped"), [(8, True), (4, False)])
-def test_guaranteed_work_stops_what_is_in_its_way(guaranteed, stopped):
+@pytest.mark.parametrize(
+    ("guaranteed", "ran_s", "stopped"),
+    [(8, 100.0, True), (4, 100.0, False), (4, 1.0, True)],
+)
+def test_first_priority_stops_what_is_in_its_way(guaranteed, ran_s, stopped):
     """A customer claims its accelerators while others use all of them.
 
     Runs of lower priority are stopped; the room is kept for the claim until
-    they have ended, and nothing else takes it.
+    they have ended, and nothing else takes it. Beyond the guarantee only
+    runs are stopped that lose little.
     """
     book = build.make_book(
         build.make_job("low", build.make_step(16, gpu=1), priority=2),
@@ -85,7 +89,7 @@
     build.put(
         book, build.make_job("high", build.make_step(1, gpu=8), priority=0)
     )
-    plan = work.plan(book, 1.0, build.WALL)
+    plan = work.plan(book, ran_s, build.WALL)
     assert bool(plan.stops) is stopped
     assert bool(plan.reservations) is stopped
 
