Keep gangs in their rack: wait as long as running away from it costs

Change: spreading only after twice the expected time (where both ends meet), 1.6 s under a guarantee; victims across racks only then.

--- a/crocusrouter/work/planner.py
+++ b/crocusrouter/work/planner.py
@@ -15,11 +15,11 @@
 from crocusrouter.work import runs
 from crocusrouter.work import victims
 
-# A gang that would run across racks takes several times as long. It waits for
-# one rack for this share of its expected time before it accepts that.
-_RACK_PATIENCE = 1.0
-# Priority 0 under a guarantee must begin within seconds; it waits less.
-_GUARANTEED_RACK_PATIENCE_S = 0.8
+# Away from its rack a task takes three times as long, and holds its room as
+# long. Waiting twice the expected time for the rack ends no later.
+_RACK_PATIENCE = 2.0
+# Guaranteed work must have begun 2.7 s after its acceptance, stops included.
+_GUARANTEED_RACK_PATIENCE_S = 1.6
 # Steps that find no place and hold workers, at most.
 _MAX_HOLDING = 3
 # Benefit ends at three times the objective; later work goes last.
@@ -298,6 +298,7 @@
                 if self._count_bound(waiting, space) > 0
             },
             self._now,
+            may_spread=self._may_spread(waiting),
         )
         if chosen is None:
             return False
--- a/crocusrouter/work/tests/test_planner.py
+++ b/crocusrouter/work/tests/test_planner.py
@@ -37,7 +37,7 @@
     assert work.plan(book, 0.0, build.WALL).placements == []
 
 
-@pytest.mark.parametrize(("waited", "placed"), [(0.0, False), (6.0, True)])
+@pytest.mark.parametrize(("waited", "placed"), [(6.0, False), (11.0, True)])
 def test_gang_waits_for_one_rack_for_a_while(waited, placed):
     """A gang across racks takes three times as long as one in a rack."""
     step = build.make_step(2, gpu=8, gang=True, one_rack=True)
@@ -172,3 +172,19 @@
     build.put(book, build.make_job("k", build.make_step(1, gpu=8)))
     assert run.phase is runs.Phase.STOPPING
     assert work.plan(book, 1.0, build.WALL).placements == []
+
+
+@pytest.mark.parametrize(("waited", "reclaimed"), [(0.0, False), (2.0, True)])
+def test_guaranteed_gang_stops_runs_in_one_rack_first(waited, reclaimed):
+    """Jobs of the first priority hold three times their room, and end late,
+    because runs were stopped for them across racks at once.
+
+    Only what has waited for a rack as long as its bound allows is spread.
+    """
+    low = build.make_job("low", build.make_step(2, gpu=8), priority=2)
+    gang = build.make_step(2, gpu=8, gang=True, one_rack=True)
+    book = build.make_book(low, racks=("r0-0", "r0-1"), guaranteed={"a": 16})
+    build.start_planned(book)
+    build.put(book, build.make_job("high", gang, priority=0))
+    plan = work.plan(book, waited, build.WALL + waited)
+    assert bool(plan.reservations) is reclaimed
--- a/crocusrouter/work/victims.py
+++ b/crocusrouter/work/victims.py
@@ -85,12 +85,11 @@
     count: int,
     spaces: dict[str, packing.Space],
     now: float,
+    *,
+    may_spread: bool,
 ) -> Victims | None:
     """Choose the cheapest runs whose end makes room for `count` tasks.
 
-    A gang of one rack is tried in each rack first; across racks it would
-    take several times as long.
-
     Args:
         book: The pool's book.
         priority: Only runs of a higher number may be stopped.
@@ -98,24 +97,24 @@
         count: How many tasks.
         spaces: Free room of the workers that may take them.
         now: Steady time in seconds.
+        may_spread: Whether tasks that belong into one rack may run across
+            racks, where they take several times as long, if no rack will do.
     """
-    groups = [list(spaces)]
-    if step.one_rack or step.rack:
-        racks = packing.group_by_rack(spaces.values())
-        groups = [
-            [space.worker for space in rack]
-            for name, rack in racks.items()
-            if not step.rack or name == step.rack
-        ]
-        groups.append(list(spaces))
+    narrow = step.one_rack or bool(step.rack)
     found = []
-    for group in groups[:-1]:
-        victims = _search(book, priority, step, count, group, spaces, now)
-        if victims is not None:
-            found.append(victims)
+    if narrow:
+        for name, rack in packing.group_by_rack(spaces.values()).items():
+            if step.rack and name != step.rack:
+                continue
+            names = [space.worker for space in rack]
+            victims = _search(book, priority, step, count, names, spaces, now)
+            if victims is not None:
+                found.append(victims)
     if found:
         return min(found, key=lambda victims: victims.cost)
-    return _search(book, priority, step, count, groups[-1], spaces, now)
+    if narrow and not may_spread:
+        return None
+    return _search(book, priority, step, count, list(spaces), spaces, now)
 
 
 def _search(
