--- a/crocusrouter/work/planner.py
+++ b/crocusrouter/work/planner.py
@@ -280,19 +280,16 @@
     def _reclaim(self, waiting: Waiting, missing: set[int]) -> bool:
         """Stop work of lower priority in the way of the first priority.
 
-        Under its guarantee it may stop whatever is needed. Beyond that it
-        stops only work two priorities lower, and only if that throws little
-        away beside its own: large gangs of the next priority were stopped up
-        to 14 times under load, and few of them ended in time.
+        Under its guarantee it may stop whatever is needed. Beyond that only
+        what throws little work away beside its own.
         """
         job = waiting.held.job
         step = waiting.work.step
         if job.priority != 0 or waiting.hopeless or step.lasting:
             return False
-        guaranteed = self._is_guaranteed(waiting)
         chosen = victims.choose_victims(
             self._book,
-            job.priority if guaranteed else job.priority + 1,
+            job.priority,
             step,
             len(missing),
             {
@@ -306,7 +303,9 @@
         if chosen is None:
             return False
         own = step.charge.cores * step.expected_s * len(missing)
-        if not guaranteed and chosen.cost > _LOSS_FACTOR * own:
+        if not self._is_guaranteed(waiting) and chosen.cost > (
+            _LOSS_FACTOR * own
+        ):
             return False
         spots = dict(zip(sorted(missing), chosen.workers, strict=True))
         why = f"its room is guaranteed to job {waiting.held.job.id}"
