--- a/crocusrouter/work/planner.py
+++ b/crocusrouter/work/planner.py
@@ -64,12 +64,22 @@
     held: runs.JobWork
     work: runs.StepWork
     latest_start: float
+    late: bool
     hopeless: bool
 
     @property
-    def rank(self) -> tuple[bool, int, float]:
-        """Steps of lower rank go first."""
-        return self.hopeless, self.held.job.priority, self.latest_start
+    def rank(self) -> tuple[bool, int, bool, float]:
+        """Steps of lower rank go first.
+
+        What can't meet its objective any more goes behind what still can:
+        under load, taking the latest first makes all of them late.
+        """
+        return (
+            self.hopeless,
+            self.held.job.priority,
+            self.late,
+            self.latest_start,
+        )
 
 
 def list_waiting(
@@ -103,7 +113,9 @@
     objective = job.objective_s
     rest = job.tails[work.key.step]
     hopeless = wall > due + _LATE_FACTOR * objective and not work.step.lasting
-    return Waiting(held, work, due + objective - rest, hopeless)
+    latest_start = due + objective - rest
+    late = wall > latest_start
+    return Waiting(held, work, latest_start, late, hopeless)
 
 
 class Planner:
--- a/crocusrouter/work/tests/test_planner.py
+++ b/crocusrouter/work/tests/test_planner.py
@@ -188,3 +188,20 @@
     build.put(book, build.make_job("high", gang, priority=0))
     plan = work.plan(book, waited, build.WALL + waited)
     assert bool(plan.reservations) is reclaimed
+
+
+def test_late_work_goes_behind_what_can_still_be_in_time():
+    """All jobs of a burst end late, each started just after its last moment.
+
+    Steps whose objective is past go behind those that can still meet it.
+    """
+    book = build.make_book(workers=("w0",))
+    build.put(
+        book,
+        build.make_job(
+            "late", build.make_step(1, gpu=8), accepted_at=build.WALL - 8
+        ),
+    )
+    build.put(book, build.make_job("early", build.make_step(1, gpu=8)))
+    plan = work.plan(book, 0.0, build.WALL)
+    assert [p.step.job for p in plan.placements] == ["early"]
