--- a/crocusrouter/http/tests/test_reasons.py
+++ b/crocusrouter/http/tests/test_reasons.py
@@ -5,6 +5,7 @@
 
 from crocusrouter import codec
 from crocusrouter.controllers.configuration import OwnerRecord
+from crocusrouter.http.tests import test_queue_calls
 from crocusrouter.outcomes import RefusalReason
 from crocusrouter.outcomes import RetryReason
 from crocusrouter.requests.claims import Claim
@@ -270,7 +271,11 @@
 }
 
 
-@pytest.mark.parametrize("reason", list(RefusalReason))
+# The other reasons are in the table of the calls on queues.
+@pytest.mark.parametrize(
+    "reason",
+    [r for r in RefusalReason if r not in test_queue_calls.REASONS],
+)
 async def test_refusal_is_typed_and_counted(reason):
     cause, status, outcome = _REFUSALS[reason]
     options = {}
--- a/crocusrouter/platform/configuration.py
+++ b/crocusrouter/platform/configuration.py
@@ -46,7 +46,7 @@
     limits: _Limits = _Limits()
 
 
-class WrongConfigError(Exception):
+class WrongConfigError(ValueError):
     """The document is no configuration; keep the one in force."""
 
 
--- a/crocusrouter/platform/names.py
+++ b/crocusrouter/platform/names.py
@@ -12,14 +12,19 @@
     return f"{key.job}.{key.occurrence}.{key.step}.{key.position}"
 
 
-def parse_task(name: str) -> model.TaskKey:
-    """Return the task that a name names.
+def parse_task(name: str) -> model.TaskKey | None:
+    """Return the task that a name names; None if it isn't one of ours.
 
     >>> parse_task("0a.0.1.7").position
     7
+    >>> parse_task("other") is None
+    True
     """
-    job, occurrence, step, index = name.rsplit(".", 3)
-    return model.TaskKey(job, int(occurrence), int(step), int(index))
+    try:
+        job, occurrence, step, position = name.rsplit(".", 3)
+        return model.TaskKey(job, int(occurrence), int(step), int(position))
+    except ValueError:
+        return None
 
 
 def build_step(key: model.StepKey) -> str:
--- /dev/null
+++ b/crocusrouter/platform/tests/test_decoding.py
@@ -0,0 +1,331 @@
+"""The platform's words decoded into our fields, and our orders in its words."""
+
+import base64
+
+import orjson
+import pytest
+
+from crocusrouter import platform
+from crocusrouter import queues
+from crocusrouter import work
+from crocusrouter.fleet import orders
+from crocusrouter.outcomes import RefusedError
+from crocusrouter.platform import calls
+from crocusrouter.store import client
+from crocusrouter.store import port
+from crocusrouter.store import records
+from crocusrouter.telemetry import Metrics
+
+_KEY = work.TaskKey("5c0e7a21d94b36f8", 0, 1, 17)
+_NAME = "5c0e7a21d94b36f8.0.1.17"
+
+
+class _Wire:
+    """Answers calls from a script and keeps what was sent."""
+
+    def __init__(self, monkeypatch, *answers):
+        self.sent = []
+        self._answers = list(answers)
+        monkeypatch.setattr(calls.Caller, "call", self._call)
+
+    async def _call(self, method, target, document, timeout_s, headers=None):
+        self.sent.append((method, target, document))
+        return self._answers.pop(0)
+
+
+def _answer(status, **document):
+    return calls.Answered(status, document)
+
+
+_LOST = calls.Unanswered("lost", maybe_done=True)
+_NOT_SENT = calls.Unanswered("refused", maybe_done=False)
+
+
+@pytest.mark.parametrize(
+    ("answer", "expected"),
+    [
+        (_answer(200, clock_ms=5), orders.Taken(5)),
+        (
+            _answer(409, clock_ms=5, reason="fence"),
+            orders.Rejected(orders.Why.FENCED, 5),
+        ),
+        (
+            _answer(409, clock_ms=5, reason="room"),
+            orders.Rejected(orders.Why.NO_ROOM, 5),
+        ),
+        (
+            _answer(409, clock_ms=5, reason="a new one"),
+            orders.Rejected(orders.Why.INVALID, 5),
+        ),
+        (_answer(421), orders.Rejected(orders.Why.OTHER_INCARNATION)),
+        (_answer(503), orders.Rejected(orders.Why.UNHEALTHY)),
+        (_answer(429), orders.Rejected(orders.Why.UNHEALTHY)),
+        (_LOST, orders.Silent("lost", maybe_done=True)),
+        (_NOT_SENT, orders.Silent("refused", maybe_done=False)),
+    ],
+)
+async def test_answers_to_a_start(monkeypatch, answer, expected):
+    wire = _Wire(monkeypatch, answer)
+    worker = platform.PlatformWorker("i-1", "127.0.0.1:1")
+    order = orders.Start(_KEY, 2, "text", "cp")
+    assert await worker.start(7, order, 486000, 0.3) == expected
+    assert wire.sent == [
+        (
+            "POST",
+            "/run-start",
+            {
+                "task": _NAME,
+                "run_id": 2,
+                "spec": "text",
+                "until_ms": 486000,
+                "fencing_token": 7,
+                "checkpoint": "cp",
+            },
+        )
+    ]
+
+
+async def test_rows_of_a_look_that_are_not_ours(monkeypatch):
+    """One row of an unknown form, or an unknown word for an end, must not
+    end the owner of a whole pool.
+    """
+    rows = [["someone-elses", 1, "", 0], [_NAME, 2, "", 0]]
+    ends = [[1, "odd", 1, "done", ""], [2, _NAME, 1, "new-word", ""]]
+    _Wire(monkeypatch, _answer(200, clock_ms=9, running=rows, finished=ends))
+    report = await platform.PlatformWorker("i", "127.0.0.1:1").hold(
+        7, 0, None, 0.0
+    )
+    assert [row.key for row in report.running] == [_KEY]
+    assert report.ended == (orders.Ended(2, _KEY, 1, orders.How.BROKEN),)
+
+
+async def test_look_lists_runs_and_ends(monkeypatch):
+    wire = _Wire(
+        monkeypatch,
+        _answer(
+            200,
+            clock_ms=9,
+            running=[[_NAME, 2, "cp", 41], [_NAME, 3, None, 5, 12]],
+            finished=[[58, _NAME, 1, "done", ""]],
+        ),
+    )
+    worker = platform.PlatformWorker("i-1", "127.0.0.1:1")
+    report = await worker.hold(7, 57, None, 1.0)
+    assert report == orders.Report(
+        9,
+        (
+            orders.Running(_KEY, 2, "cp", 41.0),
+            orders.Running(_KEY, 3, "", 5.0, 12.0),
+        ),
+        (orders.Ended(58, _KEY, 1, orders.How.DONE, ""),),
+    )
+    assert wire.sent[0][2] == {
+        "fencing_token": 7,
+        "last_seen": 57,
+        "wait_ms": 1000,
+    }
+
+
+@pytest.mark.parametrize(
+    ("answer", "expected"),
+    [
+        (_answer(200, revision=412), port.Written(412)),
+        (
+            _answer(
+                412,
+                items=[
+                    {"key": "k", "value": "dg==", "revision": 3},
+                    {"key": "l", "revision": 0},
+                ],
+            ),
+            port.Mismatched({"k": records.Record("k", b"v", 3)}),
+        ),
+        (_answer(404), port.LeaseEnded()),
+        (_answer(503), port.NotWritten("status 503")),
+        (_answer(429), port.NotWritten("status 429")),
+        (_answer(500), port.MaybeWritten("status 500")),
+        (_LOST, port.MaybeWritten("lost")),
+        (_NOT_SENT, port.NotWritten("refused")),
+    ],
+)
+async def test_outcomes_of_a_write(monkeypatch, answer, expected):
+    wire = _Wire(monkeypatch, answer)
+    store = platform.PlatformStore("127.0.0.1:1", Metrics())
+    outcome = await store.write(
+        (port.Guard("k", 0),), (port.Write("k", b"v", 7),), ("gone",)
+    )
+    assert outcome == expected
+    assert wire.sent[0][2] == {
+        "expected_rev": [{"key": "k", "revision": 0}],
+        "writes": [{"key": "k", "value": "dg==", "lease": 7}],
+        "remove": ["gone"],
+    }
+
+
+def _item(key, revision=1):
+    value = base64.b64encode(b"v").decode()
+    return {"key": key, "value": value, "revision": revision}
+
+
+async def test_pages_are_read_from_the_first_revision_on(monkeypatch):
+    """A change between two pages is missed for good if the watch begins at
+    the last page's revision.
+    """
+    wire = _Wire(
+        monkeypatch,
+        _answer(200, items=[_item("a")], has_more=True, at_rev=5),
+        _answer(200, items=[_item("b")], has_more=False, at_rev=9),
+    )
+    store = platform.PlatformStore("127.0.0.1:1", Metrics())
+    snapshot = await store.read_prefix("")
+    assert [record.key for record in snapshot.records] == ["a", "b"]
+    assert snapshot.revision == 5
+    assert "after=a" in wire.sent[1][1]
+
+
+@pytest.mark.parametrize(
+    ("answer", "error"),
+    [
+        (_answer(410), port.HistoryGoneError),
+        (_answer(503), client.StoreUnavailableError),
+        (_LOST, client.StoreUnavailableError),
+    ],
+)
+async def test_watch_that_ends(monkeypatch, answer, error):
+    _Wire(monkeypatch, answer)
+    store = platform.PlatformStore("127.0.0.1:1", Metrics())
+    with pytest.raises(error):
+        await store.watch("p/", 3, 1.0)
+
+
+async def test_watch_tells_changes_and_removals(monkeypatch):
+    events = [_item("p/a", 7), {"key": "p/b", "revision": 8, "deleted": True}]
+    _Wire(monkeypatch, _answer(200, events=events, at_rev=9))
+    store = platform.PlatformStore("127.0.0.1:1", Metrics())
+    assert await store.watch("p/", 3, 1.0) == port.Changes(
+        (
+            records.Changed(records.Record("p/a", b"v", 7)),
+            records.Removed("p/b", 8),
+        ),
+        9,
+    )
+
+
+_CONFIG = {
+    "version": 7,
+    "routes": [
+        {
+            "name": "r1",
+            "host": "Nony24.example",
+            "prefix": "/lohu930/",
+            "kind": "unsafe",
+            "target_duration_ms": 1000,
+            "priority": 1,
+            "service": "s",
+            "max_attempts": 3,
+            "slack_factor": 3.0,
+            "public": True,
+        }
+    ],
+    "services": [{"name": "s", "admission_check": True, "standby": False}],
+    "limits": {"max_body_bytes": 1000, "surprise": 1},
+    "tenants": [
+        {"name": "t", "api_keys": ["k1", "k2"], "guaranteed": {"gpu": 32}}
+    ],
+}
+
+
+def test_configuration():
+    config = platform.parse_config(orjson.dumps(_CONFIG))
+    assert config.version == 7
+    assert config.limits.max_body == 1000
+    assert config.queues[0] == queues.Queue(
+        "r1", "nony24.example", "/lohu930/", "s", 1, 3, 3.0, 1.0, True
+    )
+    customer = queues.find_customer(config, "k2")
+    assert customer is not None
+    assert customer.guaranteed == 32
+
+
+@pytest.mark.parametrize("data", [b"{", b"[]", b'{"version": "x"}'])
+def test_wrong_configuration(data):
+    with pytest.raises(ValueError):
+        platform.parse_config(data)
+
+
+_QUEUE = queues.Queue("r1", "h", "/x/", "s", 1, 3, 3.0, 1.0)
+
+
+def test_submission():
+    body = {
+        "spec": "text",
+        "steps": [
+            {"count": 4, "cpu": 500, "mem_mb": 256, "affinity": "r1-3"},
+            {
+                "count": 20,
+                "gpu": 2,
+                "after": [0],
+                "gang": True,
+                "same_rack": True,
+                "checkpointing": True,
+                "est_duration_ms": 7000,
+            },
+        ],
+        "repeat_count": 3,
+        "first_run_ms": 9000,
+        "interval_ms": 2000,
+    }
+    job = platform.parse_submission(orjson.dumps(body), "0a", _QUEUE, "t", 5.0)
+    assert job.steps[0].rack == "r1-3"
+    assert job.steps[1].room == work.Room(0, 0, 2)
+    assert job.steps[1].gang and job.steps[1].one_rack
+    assert job.steps[1].expected_s == 7.0
+    assert job.find_due(2) == 13.0
+    assert (job.pool, job.priority, job.max_attempts) == ("s", 1, 3)
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"",
+        b"{",
+        b"{}",
+        b'{"steps": []}',
+        b'{"steps": [{"count": -1}]}',
+        b'{"steps": [{"count": 1, "after": [0]}]}',
+        b'{"steps": [{"count": 1, "cpu": -5}]}',
+        b'{"steps": 7}',
+        orjson.dumps({"spec": "x" * 4001, "steps": [{"count": 1}]}),
+    ],
+)
+def test_wrong_submission_names_what_to_mend(body):
+    with pytest.raises(RefusedError) as caught:
+        platform.parse_submission(body, "0a", _QUEUE, "t", 5.0)
+    assert caught.value.refusal.detail
+
+
+def test_listed_worker():
+    value = {
+        "service": "s",
+        "address": "10.0.0.9:8080",
+        "zone": "liege",
+        "state": "draining",
+        "capacity": {"cpu": 16000, "mem_mb": 32768, "gpu": 8},
+        "labels": ["a", "r1-3"],
+        "seq": 4,
+    }
+    entry = platform.parse_worker("servers/i-1", orjson.dumps(value))
+    assert entry == orders.WorkerEntry(
+        "i-1",
+        "s",
+        "10.0.0.9:8080",
+        "liege",
+        True,
+        work.Room(16000, 32768, 8),
+        frozenset({"a", "r1-3"}),
+    )
+
+
+@pytest.mark.parametrize("data", [b"", b"[]", b'{"service": 1}'])
+def test_entry_that_is_no_worker(data):
+    assert platform.parse_worker("servers/i-1", data) is None
--- a/crocusrouter/platform/workers.py
+++ b/crocusrouter/platform/workers.py
@@ -11,6 +11,7 @@
 from crocusrouter.fleet import orders
 from crocusrouter.platform import calls
 from crocusrouter.platform import names
+from crocusrouter.telemetry import log
 from crocusrouter.work import model
 
 WORKERS_PREFIX = "servers/"
@@ -31,6 +32,7 @@
     "room": orders.Why.NO_ROOM,
     "ticket": orders.Why.NO_TICKET,
 }
+_HOW = {how.value: how for how in orders.How}
 
 
 class PlatformWorker:
@@ -124,27 +126,35 @@
 
 
 def _parse_report(document: dict[str, Any]) -> orders.Report:
-    running = tuple(
-        orders.Running(
-            names.parse_task(row[0]),
-            int(row[1]),
-            str(row[2] or ""),
-            float(row[3]),
-            float(row[4]) if len(row) > 4 else 0.0,
-        )
-        for row in document.get("running", ())
+    running = map(_parse_running, document.get("running", ()))
+    ended = map(_parse_ended, document.get("finished", ()))
+    return orders.Report(
+        int(document["clock_ms"]),
+        tuple(row for row in running if row is not None),
+        tuple(row for row in ended if row is not None),
     )
-    ended = tuple(
-        orders.Ended(
-            int(row[0]),
-            names.parse_task(row[1]),
-            int(row[2]),
-            orders.How(row[3]),
-            str(row[4] or ""),
-        )
-        for row in document.get("finished", ())
+
+
+def _parse_running(row: list[Any]) -> orders.Running | None:
+    key = names.parse_task(row[0])
+    if key is None:
+        log("worker:foreign-run", row=row)
+        return None
+    load = float(row[4]) if len(row) > 4 else 0.0
+    return orders.Running(
+        key, int(row[1]), str(row[2] or ""), float(row[3]), load
     )
-    return orders.Report(int(document["clock_ms"]), running, ended)
+
+
+def _parse_ended(row: list[Any]) -> orders.Ended | None:
+    key = names.parse_task(row[1])
+    if key is None:
+        log("worker:foreign-end", row=row)
+        return None
+    # A word that we don't know is an end that was neither well nor the
+    # task's own fault.
+    how = _HOW.get(row[3], orders.How.BROKEN)
+    return orders.Ended(int(row[0]), key, int(row[2]), how, str(row[4] or ""))
 
 
 class _Room(pydantic.BaseModel):
--- a/crocusrouter/pools/owner.py
+++ b/crocusrouter/pools/owner.py
@@ -184,12 +184,19 @@
             if isinstance(event, records.Removed):
                 self.book.forget_job(event.key.removeprefix(keys.JOBS))
                 continue
-            job: work.Job = codec.unpack(work.Job, event.record.value)
-            if job.pool != self.pool:
-                continue
-            self._put_job(job, event.record.revision, now)
+            self._take_record(event.record, now)
         self.wake()
 
+    def _take_record(self, record: records.Record, now: float) -> None:
+        """Take one stored job; a record that can't be read harms no other."""
+        try:
+            job: work.Job = codec.unpack(work.Job, record.value)
+            if job.pool == self.pool:
+                self._put_job(job, record.revision, now)
+        except (codec.BadMessageError, ValueError) as error:
+            self._metrics.count_event("job-unreadable")
+            log("job:unreadable", key=record.key, error=str(error))
+
     def _put_job(self, job: work.Job, revision: int, now: float) -> None:
         progress = work.Progress()
         kept = self._progress.pop(job.id, None)
--- a/crocusrouter/work/book.py
+++ b/crocusrouter/work/book.py
@@ -113,24 +113,22 @@
             held.steps[key] = work
 
     def _close(self, held: runs.JobWork, why: str, now: float) -> None:
-        """Stop all that runs of a job that is over."""
+        """Stop all that runs of a job that is over.
+
+        Members of a gang that has ended well end by themselves; a stop for
+        each of them would be a needless call.
+        """
         self.live.pop(held.job.id, None)
-        for run in self.list_runs(held):
-            self.stop_run(run, why, now)
+        for work in held.steps.values():
+            for run in self.list_step_runs(work):
+                if run.key.position not in work.kept.done:
+                    self.stop_run(run, why, now)
 
     def forget_job(self, job_id: str) -> None:
         """Drop a job that has been over for long enough."""
         self.jobs.pop(job_id, None)
         self.live.pop(job_id, None)
 
-    def list_runs(self, held: runs.JobWork) -> list[runs.Run]:
-        """Return the runs of a job."""
-        return [
-            run
-            for work in held.steps.values()
-            for run in self.list_step_runs(work)
-        ]
-
     def list_step_runs(self, work: runs.StepWork) -> list[runs.Run]:
         """Return the runs of a step."""
         found = (
