Write down what draining workers still run, so that a successor waits for less

Ruled out: taking an unlisted worker as gone (one that is cut off is dropped from the list too and runs on). Change: the roster of workers names the jobs on those that drain, which get nothing new; only these wait. An entry is also started without the other commands' modules.

--- a/crocusrouter/cli/entry_service.py
+++ b/crocusrouter/cli/entry_service.py
@@ -15,6 +15,7 @@
 from crocusrouter import pools
 from crocusrouter import settings
 from crocusrouter import store as stores
+from crocusrouter.http import entry_app
 from crocusrouter.telemetry import Metrics
 from crocusrouter.telemetry import log
 from crocusrouter.telemetry import open_log
@@ -51,7 +52,7 @@
             nursery.start_soon(_watch_settings, loaded)
             log("entry:started", listen=loaded.listen)
             await http.serve_http(
-                http.build_entry_app(
+                entry_app.build_entry_app(
                     entry,
                     settings.parse_address(loaded.ready_listen)[1],
                     loaded.metrics_port,
--- a/crocusrouter/cli/service.py
+++ b/crocusrouter/cli/service.py
@@ -8,6 +8,7 @@
 from crocusrouter import controllers
 from crocusrouter import http
 from crocusrouter import mesh
+from crocusrouter.http import app
 from crocusrouter.settings import Settings
 from crocusrouter.settings import parse_address
 from crocusrouter.telemetry import Metrics
@@ -39,7 +40,7 @@
         nursery.start_soon(entry.run)
         nursery.start_soon(_wait_for_signal, entry, stopped)
         log("entry:started", listen=settings.listen)
-        await http.serve_http(http.build_app(entry), config, stopped.wait)
+        await http.serve_http(app.build_app(entry), config, stopped.wait)
         nursery.cancel_scope.cancel()
     for number in _SIGNALS:
         signal.signal(number, signal.SIG_IGN)
--- a/crocusrouter/http/__init__.py
+++ b/crocusrouter/http/__init__.py
@@ -1,8 +1,10 @@
-"""HTTP face of an entry, for callers and operators."""
+"""HTTP face of an entry, for callers and operators.
+
+`app` and `entry_app` build the two faces; each is imported by the command
+that serves it, so that neither costs the other's start.
+"""
 
-from crocusrouter.http.app import build_app
-from crocusrouter.http.entry_app import build_entry_app
 from crocusrouter.http.server import build_config
 from crocusrouter.http.server import serve_http
 
-__all__ = ["build_app", "build_config", "build_entry_app", "serve_http"]
+__all__ = ["build_config", "serve_http"]
--- a/crocusrouter/pools/owner.py
+++ b/crocusrouter/pools/owner.py
@@ -3,7 +3,6 @@
 from collections.abc import Callable
 import dataclasses
 
-import cbor2
 import trio
 
 from crocusrouter import codec
@@ -16,6 +15,7 @@
 from crocusrouter.pools import keys
 from crocusrouter.pools import links
 from crocusrouter.pools import reservations
+from crocusrouter.pools import roster
 from crocusrouter.pools import tenure as tenures
 from crocusrouter.store import client
 from crocusrouter.store import port
@@ -97,9 +97,7 @@
         self._runs = held.epoch << _RUN_BITS
         self._wake = trio.Event()
         self._nursery: trio.Nursery | None = None
-        self._known_workers: dict[str, str] = {}
-        self._known_revision = 0
-        self._known_changed = trio.Event()
+        self._roster = roster.Roster(store, held, self.book)
         self._draining = False
         self._jobs = intake.Follower(store, keys.JOBS, self._take_jobs)
         self._list = intake.Follower(
@@ -134,11 +132,11 @@
             nursery.start_soon(self._journal.run)
             nursery.start_soon(self._jobs.run)
             nursery.start_soon(self._list.run)
-            nursery.start_soon(self._remember_workers)
-            for worker, address in self._known_workers.items():
-                self._open_link(worker, address)
-            for entry in list(self.book.workers.values()):
-                self._open_link(entry.entry.id, entry.entry.address)
+            nursery.start_soon(self._roster.run)
+            for known in self._roster.list_unlisted(self._times.steady()):
+                self._open_link(known.entry.id, known.entry.address)
+            for listed in list(self.book.workers.values()):
+                self._open_link(listed.entry.id, listed.entry.address)
             self.is_loaded = True
             await self._decide_forever()
 
@@ -160,16 +158,13 @@
                     for record in snapshot.records
                 }
                 self._progress = kept
-                known = await self._store.read(keys.KNOWN_WORKERS + self.pool)
+                await self._roster.load()
                 await self._jobs.load()
                 await self._list.load()
                 break
             except client.StoreUnavailableError as error:
                 log("owner:load-failed", pool=self.pool, cause=str(error))
                 await trio.sleep(_RETRY_S)
-        if known is not None:
-            self._known_revision = known.revision
-            self._known_workers = dict(cbor2.loads(known.value))
         log(
             "owner:loaded",
             pool=self.pool,
@@ -242,15 +237,6 @@
         assert self._nursery is not None
         if worker in self._links:
             return
-        if worker not in self.book.workers:
-            # Listed in an earlier owner's time and not now: a worker that is
-            # cut off, or one that the store dropped while it was away. It
-            # may still run tasks, so it is asked or waited out.
-            unlisted = orders.WorkerEntry(
-                worker, self.pool, address, "", True, work.Room(), frozenset()
-            )
-            self.book.set_worker(unlisted, self._times.steady())
-            self.book.unlist_worker(worker)
         link = links.WorkerLink(
             worker,
             self._platform.make_worker(worker, address),
@@ -262,9 +248,6 @@
             self.wake,
         )
         self._links[worker] = link
-        if self._known_workers.get(worker) != address:
-            self._known_workers[worker] = address
-            self._known_changed.set()
         self._nursery.start_soon(self._run_link, worker, link)
 
     async def _run_link(self, worker: str, link: links.WorkerLink) -> None:
@@ -273,37 +256,8 @@
         held = self.book.workers.get(worker)
         if held is not None and not held.listed and not held.runs:
             self.book.forget_worker(worker)
-            self._known_workers.pop(worker, None)
-            self._known_changed.set()
             log("worker:forgotten", worker=worker)
 
-    async def _remember_workers(self) -> None:
-        """Keep the list of workers that may run tasks of ours.
-
-        The platform's own list drops workers that are cut off, and all of
-        them while it is away; a successor must know whom to wait out.
-        """
-        while True:
-            await self._known_changed.wait()
-            await trio.sleep(_TICK_S)
-            self._known_changed = trio.Event()
-            key = keys.KNOWN_WORKERS + self.pool
-            value = cbor2.dumps(self._known_workers)
-            outcome = await self._store.write(
-                (
-                    self._tenure.guard,
-                    port.Guard(key, self._known_revision),
-                ),
-                (port.Write(key, value),),
-            )
-            if isinstance(outcome, port.Written):
-                self._known_revision = outcome.revision
-                continue
-            if isinstance(outcome, port.Mismatched):
-                current = outcome.current.get(key)
-                self._known_revision = current.revision if current else 0
-            self._known_changed.set()
-
     def _may_hold(self) -> bool:
         return self._tenure.is_valid() or self._may_renew()
 
@@ -328,7 +282,6 @@
                 now,
                 wall,
                 reserved=self._reservations.list_spots(),
-                only_after=0 if self.is_recovered else self.epoch,
             )
             for placement in plan.placements:
                 self._start(placement, now)
@@ -343,12 +296,7 @@
         """Note when every worker has told what an earlier owner started."""
         if self.is_recovered:
             return
-        open_ones = [
-            worker
-            for worker in self.book.workers.values()
-            if not worker.reached and not worker.lapsed
-        ]
-        if open_ones:
+        if any(held.is_untold for held in self.book.workers.values()):
             return
         self.is_recovered = True
         self.book.check_gangs(now)
--- a/crocusrouter/work/book.py
+++ b/crocusrouter/work/book.py
@@ -170,15 +170,31 @@
         """Note what the platform lists; True if the worker is new."""
         held = self.workers.get(entry.id)
         if held is None:
-            self.workers[entry.id] = runs.Worker(entry)
+            self.workers[entry.id] = runs.Worker(entry, sealed=entry.draining)
             self.note("worker:listed", worker=entry.id)
             return True
         if held.entry.draining != entry.draining:
             self.note("worker:state", worker=entry.id, draining=entry.draining)
         held.entry = entry
         held.listed = True
+        held.sealed = held.sealed or entry.draining
         return False
 
+    def list_blocked(self) -> frozenset[str] | None:
+        """Return the jobs that an earlier owner may run out of our sight.
+
+        Returns:
+            Jobs that must not start; None if any job accepted in its time
+            must not.
+        """
+        untold = [held for held in self.workers.values() if held.is_untold]
+        blocked: set[str] = set()
+        for held in untold:
+            if held.blocks is None:
+                return None
+            blocked |= held.blocks
+        return frozenset(blocked)
+
     def unlist_worker(self, worker: str) -> None:
         """Note that the platform lists a worker no more.
 
--- a/crocusrouter/work/planner.py
+++ b/crocusrouter/work/planner.py
@@ -86,20 +86,18 @@
         )
 
 
-def list_waiting(
-    book: books.Book, now: float, wall: float, only_after: int = 0
-) -> list[Waiting]:
+def list_waiting(book: books.Book, now: float, wall: float) -> list[Waiting]:
     """Return the steps with tasks in turn, in order.
 
     Args:
         book: The pool's book.
         now: Steady time in seconds.
         wall: Unix time in seconds.
-        only_after: Leave out jobs accepted at or before this revision.
     """
     found = []
+    blocked = book.list_blocked()
     for held in book.live.values():
-        if held.is_final or held.created <= only_after:
+        if held.is_final or _is_blocked(book, held, blocked):
             continue
         for work in held.steps.values():
             if not work.waiting or work.not_before > now:
@@ -111,6 +109,20 @@
     return sorted(found, key=lambda waiting: waiting.rank)
 
 
+def _is_blocked(
+    book: books.Book, held: runs.JobWork, blocked: frozenset[str] | None
+) -> bool:
+    """Tell whether a job may run where nobody can look yet.
+
+    An earlier owner may have started it on a worker that has not answered
+    its successor, and it would run twice. Jobs accepted after the successor
+    became owner can't have been started by anyone else.
+    """
+    if blocked is None:
+        return held.created <= book.epoch
+    return held.job.id in blocked
+
+
 def _rank(held: runs.JobWork, work: runs.StepWork, wall: float) -> Waiting:
     job = held.job
     due = job.find_due(work.key.occurrence)
@@ -157,12 +169,10 @@
             if space is not None:
                 space.take(work.step.charge)
 
-    def run(self, only_after: int = 0) -> Plan:
+    def run(self) -> Plan:
         """Place all steps in order."""
         holding = 0
-        for waiting in list_waiting(
-            self._book, self._now, self._wall, only_after
-        ):
+        for waiting in list_waiting(self._book, self._now, self._wall):
             if waiting.work.key in self._reserved:
                 continue
             placed = self._place(waiting)
@@ -360,7 +370,6 @@
     wall: float,
     *,
     reserved: Iterable[tuple[model.StepKey, dict[int, str]]] = (),
-    only_after: int = 0,
 ) -> Plan:
     """Return what to start and stop now.
 
@@ -369,7 +378,5 @@
         now: Steady time in seconds.
         wall: Unix time in seconds.
         reserved: Room kept for guaranteed work whose victims still end.
-        only_after: Leave out jobs accepted at or before this revision; an
-            earlier owner may have started them where nobody can look yet.
     """
-    return Planner(book, now, wall, reserved).run(only_after)
+    return Planner(book, now, wall, reserved).run()
--- a/crocusrouter/work/runs.py
+++ b/crocusrouter/work/runs.py
@@ -62,6 +62,9 @@
         failures: Jobs whose tasks failed here since a task last ended well.
         suspect_until: Until when nothing new goes there.
         noted: Number of the last end that the book has taken in.
+        sealed: Whether it has been draining; it gets nothing new ever after.
+        blocks: Jobs that may run there as far as an earlier owner knew, if
+            it has not been reached; None for any job.
     """
 
     entry: orders.WorkerEntry
@@ -74,6 +77,13 @@
     failures: set[str] = dataclasses.field(default_factory=set)
     suspect_until: float = 0.0
     noted: int = 0
+    sealed: bool = False
+    blocks: frozenset[str] | None = None
+
+    @property
+    def is_untold(self) -> bool:
+        """Whether nobody knows yet what an earlier owner runs there."""
+        return not self.reached and not self.lapsed
 
     @property
     def free(self) -> model.Room:
@@ -85,7 +95,7 @@
         return (
             self.listed
             and self.reached
-            and not self.entry.draining
+            and not self.sealed
             and self.silent_since is None
             and now >= self.suspect_until
         )
