Stop runs that would be lost with their worker or stand still

Change: a run on a draining worker that would outlast it is stopped at once, or just before the worker leaves if it has checkpoints; one that stands still is stopped when the stall has lasted as long as a restart would lose (at most twice the better choice). Nothing new goes to a worker with a stalled run. The emulator shows percents now.

--- a/crocusrouter/fleet/orders.py
+++ b/crocusrouter/fleet/orders.py
@@ -176,6 +176,7 @@
         draining: Whether it leaves.
         room: What it has.
         labels: Its kind and its rack among them.
+        stays_s: Seconds that it stays at least while it drains, if it says.
     """
 
     id: str
@@ -185,3 +186,4 @@
     draining: bool
     room: model.Room
     labels: frozenset[str]
+    stays_s: float | None = None
--- a/crocusrouter/platform/workers.py
+++ b/crocusrouter/platform/workers.py
@@ -170,6 +170,8 @@
     state: str = "ready"
     capacity: _Room = _Room()
     labels: list[str] = []
+    # Only while it drains: the least time that is left.
+    remaining_ms: float | None = None
 
 
 def parse_worker(key: str, value: bytes) -> orders.WorkerEntry | None:
@@ -187,4 +189,5 @@
         listed.state != "ready",
         model.Room(room.cpu, room.mem_mb, room.gpu),
         frozenset(listed.labels),
+        listed.remaining_ms / 1000 if listed.remaining_ms is not None else None,
     )
--- a/crocusrouter/work/book.py
+++ b/crocusrouter/work/book.py
@@ -178,6 +178,11 @@
         held.entry = entry
         held.listed = True
         held.sealed = held.sealed or entry.draining
+        if entry.stays_s is not None:
+            # Told anew with each heartbeat; the first that came is the least
+            # delayed.
+            stays_until = now + entry.stays_s
+            held.leaves_at = min(held.leaves_at or stays_until, stays_until)
         return False
 
     def list_blocked(self) -> frozenset[str] | None:
--- a/crocusrouter/work/planner.py
+++ b/crocusrouter/work/planner.py
@@ -12,6 +12,7 @@
 from crocusrouter.work import book as books
 from crocusrouter.work import model
 from crocusrouter.work import packing
+from crocusrouter.work import rescue
 from crocusrouter.work import runs
 from crocusrouter.work import victims
 
@@ -148,12 +149,13 @@
         self._now = now
         self._wall = wall
         self._plan = Plan()
+        stalled = rescue.find_stalled_workers(book, now)
         self._spaces = {
             name: packing.Space(
                 name, packing.find_rack(worker.entry.labels), worker.free
             )
             for name, worker in book.workers.items()
-            if worker.may_take(now)
+            if worker.may_take(now) and name not in stalled
         }
         self._held: set[str] = set()
         self._reserved = dict(reserved)
@@ -170,7 +172,10 @@
                 space.take(work.step.charge)
 
     def run(self) -> Plan:
-        """Place all steps in order."""
+        """Stop what is lost where it is, and place all steps in order."""
+        rescues = rescue.list_rescues(self._book, self._now)
+        whole = rescue.list_whole(self._book, rescues)
+        self._plan.stops += list(whole.values())
         holding = 0
         for waiting in list_waiting(self._book, self._now, self._wall):
             if waiting.work.key in self._reserved:
--- /dev/null
+++ b/crocusrouter/work/rescue.py
@@ -0,0 +1,104 @@
+"""Runs that are better stopped and started elsewhere.
+
+A worker that leaves takes its runs along; tasks on some workers stand still
+although the worker answers. Both end far later than a fresh start would.
+"""
+
+from crocusrouter.work import book as books
+from crocusrouter.work import model
+from crocusrouter.work import runs
+from crocusrouter.work import victims
+
+# Looks come once a second; two without progress are needed to tell a stall
+# from an unlucky moment.
+_SHORTEST_STALL_S = 2.0
+# A task shows whole percents: one that takes hours shows none for minutes.
+_STALL_SHARE = 0.05
+# What a stop and the start elsewhere take.
+_MOVE_S = 0.4
+
+
+def list_rescues(book: books.Book, now: float) -> list[tuple[runs.Run, str]]:
+    """Return the runs to stop now, with the reason.
+
+    Args:
+        book: The pool's book; not changed.
+        now: Steady time in seconds.
+    """
+    found = []
+    for run in book.runs.values():
+        work = book.find_work(run.key)
+        worker = book.workers.get(run.worker)
+        if work is None or worker is None:
+            continue
+        if run.phase is not runs.Phase.RUNNING or work.step.lasting:
+            continue
+        if _leaves_first(run, work, worker, now):
+            found.append((run, "its worker leaves before it would end"))
+        elif is_stalled(run, work, now) and _pays(run, work, now):
+            found.append((run, "it stands still"))
+    return found
+
+
+def _leaves_first(
+    run: runs.Run, work: runs.StepWork, worker: runs.Worker, now: float
+) -> bool:
+    """Tell whether a run is lost with its worker.
+
+    A task with checkpoints makes one at its stop, so it runs on until just
+    before the worker leaves; another one loses least at once.
+    """
+    if worker.leaves_at is None:
+        return False
+    left = worker.leaves_at - now
+    if victims.estimate_rest(run, work, now) <= left:
+        return False
+    return not work.step.checkpoints or left <= 2 * _MOVE_S
+
+
+def is_stalled(run: runs.Run, work: runs.StepWork, now: float) -> bool:
+    """Tell whether a run has shown no progress for longer than chance."""
+    ran = run.moved_at - (run.confirmed_at or run.since)
+    total = work.step.expected_s
+    if run.percent >= 5:
+        total = max(total, ran * 100 / run.percent)
+    still = now - run.moved_at
+    return still > max(_SHORTEST_STALL_S, _STALL_SHARE * total)
+
+
+def _pays(run: runs.Run, work: runs.StepWork, now: float) -> bool:
+    """Tell whether the stall has lasted as long as the work that is lost.
+
+    Nobody knows how long a stall lasts. Waiting as long as a restart would
+    lose costs at most twice what the better choice does.
+    """
+    if work.step.checkpoints:
+        return True
+    ran = run.moved_at - (run.confirmed_at or run.since)
+    return now - run.moved_at >= ran
+
+
+def find_stalled_workers(book: books.Book, now: float) -> set[str]:
+    """Return the workers on which some run stands still."""
+    stalled = set()
+    for run in book.runs.values():
+        work = book.find_work(run.key)
+        if work is None or work.step.lasting:
+            continue
+        if run.phase is runs.Phase.RUNNING and is_stalled(run, work, now):
+            stalled.add(run.worker)
+    return stalled
+
+
+def list_whole(
+    book: books.Book, rescues: list[tuple[runs.Run, str]]
+) -> dict[model.TaskKey, tuple[runs.Run, str]]:
+    """Return the runs to stop with the other members of their gangs."""
+    whole: dict[model.TaskKey, tuple[runs.Run, str]] = {}
+    for run, why in rescues:
+        work = book.find_work(run.key)
+        assert work is not None
+        members = book.list_step_runs(work) if work.step.gang else [run]
+        for member in members:
+            whole.setdefault(member.key, (member, why))
+    return whole
--- a/crocusrouter/work/runs.py
+++ b/crocusrouter/work/runs.py
@@ -62,6 +62,8 @@
         failures: Jobs whose tasks failed here since a task last ended well.
         suspect_until: Until when nothing new goes there.
         noted: Number of the last end that the book has taken in.
+        leaves_at: Steady time until which a draining worker stays at least;
+            None if it does not say.
         sealed: Whether it has been draining; it gets nothing new ever after.
         blocks: Jobs that may run there as far as an earlier owner knew, if
             it has not been reached; None for any job.
@@ -77,6 +79,7 @@
     failures: set[str] = dataclasses.field(default_factory=set)
     suspect_until: float = 0.0
     noted: int = 0
+    leaves_at: float | None = None
     sealed: bool = False
     blocks: frozenset[str] | None = None
 
--- a/crocusrouter/work/tests/test_planner.py
+++ b/crocusrouter/work/tests/test_planner.py
@@ -92,6 +92,8 @@
         guaranteed={"a": guaranteed},
     )
     build.start_planned(book)
+    for run in book.runs.values():
+        run.moved_at = ran_s
     build.put(
         book, build.make_job("high", build.make_step(1, gpu=8), priority=0)
     )
@@ -110,6 +112,7 @@
     old = book.runs[work.TaskKey("old", 0, 0, 0)]
     new = book.runs[work.TaskKey("new", 0, 0, 0)]
     old.confirmed_at, new.confirmed_at = 0.0, 50.0
+    old.moved_at = new.moved_at = 60.0
     build.put(
         book, build.make_job("high", build.make_step(1, gpu=8), priority=0)
     )
--- /dev/null
+++ b/crocusrouter/work/tests/test_rescue.py
@@ -0,0 +1,79 @@
+import dataclasses
+
+import pytest
+
+from crocusrouter import work
+from crocusrouter.fleet import orders
+from crocusrouter.work.tests import build
+
+
+def _run(book, job="j", position=0):
+    return book.runs[work.TaskKey(job, 0, 0, position)]
+
+
+@pytest.mark.parametrize(
+    ("stays_s", "ran_s", "change", "stopped"),
+    [
+        (4.0, 0.0, {"expected_s": 9.0}, True),
+        (4.0, 0.0, {"expected_s": 3.0}, False),
+        (4.0, 0.0, {"expected_s": 9.0, "checkpoints": True}, False),
+        (4.0, 3.5, {"expected_s": 9.0, "checkpoints": True}, True),
+        (None, 0.0, {"expected_s": 9.0}, False),
+        (4.0, 0.0, {"expected_s": 9.0, "lasting": True}, False),
+    ],
+)
+def test_run_that_would_be_lost_with_its_worker(
+    stays_s, ran_s, change, stopped
+):
+    """A worker drains and leaves; a task that would take longer is lost with
+    it, and starts elsewhere only after that.
+    """
+    book = build.make_book(build.make_job("j", build.make_step(1, **change)))
+    build.start_planned(book)
+    run = _run(book)
+    entry = book.workers[run.worker].entry
+    leaving = dataclasses.replace(entry, draining=True, stays_s=stays_s)
+    book.set_worker(leaving, 0.0)
+    run.moved_at = ran_s
+    plan = work.plan(book, ran_s, build.WALL)
+    assert [one for one, _ in plan.stops] == ([run] if stopped else [])
+
+
+@pytest.mark.parametrize(
+    ("ran_s", "still_s", "change", "stopped"),
+    [
+        (1.0, 1.5, {}, False),
+        (1.0, 2.5, {}, True),
+        (5.0, 2.5, {}, False),
+        (5.0, 5.5, {}, True),
+        (5.0, 2.5, {"checkpoints": True}, True),
+        (60.0, 90.0, {"expected_s": 7200.0}, False),
+    ],
+)
+def test_run_that_stands_still(ran_s, still_s, change, stopped):
+    """Tasks on a worker stand still while it answers as if all were well.
+
+    A run is stopped once it has stood still for as long as a fresh start
+    would lose. Nothing new goes to its worker before it moves again.
+    """
+    step = build.make_step(1, **({"expected_s": 8.0} | change))
+    book = build.make_book(build.make_job("j", step), workers=("w0",))
+    build.start_planned(book)
+    run = _run(book)
+    row = orders.Running(run.key, run.number, "", 1.0 if ran_s > 50 else 0.0)
+    book.note_report("w0", orders.Report(0, (row,), ()), ran_s, ran_s)
+    run.moved_at = ran_s
+    now = ran_s + still_s
+    plan = work.plan(book, now, build.WALL + now)
+    assert [one for one, _ in plan.stops] == ([run] if stopped else [])
+
+
+def test_gang_of_a_stalled_member_is_stopped_whole():
+    book = build.make_book(
+        build.make_job("j", build.make_step(2, gpu=8, gang=True))
+    )
+    build.start_planned(book)
+    _run(book).moved_at = 0.0
+    _run(book, position=1).moved_at = 5.0
+    plan = work.plan(book, 5.0, build.WALL)
+    assert len(plan.stops) == 2
--- a/standins/emulator/worker.py
+++ b/standins/emulator/worker.py
@@ -231,7 +231,8 @@
         self.noted = max(self.noted, seen)
         self.ended = [e for e in self.ended if e.number > self.noted]
         running = tuple(
-            orders.Running(task.key, task.run) for task in self.tasks.values()
+            orders.Running(task.key, task.run, "", _measure_percent(task))
+            for task in self.tasks.values()
         )
         return orders.Report(int(clock), running, tuple(self.ended))
 
@@ -241,6 +242,14 @@
             await self._news.wait()
 
 
+def _measure_percent(task: Task) -> float:
+    """Return how far a task says that it is, in whole percents."""
+    if task.works_from is None or task.ends_at is None:
+        return 0.0
+    whole = max(0.01, task.ends_at - task.works_from)
+    return float(int(100 * (trio.current_time() - task.works_from) / whole))
+
+
 class WorkerView:
     """A worker as one entry meets it; implements `WorkerPort`."""
 
