Revert: stop victims at once, without waiting for room of itself

Tried: victims only after half a second, or half the slack. Work of priority 0 has 1.25 s of slack at most, and an estimate that is off by 0.9.

--- a/crocusrouter/work/planner.py
+++ b/crocusrouter/work/planner.py
@@ -25,10 +25,6 @@
 _MAX_HOLDING = 3
 # Benefit ends at three times the objective; later work goes last.
 _LATE_FACTOR = 3.0
-# Before others are stopped, room that comes free by itself is waited for, as
-# long as there is slack: at 176 workers some hundred tasks end a second, and
-# without this pause 27,000 core-seconds of work were thrown away in 34 s.
-_NATURAL_WAIT_S = 0.5
 # Work of the first priority is worth four times as much as what it stops and
 # has no slack; losing twice its own core-seconds costs about what it earns.
 _LOSS_FACTOR = 2.0
@@ -318,8 +314,6 @@
         step = waiting.work.step
         if job.priority != 0 or waiting.hopeless or step.lasting:
             return False
-        if not self._has_waited(waiting):
-            return False
         chosen = victims.choose_victims(
             self._book,
             job.priority,
@@ -348,13 +342,6 @@
             self._spaces[worker].take(step.charge)
         return True
 
-    def _has_waited(self, waiting: Waiting) -> bool:
-        """Tell whether a step has waited long enough for room of itself."""
-        since = waiting.work.waiting_since
-        waited = self._now - since if since is not None else 0.0
-        slack = max(0.0, waiting.latest_start - self._wall)
-        return waited >= min(_NATURAL_WAIT_S, slack / 2)
-
     def _hold_workers(self, waiting: Waiting) -> None:
         """Keep later steps off the workers that will fit this one first."""
         step = waiting.work.step
