Remove jobs from the store after their time; stop while the store is away

Cause: nothing removed jobs, so each takeover would read all ever accepted; an entry that waits for the store at its start ignored SIGTERM until its kill. Change: the owner removes jobs that are over for longer than the platform's status time, guarded by its key; a stop signal ends the wait.

--- a/crocusrouter/cli/entry_service.py
+++ b/crocusrouter/cli/entry_service.py
@@ -37,8 +37,11 @@
     log("entry:starting", settings=loaded.model_dump())
     stopped = trio.Event()
     with trio.open_signal_receiver(*_STOPS, signal.SIGHUP) as signals:
+        secret = await _find_secret_unless_stopped(store, signals)
+        if secret is None:
+            log("entry:stopped", why="before the store had answered")
+            return
         async with trio.open_nursery() as nursery:
-            secret = await _find_secret(store)
             entry = _build_entry(loaded, secret, store, metrics)
             await nursery.start(
                 mesh.serve_mesh,
@@ -82,6 +85,7 @@
             platform.WORKERS_PREFIX,
             platform.parse_worker,
             platform.PlatformWorker,
+            loaded.keep_jobs_s,
         ),
         metrics,
     )
@@ -99,6 +103,28 @@
     return config
 
 
+async def _find_secret_unless_stopped(
+    store: platform.PlatformStore, signals: AsyncIterator[int]
+) -> str | None:
+    """Return the shared secret; None after a stop signal.
+
+    While the store is away an entry waits here. It takes no callers yet, so
+    it can stop at once instead of being killed after its time of grace.
+    """
+    found: str | None = None
+    async with trio.open_nursery() as nursery:
+
+        async def wait_for_stop() -> None:
+            async for number in signals:
+                if number in _STOPS:
+                    nursery.cancel_scope.cancel()
+
+        nursery.start_soon(wait_for_stop)
+        found = await _find_secret(store)
+        nursery.cancel_scope.cancel()
+    return found
+
+
 async def _find_secret(store: platform.PlatformStore) -> str:
     while True:
         try:
--- a/crocusrouter/pools/owner.py
+++ b/crocusrouter/pools/owner.py
@@ -10,6 +10,7 @@
 from crocusrouter import work
 from crocusrouter.fleet import orders
 from crocusrouter.pools import clock
+from crocusrouter.pools import expiry
 from crocusrouter.pools import intake
 from crocusrouter.pools import journal as journals
 from crocusrouter.pools import keys
@@ -46,11 +47,13 @@
         workers_prefix: Where they are listed in the key-value service.
         parse_worker: Decodes an entry of that list.
         make_worker: Opens a port to a worker's id and address.
+        keep_jobs_s: Seconds for which a job that is over can be asked for.
     """
 
     workers_prefix: str
     parse_worker: ParseWorker
     make_worker: MakeWorker
+    keep_jobs_s: float = 600.0
 
 
 class PoolOwner:
@@ -133,6 +136,14 @@
             nursery.start_soon(self._jobs.run)
             nursery.start_soon(self._list.run)
             nursery.start_soon(self._roster.run)
+            nursery.start_soon(
+                expiry.expire_jobs,
+                self._store,
+                self._tenure,
+                self.book,
+                self._times.steady,
+                self._platform.keep_jobs_s,
+            )
             for known in self._roster.list_unlisted(self._times.steady()):
                 self._open_link(known.entry.id, known.entry.address)
             for listed in list(self.book.workers.values()):
--- a/crocusrouter/settings/pools.py
+++ b/crocusrouter/settings/pools.py
@@ -49,6 +49,11 @@
     policy_address: str = pydantic.Field(
         "", description="IP:port of the policy service; empty for none."
     )
+    keep_jobs_s: float = pydantic.Field(
+        600.0,
+        gt=0,
+        description="Seconds for which a job that is over can be asked for.",
+    )
     grace_s: float = pydantic.Field(
         6.0, gt=0, description="Seconds from SIGTERM to the kill."
     )
--- a/crocusrouter/work/book.py
+++ b/crocusrouter/work/book.py
@@ -56,7 +56,9 @@
             held.begun = bool(progress.steps) or progress.final is not None
             held.durable = progress.final is not None
             self.jobs[job.id] = held
-            if not held.is_final:
+            if held.is_final:
+                held.over_since = now
+            else:
                 self.live[job.id] = held
             return
         if job.cancelled and not held.job.cancelled:
@@ -119,11 +121,27 @@
         each of them would be a needless call.
         """
         self.live.pop(held.job.id, None)
+        held.over_since = now
         for work in held.steps.values():
             for run in self.list_step_runs(work):
                 if run.key.position not in work.kept.done:
                     self.stop_run(run, why, now)
 
+    def list_over(self, before: float) -> list[str]:
+        """Return the jobs that were over before a moment, with no run left.
+
+        Args:
+            before: Steady time in seconds.
+        """
+        return [
+            job_id
+            for job_id, held in self.jobs.items()
+            if held.over_since is not None
+            and held.over_since < before
+            and job_id not in self.dirty
+            and not any(map(self.list_step_runs, held.steps.values()))
+        ]
+
     def forget_job(self, job_id: str) -> None:
         """Drop a job that has been over for long enough."""
         self.jobs.pop(job_id, None)
--- a/crocusrouter/work/runs.py
+++ b/crocusrouter/work/runs.py
@@ -148,6 +148,7 @@
         opened: Occurrences that have come due so far.
         begun: Whether a task of it has started.
         durable: Whether the final state is in the journal.
+        over_since: Steady time at which it was first known to be over.
     """
 
     job: model.Job
@@ -159,6 +160,7 @@
     opened: int = 0
     begun: bool = False
     durable: bool = False
+    over_since: float | None = None
 
     @property
     def is_final(self) -> bool:
--- a/crocusrouter/work/tests/test_book.py
+++ b/crocusrouter/work/tests/test_book.py
@@ -212,3 +212,19 @@
     book.open_due(build.WALL + 9, 9.0)
     assert book.outbox == []
     assert work.plan(book, 9.0, build.WALL + 9).placements == []
+
+
+def test_jobs_are_over_once_nothing_of_them_runs():
+    """A job is removed while a worker still runs a task of it; the task is
+    then unknown, and stays there until its lease ends.
+    """
+    job = build.make_job("j", build.make_step(1))
+    book = build.make_book(job)
+    build.start_planned(book)
+    run = book.runs[_key("j")]
+    cancelled = build.make_job("j", build.make_step(1), cancelled=True)
+    book.put_job(cancelled, work.Progress(), 9, 1.0)
+    assert book.list_over(before=5.0) == []
+    build.report(book, run.worker, (run.key, HOW.STOPPED), now=2.0)
+    assert book.list_over(before=1.0) == []
+    assert book.list_over(before=5.0) == ["j"]
