Tell peers who owns a pool and whether the store serves; ask served ones first

They knew owners from their watch only, and had just each other as neighbours by name; callers there heard owner-unavailable for 6 s after a new owner had begun, and 503 for jobs that a served peer could have stored. Ruled out: the store's own path (status 503 throughout). Change: heartbeats carry owners' names and whether the store serves the sender, and go to one peer drawn anew each second; help is asked of served peers first; neighbours in a scattered order. The test of three entries kept out together is red on the code before.

--- a/crocusrouter/mesh/messages.py
+++ b/crocusrouter/mesh/messages.py
@@ -124,13 +124,15 @@
         version: Version of the configuration in force at the sender.
         vouched_age_s: Seconds since the key-value service or a peer said
             that this is the newest one; None if never.
-        owners: Epoch by pool, as the sender knows it.
+        owners: Pool, epoch and owner's name, as the sender knows them.
+        is_served: Whether the key-value service serves the sender.
     """
 
     name: str
     version: int
     vouched_age_s: float | None
-    owners: tuple[tuple[str, int], ...]
+    owners: tuple[tuple[str, int, str], ...]
+    is_served: bool
 
 
 @dataclasses.dataclass(frozen=True)
--- a/crocusrouter/pools/entry.py
+++ b/crocusrouter/pools/entry.py
@@ -103,6 +103,7 @@
         )
         self.configuration.listeners.append(self._spread_config)
         observing = observed.ObservedStore(store, self.times.steady)
+        self._observed = observing
         self._store: port.KeyValueStore = observing
         self._platform = platform
         self._epochs: dict[str, int] = {}
@@ -196,7 +197,11 @@
             self.name,
             self.configuration.version,
             self.configuration.measure_age(now),
-            tuple(self._epochs.items()),
+            tuple(
+                (pool, epoch, self._owner_names.get(pool, ""))
+                for pool, epoch in self._epochs.items()
+            ),
+            not self._observed.is_failing(),
         )
 
     def _take_beat(self, beat: messages.Beat, asked_at: float) -> None:
@@ -208,13 +213,9 @@
             and beat.version == self.configuration.version
         ):
             self.configuration.vouch(asked_at - beat.vouched_age_s)
-        for pool, epoch in beat.owners:
-            held = self.owned.get(pool)
-            if held is not None and held.epoch < epoch:
-                log("owner:deposed", pool=pool, by=epoch, source=beat.name)
-                self._scopes[pool].cancel()
-            if epoch > self._epochs.get(pool, 0):
-                self._epochs[pool] = epoch
+        for pool, epoch, owner in beat.owners:
+            if epoch > self._epochs.get(pool, 0) and owner:
+                self._note_owner(pool, owner, epoch)
 
     async def _fetch_config(self, peer: str) -> None:
         reply = await self.peers.call(peer, messages.AskConfig())
@@ -226,7 +227,7 @@
         match message:
             case messages.Beat():
                 now = self.times.steady()
-                self.peers.note_heard(now)
+                self.peers.note_heard(message, now)
                 self._take_beat(message, now)
                 return self._describe()
             case messages.AskConfig():
@@ -269,6 +270,9 @@
             self._vacant_since[pool] = self.times.steady()
 
     def _note_owner(self, pool: str, name: str, epoch: int) -> None:
+        """Take an owner's name from the store or a peer; the latest wins."""
+        if epoch < self._epochs.get(pool, 0):
+            return
         log("owner:known", pool=pool, owner=name, epoch=epoch)
         self._owner_names[pool] = name
         self._epochs[pool] = max(epoch, self._epochs.get(pool, 0))
--- a/crocusrouter/pools/peers.py
+++ b/crocusrouter/pools/peers.py
@@ -1,11 +1,16 @@
 """Other entries: who they are, and heartbeats with them.
 
 An entry that the store turns away learns of a new configuration, and of a
-later owner, from its peers. Heartbeats go to the owners and to two neighbours
-by name, so their number grows with the entries and not with its square.
+later owner, from its peers. Heartbeats go to the owners, to two neighbours and
+to one peer drawn anew each time, so their number grows with the entries and
+not with its square. The drawn one matters: entries that the store turns away
+together may have only each other as neighbours, and believed in an owner that
+had been replaced for as long as the store kept them out.
 """
 
 from collections.abc import Callable
+import hashlib
+import random
 from typing import Any
 from typing import Protocol
 
@@ -22,6 +27,8 @@
 # An owner that the store turns away goes on renewing leases only while some
 # peer would tell it of a successor.
 _HEARD_S = 2.5
+# A peer that was served this long ago is asked for help first.
+_SERVED_S = 3.0
 
 
 class PeerPort(Protocol):
@@ -72,6 +79,8 @@
         self._links: dict[str, tuple[str, PeerPort, trio.CancelScope]] = {}
         self._nursery: trio.Nursery | None = None
         self._heard_at: float | None = None
+        self._served_at: dict[str, float] = {}
+        self._random = random.Random(name)
 
     def set_members(self, addresses: dict[str, str]) -> None:
         """Take the members' mesh addresses by name."""
@@ -95,9 +104,13 @@
             return True
         return self._heard_at is not None and now - self._heard_at < _HEARD_S
 
-    def note_heard(self, now: float) -> None:
+    def note_heard(self, beat: messages.Beat, now: float) -> None:
         """Note that a peer was heard."""
         self._heard_at = now
+        if beat.is_served:
+            self._served_at[beat.name] = now
+        else:
+            self._served_at.pop(beat.name, None)
 
     async def call(self, name: str, message: object) -> object | None:
         """Ask a peer; None if it gave no answer in time."""
@@ -128,12 +141,21 @@
         return self._links[name][1]
 
     def choose_helpers(self) -> list[str]:
-        """Return the peers to ask for help, owners first."""
+        """Return the peers to ask for help: served ones, owners, neighbours."""
+        now = self._times.steady()
         owners = self._find_owners() - {self._name}
-        return [*sorted(owners), *sorted(self._choose_neighbours() - owners)]
+        served = [
+            name
+            for name, at in self._served_at.items()
+            if now - at < _SERVED_S and name in self._addresses
+        ]
+        served.sort(key=lambda name: (name not in owners, name))
+        others = sorted((owners | self._choose_neighbours()) - set(served))
+        return served + others
 
     def _choose_neighbours(self) -> set[str]:
-        names = self.list_members()
+        """Return the next two in an order that is not that of places."""
+        names = sorted(self.list_members(), key=_scatter)
         at = names.index(self._name)
         chosen = (
             names[(at + step) % len(names)]
@@ -141,13 +163,18 @@
         )
         return set(chosen) - {self._name}
 
+    def _draw_peer(self) -> set[str]:
+        others = sorted(self._addresses)
+        return {self._random.choice(others)} if others else set()
+
     async def run(self) -> None:
         """Exchange heartbeats until cancelled."""
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
             while True:
                 owners = self._find_owners() - {self._name}
-                for name in owners | self._choose_neighbours():
+                chosen = owners | self._choose_neighbours()
+                for name in chosen | self._draw_peer():
                     nursery.start_soon(self._beat, name)
                 await trio.sleep(_BEAT_S)
 
@@ -155,10 +182,14 @@
         asked_at = self._times.steady()
         reply = await self.call(name, self._describe())
         if isinstance(reply, messages.Beat):
-            self.note_heard(self._times.steady())
+            self.note_heard(reply, self._times.steady())
             self._take(reply, asked_at)
 
 
+def _scatter(name: str) -> bytes:
+    return hashlib.blake2b(name.encode(), digest_size=8).digest()
+
+
 async def _run_link(link: PeerPort, scope: trio.CancelScope) -> None:
     with scope:
         await link.run()
--- a/crocusrouter/pools/tests/test_relay.py
+++ b/crocusrouter/pools/tests/test_relay.py
@@ -62,3 +62,29 @@
     assert outcome is pools.Stored.NOT_STORED
     assert not stored
     assert trio.current_time() - started < 3.0 + 4.5 + 8.0 + 0.1
+
+
+async def test_entries_kept_out_together_learn_of_a_new_owner(autojump_clock):
+    """The store turns three of six entries away, the owner among them.
+
+    Another becomes owner; the three know it from no watch, and may have only
+    each other as neighbours. Callers there must still read states and hand
+    jobs in.
+    """
+    held = clusters.Cluster(1, entries=6)
+    async with trio.open_nursery() as nursery:
+        await nursery.start(held.run)
+        await trio.sleep(3.0)
+        owner = held.find_owner()
+        out = [owner, *[name for name in held.names if name != owner][:2]]
+        for name in out:
+            held.store.turned_away[name] = emulator.StoreFault.BUSY
+        await trio.sleep(6.0)
+        job = build.make_job("0123456789abcdef", build.make_step(1))
+        held.oracle.jobs[job.id] = job
+        for name in out:
+            desk = held.entries[name].desk
+            assert await desk.accept(job) is pools.Stored.STORED
+            assert await desk.count_pending(clusters.POOL, "q") is not None
+        nursery.cancel_scope.cancel()
+    assert held.find_owner() not in out
--- a/crocusrouter/store/observed.py
+++ b/crocusrouter/store/observed.py
@@ -30,6 +30,10 @@
         self._read_clock = read_clock
         self._failing_since: float | None = None
 
+    def is_failing(self) -> bool:
+        """Tell whether the last call that ended has failed."""
+        return self._failing_since is not None
+
     def is_down(self) -> bool:
         """Tell whether the store has failed for a while and not served."""
         since = self._failing_since
