--- a/crocusrouter/http/queue_calls.py
+++ b/crocusrouter/http/queue_calls.py
@@ -160,6 +160,10 @@
                 return Rendered(200, dict(_JSON), b"{}")
             case pools.Cancelled.NO_JOB:
                 raise refuse(RefusalReason.UNKNOWN_JOB, f"job {call.job_id}")
+            case pools.Cancelled.NOT_TRIED:
+                raise refuse(
+                    RefusalReason.STORE_UNAVAILABLE, call.job_id, _RETRY_S
+                )
         raise refuse(RefusalReason.COMMIT_UNKNOWN, call.job_id, _RETRY_S)
 
 
--- a/crocusrouter/http/tests/test_queue_calls.py
+++ b/crocusrouter/http/tests/test_queue_calls.py
@@ -173,6 +173,20 @@
     assert ready == 503
 
 
+async def test_cancel_during_an_outage_is_told_to_come_back(autojump_clock):
+    """The store is away for seconds. A cancel that is told 504 is asked
+    again every half second, by every caller, at every entry.
+
+    Nothing was tried, so 503 is true, and says when to come back.
+    """
+    async with _serve() as served:
+        served.cluster.store.fault = emulator.StoreFault.BUSY
+        await trio.sleep(1.0)
+        status, headers, _ = await served.ask("DELETE", f"/q/{_ID}")
+    assert status == 503
+    assert headers[b"retry-after"] == b"1"
+
+
 async def test_configuration_comes_from_a_peer(autojump_clock):
     """The store turns an entry away while a key is taken away.
 
--- a/crocusrouter/pools/desk.py
+++ b/crocusrouter/pools/desk.py
@@ -33,6 +33,7 @@
 
     DONE = "done"
     NO_JOB = "no-job"
+    NOT_TRIED = "not-tried"  # the job could not even be read
     UNKNOWN = "unknown"
 
 
@@ -109,17 +110,20 @@
     async def cancel(self, job_id: str) -> Cancelled:
         """Mark a job as cancelled; its owner stops it."""
         key = keys.build_job_key(job_id)
+        tried = False
         for _ in range(_CANCEL_TRIES):
             try:
                 found = await self._store.read(key)
-            except client.StoreUnavailableError:
-                continue
+            except client.StoreUnavailableError as error:
+                log("job:cancel", job=job_id, outcome=str(error))
+                break
             if found is None:
                 return Cancelled.NO_JOB
             job: work.Job = codec.unpack(work.Job, found.value)
             if job.cancelled:
                 return Cancelled.DONE
             marked = dataclasses.replace(job, cancelled=True)
+            tried = True
             outcome = await self._store.write(
                 port.Guard(key, found.revision),
                 port.Write(key, codec.pack(marked)),
@@ -127,7 +131,7 @@
             log("job:cancel", job=job_id, outcome=type(outcome).__name__)
             if isinstance(outcome, port.Written):
                 return Cancelled.DONE
-        return Cancelled.UNKNOWN
+        return Cancelled.UNKNOWN if tried else Cancelled.NOT_TRIED
 
     # State.
 
--- a/crocusrouter/work/planner.py
+++ b/crocusrouter/work/planner.py
@@ -330,12 +330,12 @@
         if chosen is None:
             return False
         own = step.charge.cores * step.expected_s * len(missing)
-        if not self._is_guaranteed(waiting) and chosen.cost > (
-            _LOSS_FACTOR * own
-        ):
+        guaranteed = self._is_guaranteed(waiting)
+        if not guaranteed and chosen.cost > _LOSS_FACTOR * own:
             return False
         spots = dict(zip(sorted(missing), chosen.workers, strict=True))
-        why = f"its room is guaranteed to job {waiting.held.job.id}"
+        claim = "guaranteed to" if guaranteed else "wanted first by"
+        why = f"its room is {claim} job {job.id}"
         self._plan.stops += [(run, why) for run in chosen.runs]
         self._plan.reservations.append(Placement(waiting.work.key, spots))
         for worker in chosen.workers:
