Give a worker up once another incarnation answers at its address

Cause: read in the code, then played: a worker crashes, another one answers at its address, and the platform lists the old one until three heartbeats are missed. Ruled out: a pause after the refusal (it still goes there). Change: such a worker is marked as gone and never chosen.

--- a/crocusrouter/pools/links.py
+++ b/crocusrouter/pools/links.py
@@ -87,7 +87,8 @@
                         return
                     await self._wake.wait()
                 self._wake = trio.Event()
-                await self._look(_LOOK_S)
+                if not self._gone:
+                    await self._look(_LOOK_S)
         finally:
             with trio.CancelScope(shield=True):
                 await self._port.aclose()
@@ -110,7 +111,7 @@
             case orders.Rejected(orders.Why.FENCED):
                 raise journals.DeposedError(f"fenced by {self.worker}")
             case orders.Rejected(orders.Why.OTHER_INCARNATION):
-                self._leave("another incarnation answers there")
+                self._leave()
             case _:
                 await self._take_silence()
 
@@ -137,9 +138,11 @@
                 self._gone = True
         await trio.sleep(_RETRY_S)
 
-    def _leave(self, why: str) -> None:
+    def _leave(self) -> None:
+        """Give the worker up: another incarnation answers at its address."""
         self._gone = True
-        self._book.note_lapsed(self.worker, why, self._times.steady())
+        self._book.note_gone(self.worker, self._times.steady())
+        self.wake()
         self._changed()
 
     # Orders.
@@ -171,7 +174,7 @@
                 case orders.Rejected(orders.Why.FENCED):
                     raise journals.DeposedError(f"fenced by {self.worker}")
                 case orders.Rejected(orders.Why.OTHER_INCARNATION):
-                    self._leave("another incarnation answers there")
+                    self._leave()
                     return
                 case orders.Rejected(why):
                     if not maybe_begun:
@@ -236,7 +239,7 @@
                     await self._settle_stop(order, now)
                     return
                 case orders.Rejected(orders.Why.OTHER_INCARNATION):
-                    self._leave("another incarnation answers there")
+                    self._leave()
                     return
             run = self._book.runs.get(order.key)
             if run is None or run.number != order.run:
--- a/crocusrouter/pools/owner.py
+++ b/crocusrouter/pools/owner.py
@@ -233,6 +233,7 @@
                 link = self._links.get(worker)
                 if link is not None:
                     link.wake()
+                self._forget_if_over(worker)
                 continue
             entry = self._platform.parse_worker(
                 event.record.key, event.record.value
@@ -246,7 +247,7 @@
 
     def _open_link(self, worker: str, address: str) -> None:
         assert self._nursery is not None
-        if worker in self._links:
+        if worker in self._links or self.book.workers[worker].gone:
             return
         link = links.WorkerLink(
             worker,
@@ -265,9 +266,20 @@
         await link.run()
         del self._links[worker]
         held = self.book.workers.get(worker)
-        if held is not None and not held.listed and not held.runs:
-            self.book.forget_worker(worker)
-            log("worker:forgotten", worker=worker)
+        if held is None:
+            return
+        if held.listed and not held.gone:
+            # Listed again while its link was being closed.
+            self._open_link(worker, held.entry.address)
+        else:
+            self._forget_if_over(worker)
+
+    def _forget_if_over(self, worker: str) -> None:
+        held = self.book.workers.get(worker)
+        if held is None or held.listed or held.runs or worker in self._links:
+            return
+        self.book.forget_worker(worker)
+        log("worker:forgotten", worker=worker)
 
     def _may_hold(self) -> bool:
         return self._tenure.is_valid() or self._may_renew()
--- a/crocusrouter/pools/roster.py
+++ b/crocusrouter/pools/roster.py
@@ -71,7 +71,7 @@
                     jobs = sorted(known) if known is not None else None
                 elif not jobs:
                     continue
-            elif held.lapsed and not held.listed:
+            elif held.gone or (held.lapsed and not held.listed):
                 continue
             rows.append([name, held.entry.address, jobs])
         return cbor2.dumps(rows)
--- a/crocusrouter/work/book.py
+++ b/crocusrouter/work/book.py
@@ -248,6 +248,16 @@
             self._requeue(run, orders.How.LAPSED, now)
         held.lapsed = True
 
+    def note_gone(self, worker: str, now: float) -> None:
+        """Note that another incarnation answers at a worker's address.
+
+        The platform may list the one that is gone for some seconds more.
+        """
+        held = self.workers.get(worker)
+        if held is not None:
+            held.gone = True
+            self.note_lapsed(worker, "another incarnation answers", now)
+
     def forget_worker(self, worker: str) -> None:
         """Drop a worker that is unlisted and runs nothing."""
         self.workers.pop(worker, None)
--- a/crocusrouter/work/runs.py
+++ b/crocusrouter/work/runs.py
@@ -57,6 +57,7 @@
         reached: Whether it has answered under this owner's epoch.
         silent_since: Since when it has not answered; None if it does.
         lapsed: Whether all that ran there has certainly ended.
+        gone: Whether another incarnation answers at its address.
         used: Room that runs take.
         runs: Tasks whose runs are there.
         failures: Jobs whose tasks failed here since a task last ended well.
@@ -74,6 +75,7 @@
     reached: bool = False
     silent_since: float | None = None
     lapsed: bool = False
+    gone: bool = False
     used: model.Room = model.Room()
     runs: set[model.TaskKey] = dataclasses.field(default_factory=set)
     failures: set[str] = dataclasses.field(default_factory=set)
@@ -99,6 +101,7 @@
             self.listed
             and self.reached
             and not self.sealed
+            and not self.gone
             and self.silent_since is None
             and now >= self.suspect_until
         )
--- a/standins/emulator/faults.py
+++ b/standins/emulator/faults.py
@@ -12,6 +12,8 @@
 from standins.emulator import store as stores
 
 _CALM_S = 25.0
+# Three heartbeats of 1.5 s, after which a silent worker is listed no more.
+_UNLISTED_S = 4.5
 _RESTART_S = 1.5
 
 
@@ -31,6 +33,7 @@
     CUT_WORKER = "cut-worker"
     CRASH_WORKER = "crash-worker"
     DRAIN_WORKER = "drain-worker"
+    REBORN_WORKER = "reborn-worker"
     LATE_ORDERS = "late-orders"
     FAIL_ALL = "fail-all"
     CANCEL_MANY = "cancel-many"
@@ -178,12 +181,29 @@
             worker.fails_all = False
         case Fault.CRASH_WORKER:
             await _replace(held, name, event.for_s)
+        case Fault.REBORN_WORKER:
+            await _bear_again(held, name)
         case Fault.DRAIN_WORKER:
             held.drain_worker(name)
             await trio.sleep(3.0)
             await _replace(held, name, event.for_s)
 
 
+async def _bear_again(held: clusters.Cluster, name: str) -> None:
+    """End a worker; another one answers at its address at once.
+
+    The platform lists the old one until its heartbeats have been missed.
+    """
+    worker = held.workers[name]
+    rack = next(r for r in worker.entry.labels if "-" in r)
+    worker.crash()
+    worker.reborn = True
+    base = name.partition("+")[0]
+    held.add_worker(f"{base}+{held.random.getrandbits(16)}", rack)
+    await trio.sleep(_UNLISTED_S)
+    held.store.remove(clusters.WORKERS + name)
+
+
 async def _replace(held: clusters.Cluster, name: str, after_s: float) -> None:
     """End a worker; another incarnation comes later."""
     rack = next(r for r in held.workers[name].entry.labels if "-" in r)
--- a/standins/emulator/tests/test_days.py
+++ b/standins/emulator/tests/test_days.py
@@ -37,6 +37,27 @@
     assert len(held.oracle.accepted) > 5
 
 
+@pytest.mark.parametrize("seed", [0, 3, 5])
+async def test_worker_that_is_another_now_gets_no_more_starts(
+    seed, autojump_clock
+):
+    """A worker crashes and another one answers at its address at once; the
+    platform lists the old one for some seconds more.
+
+    Its answer says that it is gone. Thousands of starts went there all the
+    same, each refused, and their jobs waited for as long.
+    """
+    load = emulator.Load(length_s=15.0, per_s=2.0)
+    events = [
+        faults.Event(at, emulator.Fault.REBORN_WORKER, 4.0)
+        for at in (3.0, 6.0, 9.0, 12.0)
+    ]
+    held = await emulator.play(seed, load, events)
+    assert held.oracle.broken == []
+    missed = sum(worker.missed_starts for worker in held.workers.values())
+    assert missed <= 4 * 8
+
+
 async def test_calm_day_needs_few_calls(autojump_clock):
     """Nothing fails; calls to the store are priced and must stay few."""
     load = emulator.Load(poison=0.0)
--- a/standins/emulator/worker.py
+++ b/standins/emulator/worker.py
@@ -61,6 +61,8 @@
         self.gangs = gangs
         self.random = random.Random(seed)
         self.alive = True
+        self.reborn = False
+        self.missed_starts = 0
         self.fails_all = False
         self.cut_from: set[str] = set()
         self.late_share = 0.0
@@ -265,6 +267,8 @@
     ) -> orders.Report | orders.Rejected | orders.Silent:
         """Look, and wait for an end."""
         await trio.sleep(_ORDER_S)
+        if self._worker.reborn:
+            return orders.Rejected(orders.Why.OTHER_INCARNATION)
         if not self._is_reachable():
             await trio.sleep(wait_s + 0.6)
             return orders.Silent("cut")
@@ -283,6 +287,9 @@
     ) -> orders.Taken | orders.Rejected | orders.Silent:
         """Start a run; some starts are carried out late."""
         await trio.sleep(_ORDER_S)
+        if self._worker.reborn:
+            self._worker.missed_starts += 1
+            return orders.Rejected(orders.Why.OTHER_INCARNATION)
         if not self._is_reachable():
             await trio.sleep(timeout_s)
             return orders.Silent("cut")
@@ -308,6 +315,8 @@
     ) -> orders.Taken | orders.Rejected | orders.Silent:
         """Stop a run."""
         await trio.sleep(_ORDER_S)
+        if self._worker.reborn:
+            return orders.Rejected(orders.Why.OTHER_INCARNATION)
         if not self._is_reachable():
             await trio.sleep(timeout_s)
             return orders.Silent("cut")
