--- a/crocusrouter/controllers/peers.py
+++ b/crocusrouter/controllers/peers.py
@@ -55,7 +55,13 @@
         """Run the links until cancelled."""
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
-            await trio.sleep_forever()
+            try:
+                await trio.sleep_forever()
+            finally:
+                # A stop ends this task before others that still hear of
+                # peers; a link opened then would end the whole entry with an
+                # error.
+                self._nursery = None
 
     def set_fleet(self, machines: fleet.Fleet) -> None:
         """Bring the peers in line with the VM list."""
--- a/crocusrouter/pools/peers.py
+++ b/crocusrouter/pools/peers.py
@@ -171,12 +171,20 @@
         """Exchange heartbeats until cancelled."""
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
-            while True:
-                owners = self._find_owners() - {self._name}
-                chosen = owners | self._choose_neighbours()
-                for name in chosen | self._draw_peer():
-                    nursery.start_soon(self._beat, name)
-                await trio.sleep(_BEAT_S)
+            try:
+                await self._beat_forever(nursery)
+            finally:
+                # Callers are served until the very end of a stop; a link
+                # opened after this would end the process with an error.
+                self._nursery = None
+
+    async def _beat_forever(self, nursery: trio.Nursery) -> None:
+        while True:
+            owners = self._find_owners() - {self._name}
+            chosen = owners | self._choose_neighbours()
+            for name in chosen | self._draw_peer():
+                nursery.start_soon(self._beat, name)
+            await trio.sleep(_BEAT_S)
 
     async def _beat(self, name: str) -> None:
         asked_at = self._times.steady()
--- /dev/null
+++ b/crocusrouter/pools/tests/test_peers.py
@@ -0,0 +1,67 @@
+"""Peers while an entry stops."""
+
+import trio
+
+from crocusrouter import fleet
+from crocusrouter.controllers import peers as controller_peers
+from crocusrouter.mesh import messages
+from crocusrouter.pools import clock
+from crocusrouter.pools import peers
+
+
+class _Link:
+    async def run(self):
+        await trio.sleep_forever()
+
+    async def call(self, message, timeout_s):
+        return messages.Beat("b", 1, 0.0, (), True)
+
+
+def _make_peers():
+    made = peers.Peers(
+        "a",
+        lambda name, address: _Link(),
+        clock.Clock(trio.current_time, trio.current_time),
+        lambda: messages.Beat("a", 1, 0.0, (), True),
+        lambda beat, at: None,
+        set,
+    )
+    made.set_members({"b": "b:1"})
+    return made
+
+
+async def _run_and_stop(run):
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(run)
+        await trio.sleep(0.1)
+        nursery.cancel_scope.cancel()
+
+
+async def test_caller_served_at_the_very_end_of_a_stop(autojump_clock):
+    """An entry ends with an error instead of stopping: the task that keeps
+    its links is gone, and a caller's request opens one more link.
+    """
+    made = _make_peers()
+    made.set_members({})
+    await _run_and_stop(made.run)
+    made.set_members({"b": "b:1"})
+    assert await made.call("b", messages.AskConfig()) is None
+
+
+async def test_peer_that_is_listed_at_the_very_end_of_a_stop(autojump_clock):
+    """The same with the VM list, which is read until the end."""
+    held = controller_peers.PeerController(
+        "a", "secret12", 1.0, None, lambda: None, lambda beat: None
+    )
+    await _run_and_stop(held.run)
+    vm = fleet.Vm("b", fleet.Role.ENTRY, "127.0.0.1:1", "liege")
+    held.set_fleet(fleet.Fleet({"b": vm}, 0.0))
+    assert held.find_link("b") is None
+
+
+async def test_help_is_asked_of_served_peers_first(autojump_clock):
+    made = _make_peers()
+    made.set_members({name: f"{name}:1" for name in "bcdef"})
+    made.note_heard(messages.Beat("f", 1, None, (), True), 0.0)
+    made.note_heard(messages.Beat("b", 1, None, (), False), 0.0)
+    assert made.choose_helpers()[0] == "f"
