Cut no connection that was made before a planned stop

Cause: at a stop the listener was closed with connections in the kernel's queue, which resets them, and connections that had been taken but had not brought a request were closed at once. Ruled out: requests in flight (they were answered), kept-alive connections (told to close in the second before). Change: before the listener is closed a socket filter keeps further connections from coming to be, the queue is emptied, and a connection gets 0.3 s for its first request.

--- a/crocusrouter/http/server.py
+++ b/crocusrouter/http/server.py
@@ -11,9 +11,11 @@
 import hypercorn.trio
 import hypercorn.trio.run
 import hypercorn.trio.tcp_server
+import hypercorn.utils
 from starlette.types import ASGIApp
 import trio
 
+from crocusrouter.http import listening
 from crocusrouter.outcomes import Refusal
 from crocusrouter.outcomes import RefusalReason
 from crocusrouter.outcomes import render_refusal
@@ -23,6 +25,11 @@
 _KEEP_ALIVE_S = 30.0
 _MAX_REQUESTS_PER_CONNECTION = 100_000
 _MAX_HEADER_BYTES = 16 << 10
+# Time for the accept loop to empty a listener's queue before it is closed;
+# an accept takes well under a millisecond.
+_EMPTY_QUEUE_S = 0.05
+# Time for a caller that has just connected to send its request.
+_FIRST_REQUEST_S = 0.3
 _PROTOCOL_NAME = "H11Protocol"
 _SERVER_NAME = "TCPServer"
 
@@ -87,6 +94,7 @@
 
     async def run(self) -> None:
         """Serve the connection until it is closed."""
+        self._opened_at = trio.current_time()
         try:
             await super().run()
         except* Exception as errors:
@@ -96,6 +104,19 @@
             log("http:connection-failed", error=repr(errors.exceptions))
             await trio.aclose_forcefully(self.stream)
 
+    async def _idle_timeout(self) -> None:
+        """Close an idle connection, at a stop not before its first request.
+
+        A caller that connected just before the stop is about to send. Closed
+        at once, it could not tell whether its request was read.
+        """
+        with trio.move_on_after(self.config.keep_alive_timeout):
+            await self.context.terminated.wait()
+            first_until = self._opened_at + _FIRST_REQUEST_S
+            await trio.sleep_until(max(first_until, trio.current_time()))
+        with trio.CancelScope(shield=True):
+            await self._initiate_server_close()
+
 
 # hypercorn names these classes in one place each and has no setting for them.
 setattr(hypercorn.protocol, _PROTOCOL_NAME, RefusingProtocol)
@@ -109,10 +130,25 @@
     task_status: trio.TaskStatus[Any] = trio.TASK_STATUS_IGNORED,
 ) -> None:
     """Serve `app` until `shutdown_trigger` returns and requests are done."""
-    await hypercorn.trio.serve(
-        app,  # type: ignore[arg-type]
+    sockets = config.create_sockets()
+    listeners = sockets.insecure_sockets
+    for listener in listeners:
+        listener.listen(config.backlog)
+
+    async def stop_listening() -> None:
+        await shutdown_trigger()
+        for listener in listeners:
+            listening.refuse_connections(listener)
+        await trio.sleep(_EMPTY_QUEUE_S)
+
+    await hypercorn.trio.run.worker_serve(
+        hypercorn.utils.wrap_app(
+            app,  # type: ignore[arg-type]
+            config.wsgi_max_body_size,
+            "asgi",
+        ),
         config,
-        mode="asgi",
-        shutdown_trigger=shutdown_trigger,
+        sockets=sockets,
+        shutdown_trigger=stop_listening,
         task_status=task_status,
     )
