Carry waves of upkeep out: one VM emptied after the other, under the epoch

Cause: waves that operators ask for were not read at all. Change: the owner of a pool empties the VMs of a wave (nothing new there, work with checkpoints stopped, work that ends in time awaited, tasks that last one by one as their step allows) and orders them down under its epoch. How far a wave is lies in one record in the store, changed by compare-and- swap, so that owners of several pools together keep the wave's bound; a VM counts as away from before its order is sent until its next worker is listed after an answered order. Ports to workers, VMs and the policy service now lie in work/, which ends an import cycle between fleet and work. Weighed and left out: a holder of its own for all duties (a second election, and it would have to ask the owners to empty VMs). Seen red by mutation: no bound on VMs away, no bound on tasks away, a VM ordered down before it is empty. Moves of VMs between pools are not built: no promise needs one.

--- a/crocusrouter/cli/entry_service.py
+++ b/crocusrouter/cli/entry_service.py
@@ -16,11 +16,11 @@
 from crocusrouter import pools
 from crocusrouter import settings
 from crocusrouter import store as stores
-from crocusrouter.fleet import orders
 from crocusrouter.http import entry_app
 from crocusrouter.telemetry import Metrics
 from crocusrouter.telemetry import log
 from crocusrouter.telemetry import open_log
+from crocusrouter.work import orders
 
 _STOPS = (signal.SIGTERM, signal.SIGINT)
 # The balancer asks each second and drops an entry after two misses; callers
@@ -89,6 +89,7 @@
             platform.PlatformWorker,
             loaded.keep_jobs_s,
             _find_policy(loaded.policy_address),
+            _find_upkeeping(loaded.vms_address),
         ),
         metrics,
     )
@@ -100,6 +101,17 @@
     return lambda: platform.PlatformPolicy(address)
 
 
+def _find_upkeeping(address: str) -> pools.Upkeeping | None:
+    if not address:
+        return None
+    return pools.Upkeeping(
+        platform.WAVES_PREFIX,
+        platform.parse_wave,
+        lambda: platform.PlatformVms(address),
+        platform.build_wave_status,
+    )
+
+
 def _build_http(
     loaded: settings.EntrySettings, metrics: Metrics
 ) -> hypercorn.Config:
--- a/crocusrouter/platform/__init__.py
+++ b/crocusrouter/platform/__init__.py
@@ -11,6 +11,10 @@
 from crocusrouter.platform.submissions import parse_submission
 from crocusrouter.platform.submissions import render_pending
 from crocusrouter.platform.submissions import render_state
+from crocusrouter.platform.vms import WAVES_PREFIX
+from crocusrouter.platform.vms import PlatformVms
+from crocusrouter.platform.vms import build_wave_status
+from crocusrouter.platform.vms import parse_wave
 from crocusrouter.platform.workers import WORKERS_PREFIX
 from crocusrouter.platform.workers import PlatformWorker
 from crocusrouter.platform.workers import parse_worker
@@ -18,15 +22,19 @@
 __all__ = [
     "CONFIG_KEY",
     "CONFIG_PREFIX",
+    "WAVES_PREFIX",
     "WORKERS_PREFIX",
     "Caller",
     "PlatformPolicy",
     "PlatformStore",
+    "PlatformVms",
     "PlatformWorker",
     "WrongConfigError",
+    "build_wave_status",
     "is_job_id",
     "parse_config",
     "parse_submission",
+    "parse_wave",
     "parse_worker",
     "render_pending",
     "render_state",
--- a/crocusrouter/platform/policy.py
+++ b/crocusrouter/platform/policy.py
@@ -2,10 +2,10 @@
 
 from typing import Any
 
-from crocusrouter.fleet import orders
 from crocusrouter.platform import calls
 from crocusrouter.platform import names
 from crocusrouter.work import model
+from crocusrouter.work import orders
 
 # The service handles one call of a VM at a time.
 _CONNECTIONS = 1
@@ -13,7 +13,7 @@
 
 
 class PlatformPolicy:
-    """Implements `fleet.orders.PolicyPort`."""
+    """Implements `work.orders.PolicyPort`."""
 
     def __init__(self, address: str) -> None:
         self._caller = calls.Caller(address, _CONNECTIONS)
--- a/crocusrouter/platform/tests/test_decoding.py
+++ b/crocusrouter/platform/tests/test_decoding.py
@@ -8,13 +8,14 @@
 from crocusrouter import platform
 from crocusrouter import queues
 from crocusrouter import work
-from crocusrouter.fleet import orders
 from crocusrouter.outcomes import RefusedError
 from crocusrouter.platform import calls
 from crocusrouter.store import client
 from crocusrouter.store import port
 from crocusrouter.store import records
 from crocusrouter.telemetry import Metrics
+from crocusrouter.work import orders
+from crocusrouter.work import vms
 
 _KEY = work.TaskKey("5c0e7a21d94b36f8", 0, 1, 17)
 _NAME = "5c0e7a21d94b36f8.0.1.17"
@@ -354,3 +355,74 @@
         "step": "5c0e7a21d94b36f8.0.1",
         "workers": ["i-1", "i-2"],
     }
+
+
+_ROW = {"machine": "m-1", "pool": "p", "state": "up", "id": "i-1"}
+
+
+@pytest.mark.parametrize(
+    ("answers", "expected"),
+    [
+        (
+            [_answer(200, machines=[_ROW], next_token=None)],
+            (vms.Vm("m-1", "p", vms.VmState.UP, "i-1"),),
+        ),
+        (
+            [
+                _answer(200, machines=[_ROW], next_token="t"),
+                _answer(200, machines=[{"machine": "m-2", "state": "down"}]),
+            ],
+            (
+                vms.Vm("m-1", "p", vms.VmState.UP, "i-1"),
+                vms.Vm("m-2", "", vms.VmState.DOWN, ""),
+            ),
+        ),
+        ([_answer(429)], orders.Silent("status 429")),
+        ([_LOST], orders.Silent("lost", maybe_done=True)),
+    ],
+)
+async def test_vms_of_the_platform(monkeypatch, answers, expected):
+    _Wire(monkeypatch, *answers)
+    assert await platform.PlatformVms("127.0.0.1:1").list_vms() == expected
+
+
+@pytest.mark.parametrize(
+    ("answer", "expected"),
+    [
+        (_answer(200), vms.Upkeep.DONE),
+        (_answer(409, reason="fence"), vms.Upkeep.FENCED),
+        (_answer(409, reason="busy"), vms.Upkeep.BUSY),
+        (_answer(409, reason="wave"), vms.Upkeep.FOREIGN),
+        (_answer(400), vms.Upkeep.FOREIGN),
+        (_answer(429), orders.Silent("status 429", maybe_done=False)),
+        (_LOST, orders.Silent("lost", maybe_done=True)),
+    ],
+)
+async def test_answers_to_an_order_for_upkeep(monkeypatch, answer, expected):
+    wire = _Wire(monkeypatch, answer)
+    vms = platform.PlatformVms("127.0.0.1:1")
+    assert await vms.begin_upkeep("e1", 7, "m-1", 3) == expected
+    assert wire.sent == [
+        ("POST", "/machine-upkeep", {"machine": "m-1", "wave": 3})
+    ]
+
+
+@pytest.mark.parametrize(
+    ("value", "expected"),
+    [
+        (
+            b'{"wave":1,"machines":["m-1"],"within_s":20,"max_count":1}',
+            vms.Wave(1, frozenset({"m-1"}), 20.0, 1),
+        ),
+        (b'{"wave":1,"machines":["m-1"],"max_count":0}', None),
+        (b"no wave", None),
+    ],
+)
+def test_waves_of_the_operators(value, expected):
+    assert platform.parse_wave("op/wave/1", value) == expected
+
+
+def test_status_of_a_wave():
+    key, body = platform.build_wave_status(1, True)
+    assert key == "status/wave/1"
+    assert orjson.loads(body)["state"] == "completed"
--- a/crocusrouter/platform/workers.py
+++ b/crocusrouter/platform/workers.py
@@ -8,11 +8,11 @@
 import orjson
 import pydantic
 
-from crocusrouter.fleet import orders
 from crocusrouter.platform import calls
 from crocusrouter.platform import names
 from crocusrouter.telemetry import log
 from crocusrouter.work import model
+from crocusrouter.work import orders
 
 WORKERS_PREFIX = "servers/"
 _HOLD_GRACE_S = 0.6
@@ -36,7 +36,7 @@
 
 
 class PlatformWorker:
-    """Implements `fleet.orders.WorkerPort`."""
+    """Implements `work.orders.WorkerPort`."""
 
     def __init__(self, worker: str, address: str) -> None:
         self._headers = {"X-Expect-Instance": worker}
--- a/crocusrouter/pools/__init__.py
+++ b/crocusrouter/pools/__init__.py
@@ -12,6 +12,7 @@
 from crocusrouter.pools.members import find_secret
 from crocusrouter.pools.owner import Platform
 from crocusrouter.pools.owner import PoolOwner
+from crocusrouter.pools.upkeep import Upkeeping
 
 __all__ = [
     "Cancelled",
@@ -24,6 +25,7 @@
     "PoolOwner",
     "StateUnknownError",
     "Stored",
+    "Upkeeping",
     "find_secret",
     "note_refusal",
 ]
--- a/crocusrouter/pools/advisor.py
+++ b/crocusrouter/pools/advisor.py
@@ -5,9 +5,9 @@
 import trio
 
 from crocusrouter import work
-from crocusrouter.fleet import orders
 from crocusrouter.pools import clock
 from crocusrouter.telemetry import log
+from crocusrouter.work import orders
 
 # An answer takes the service's fixed time and some more for each of at most
 # thirty workers; past this it is taken for lost.
--- a/crocusrouter/pools/entry.py
+++ b/crocusrouter/pools/entry.py
@@ -21,6 +21,7 @@
 from crocusrouter.pools import peers as peer_links
 from crocusrouter.pools import relay
 from crocusrouter.pools import tenure as tenures
+from crocusrouter.pools import upkeep
 from crocusrouter.store import client
 from crocusrouter.store import observed
 from crocusrouter.store import port
@@ -106,6 +107,7 @@
         self._observed = observing
         self._store: port.KeyValueStore = observing
         self._platform = platform
+        self._waves = upkeep.Waves(platform.upkeeping)
         self._epochs: dict[str, int] = {}
         self._owner_names: dict[str, str] = {}
         self._vacant_since: dict[str, float] = {}
@@ -127,7 +129,7 @@
         self._config_watch = intake.Follower(
             observing,
             source.prefix,
-            self.configuration.take_events,
+            self._take_operators,
             self._vouch_now,
         )
         self._system_watch = intake.Follower(
@@ -169,6 +171,10 @@
     def _vouch_now(self) -> None:
         self.configuration.vouch(self.times.steady())
 
+    def _take_operators(self, events: tuple[records.Event, ...]) -> None:
+        self.configuration.take_events(events)
+        self._waves.take_events(events)
+
     def _spread_config(self, config: queues.Config) -> None:
         for held in self.owned.values():
             held.set_config(config)
@@ -345,6 +351,15 @@
         if self.configuration.current is not None:
             opened.set_config(self.configuration.current)
         self.owned[held.pool] = opened
+        duty = upkeep.UpkeepDuty(
+            held,
+            self.name,
+            self._store,
+            opened.book,
+            self.times,
+            self._waves,
+            opened.wake,
+        )
         scope = trio.CancelScope()
         self._scopes[held.pool] = scope
         log("owner:began", pool=held.pool, epoch=held.epoch)
@@ -352,6 +367,7 @@
             with scope:
                 async with trio.open_nursery() as nursery:
                     nursery.start_soon(_keep, held, scope)
+                    nursery.start_soon(duty.run)
                     await opened.run()
         finally:
             del self.owned[held.pool]
--- a/crocusrouter/pools/keys.py
+++ b/crocusrouter/pools/keys.py
@@ -9,6 +9,7 @@
 MEMBERS = f"{SYSTEM}entry/"
 OWNERS = f"{SYSTEM}owner/"
 KNOWN_WORKERS = f"{ROOT}workers/"
+WAVES = f"{ROOT}wave/"
 
 
 def build_job_key(job_id: str) -> str:
@@ -28,6 +29,11 @@
     return f"{PROGRESS}{job_id}"
 
 
+def build_wave_key(wave: int) -> str:
+    """Return where it is kept how far a wave of upkeep is."""
+    return f"{WAVES}{wave}"
+
+
 def build_owner_key(pool: str) -> str:
     """Return where a pool's owner is named."""
     return f"{OWNERS}{pool}"
--- a/crocusrouter/pools/links.py
+++ b/crocusrouter/pools/links.py
@@ -6,11 +6,11 @@
 import trio
 
 from crocusrouter import work
-from crocusrouter.fleet import orders
 from crocusrouter.pools import clock
 from crocusrouter.pools import journal as journals
 from crocusrouter.pools import leases
 from crocusrouter.telemetry import log
+from crocusrouter.work import orders
 from crocusrouter.work import runs
 
 # A look waits this long for an end. Longer looks are fewer, shorter ones
--- a/crocusrouter/pools/owner.py
+++ b/crocusrouter/pools/owner.py
@@ -8,7 +8,6 @@
 from crocusrouter import codec
 from crocusrouter import queues
 from crocusrouter import work
-from crocusrouter.fleet import orders
 from crocusrouter.pools import advisor
 from crocusrouter.pools import clock
 from crocusrouter.pools import expiry
@@ -19,11 +18,13 @@
 from crocusrouter.pools import reservations
 from crocusrouter.pools import roster
 from crocusrouter.pools import tenure as tenures
+from crocusrouter.pools import upkeep
 from crocusrouter.store import client
 from crocusrouter.store import port
 from crocusrouter.store import records
 from crocusrouter.telemetry import Metrics
 from crocusrouter.telemetry import log
+from crocusrouter.work import orders
 
 # Events that arrive within this time share one decision.
 _GATHER_S = 0.002
@@ -51,6 +52,7 @@
         keep_jobs_s: Seconds for which a job that is over can be asked for.
         make_policy: Opens the policy service of advised queues; None if
             there is none.
+        upkeeping: How waves of upkeep are met; None if there are none.
     """
 
     workers_prefix: str
@@ -58,6 +60,7 @@
     make_worker: MakeWorker
     keep_jobs_s: float = 600.0
     make_policy: Callable[[], orders.PolicyPort] | None = None
+    upkeeping: upkeep.Upkeeping | None = None
 
 
 class PoolOwner:
--- a/crocusrouter/pools/roster.py
+++ b/crocusrouter/pools/roster.py
@@ -10,11 +10,11 @@
 import trio
 
 from crocusrouter import work
-from crocusrouter.fleet import orders
 from crocusrouter.pools import keys
 from crocusrouter.pools import tenure as tenures
 from crocusrouter.store import port
 from crocusrouter.store import records
+from crocusrouter.work import orders
 from crocusrouter.work import runs
 
 _TICK_S = 0.25
--- a/crocusrouter/settings/pools.py
+++ b/crocusrouter/settings/pools.py
@@ -49,6 +49,10 @@
     policy_address: str = pydantic.Field(
         "", description="IP:port of the policy service; empty for none."
     )
+    vms_address: str = pydantic.Field(
+        "",
+        description="IP:port of the platform's control of VMs; empty for none.",
+    )
     keep_jobs_s: float = pydantic.Field(
         600.0,
         gt=0,
--- a/crocusrouter/work/book.py
+++ b/crocusrouter/work/book.py
@@ -8,8 +8,8 @@
 import collections
 from collections.abc import Iterable
 
-from crocusrouter.fleet import orders
 from crocusrouter.work import model
+from crocusrouter.work import orders
 from crocusrouter.work import progress as progresses
 from crocusrouter.work import runs
 from crocusrouter.work import suspicion
@@ -203,6 +203,11 @@
             held.leaves_at = min(held.leaves_at or stays_until, stays_until)
         return False
 
+    def set_resting(self, names: set[str]) -> None:
+        """Note which workers are being emptied; the others take work again."""
+        for name, held in self.workers.items():
+            held.resting = name in names
+
     def list_blocked(self) -> frozenset[str] | None:
         """Return the jobs that an earlier owner may run out of our sight.
 
--- a/crocusrouter/work/runs.py
+++ b/crocusrouter/work/runs.py
@@ -3,8 +3,8 @@
 import dataclasses
 import enum
 
-from crocusrouter.fleet import orders
 from crocusrouter.work import model
+from crocusrouter.work import orders
 from crocusrouter.work import permit
 from crocusrouter.work import progress as progresses
 
@@ -67,6 +67,7 @@
         leaves_at: Steady time until which a draining worker stays at least;
             None if it does not say.
         sealed: Whether it has been draining; it gets nothing new ever after.
+        resting: Whether it is being emptied for its VM's upkeep.
         blocks: Jobs that may run there as far as an earlier owner knew, if
             it has not been reached; None for any job.
     """
@@ -84,6 +85,7 @@
     noted: int = 0
     leaves_at: float | None = None
     sealed: bool = False
+    resting: bool = False
     blocks: frozenset[str] | None = None
 
     @property
@@ -102,6 +104,7 @@
             self.listed
             and self.reached
             and not self.sealed
+            and not self.resting
             and not self.gone
             and self.silent_since is None
             and now >= self.suspect_until
--- a/crocusrouter/work/tests/build.py
+++ b/crocusrouter/work/tests/build.py
@@ -3,7 +3,7 @@
 import dataclasses
 
 from crocusrouter import work
-from crocusrouter.fleet import orders
+from crocusrouter.work import orders
 from crocusrouter.work import runs
 
 WALL = 1_000_000.0
--- a/crocusrouter/work/tests/test_book.py
+++ b/crocusrouter/work/tests/test_book.py
@@ -1,7 +1,7 @@
 import pytest
 
 from crocusrouter import work
-from crocusrouter.fleet import orders
+from crocusrouter.work import orders
 from crocusrouter.work import runs
 from crocusrouter.work.tests import build
 
--- a/standins/emulator/cluster.py
+++ b/standins/emulator/cluster.py
@@ -11,11 +11,12 @@
 from crocusrouter import pools
 from crocusrouter import queues
 from crocusrouter import work
-from crocusrouter.fleet import orders
 from crocusrouter.telemetry import Metrics
+from crocusrouter.work import orders
 from standins.emulator import oracle as oracles
 from standins.emulator import policy as policies
 from standins.emulator import store as stores
+from standins.emulator import vms as vm_control
 from standins.emulator import worker as workers
 
 POOL = "match"
@@ -83,6 +84,7 @@
         self.oracle = oracles.Oracle()
         self.gangs = workers.Gangs()
         self.policy = policies.Policy()
+        self.vms = vm_control.Vms(self)
         self.workers: dict[str, workers.Worker] = {}
         self.entries: dict[str, pools.PoolEntry] = {}
         self.cut_off: set[str] = set()
@@ -147,6 +149,12 @@
                 _parse_worker,
                 self._find_view(name),
                 make_policy=lambda: policies.PolicyView(self.policy),
+                upkeeping=pools.Upkeeping(
+                    vm_control.WAVES,
+                    vm_control.parse_wave,
+                    lambda: vm_control.VmsView(self.vms, name),
+                    vm_control.build_status,
+                ),
             ),
             Metrics(),
             clock,
--- a/standins/emulator/policy.py
+++ b/standins/emulator/policy.py
@@ -9,7 +9,7 @@
 import trio
 
 from crocusrouter import work
-from crocusrouter.fleet import orders
+from crocusrouter.work import orders
 
 _DECIDE_S = 0.05
 _PER_WORKER_S = 0.005
--- /dev/null
+++ b/standins/emulator/tests/test_upkeep.py
@@ -0,0 +1,96 @@
+"""Waves of upkeep played on the emulator, under failures of their holder."""
+
+import pytest
+import trio
+
+from crocusrouter import work
+from crocusrouter.work import vms
+from standins import emulator
+from standins.emulator import vms as vm_control
+
+_STATUS = "status/wave/1"
+_LIMIT_S = 90.0
+
+
+def _make_lasting(count, may_miss):
+    step = work.Step(
+        count, work.Room(1000, 1000, 4), lasting=True, may_miss=may_miss
+    )
+    return work.Job(
+        "00000000000000aa",
+        "q",
+        emulator.cluster.POOL,
+        "a",
+        1,
+        3,
+        2.0,
+        1.0,
+        "lasting",
+        (step,),
+        1_700_000_000.0,
+    )
+
+
+def _is_completed(held):
+    found = held.store.items.get(_STATUS)
+    return found is not None and found.value == b"completed"
+
+
+async def _play(held, strike, job=None):
+    """Ask for a wave of four VMs, two at once, and wait until it is over."""
+    async with trio.open_nursery() as nursery:
+        await nursery.start(held.run)
+        await trio.sleep(2.0)
+        if job is not None:
+            assert await held.submit(job) == "accepted"
+        await trio.sleep(6.0)
+        wave = vms.Wave(1, frozenset({"w0", "w1", "w2", "w3"}), 20.0, 2)
+        held.vms.most_at_once = wave.most_at_once
+        held.store.put(f"{vm_control.WAVES}1", vm_control.dump_wave(wave))
+        nursery.start_soon(strike, held)
+        with trio.move_on_after(_LIMIT_S):
+            while not _is_completed(held):
+                await trio.sleep(0.25)
+        nursery.cancel_scope.cancel()
+
+
+async def _do_nothing(held):
+    pass
+
+
+async def _kill_holder(held):
+    await trio.sleep(1.2)
+    for _ in range(2):
+        owner = held.find_owner()
+        if owner is not None:
+            held.kill_entry(owner)
+        await trio.sleep(5.0)
+        if owner is not None:
+            held.start_entry(owner)
+
+
+async def _lose_answers(held):
+    held.vms.lost_share = 0.5
+
+
+# Operators see the wave told as completed while a VM has not had its upkeep,
+# or more VMs down at once than they allowed. The holder is killed between an
+# order and its note; or the order is carried out and its answer is lost.
+@pytest.mark.parametrize("strike", [_do_nothing, _kill_holder, _lose_answers])
+async def test_wave_ends_whole_and_within_its_limit(strike, autojump_clock):
+    held = emulator.Cluster(5)
+    await _play(held, strike)
+    assert held.oracle.broken == []
+    assert _is_completed(held)
+    assert held.vms.served == {"w0", "w1", "w2", "w3"}
+
+
+# Users of a task that lasts see it gone: its VM goes down while it is at
+# work and so many others of its step are away. Tasks leave one by one, and
+# the next only when the one before is at work again.
+@pytest.mark.parametrize("strike", [_do_nothing, _kill_holder])
+async def test_wave_keeps_tasks_that_last_at_work(strike, autojump_clock):
+    held = emulator.Cluster(6)
+    await _play(held, strike, _make_lasting(6, 1))
+    assert held.oracle.broken == []
+    assert held.vms.served == {"w0", "w1", "w2", "w3"}
--- a/standins/emulator/worker.py
+++ b/standins/emulator/worker.py
@@ -6,7 +6,7 @@
 import trio
 
 from crocusrouter import work
-from crocusrouter.fleet import orders
+from crocusrouter.work import orders
 from standins.emulator import oracle as oracles
 from standins.emulator import policy as policies
 
@@ -15,6 +15,8 @@
 _ORDER_S = 0.001
 _HOLD_MAX_MS = 10_000
 _SLOWEST = 0.98
+# A task that lasts is at work after this.
+_STARTUP_S = 0.4
 
 
 @dataclasses.dataclass
@@ -28,6 +30,7 @@
     ends_at: float | None
     stops_at: float | None = None
     how: orders.How = orders.How.DONE
+    lasting: bool = False
 
 
 class Gangs:
@@ -196,7 +199,8 @@
     def _add(self, order: orders.Start, job: work.Job, step: work.Step) -> None:
         now = trio.current_time()
         task = Task(order.key, order.run, now, now, None)
-        task.ends_at = now + step.expected_s
+        task.lasting = step.lasting
+        task.ends_at = None if step.lasting else now + step.expected_s
         poisoned = job.payload == "poison"
         if poisoned or self.fails_all:
             task.how = orders.How.FAILED
@@ -259,6 +263,9 @@
 
 def _measure_percent(task: Task) -> float:
     """Return how far a task says that it is, in whole percents."""
+    if task.lasting:
+        at_work = trio.current_time() >= task.began_at + _STARTUP_S
+        return 100.0 if at_work else 0.0
     if task.works_from is None or task.ends_at is None:
         return 0.0
     whole = max(0.01, task.ends_at - task.works_from)
