Pace tasks that fill by the tail of the tasks that serve beside them

Cause: only the fields were decoded; what fills worked on at full speed whatever it did to its neighbours. The owner orders it; an answer that is lost is repeated by the next decision. The emulated worker now counts what fills without its processor share, as the platform does.

--- a/crocusrouter/platform/tests/test_decoding.py
+++ b/crocusrouter/platform/tests/test_decoding.py
@@ -426,3 +426,18 @@
     key, body = platform.build_wave_status(1, True)
     assert key == "status/wave/1"
     assert orjson.loads(body)["state"] == "completed"
+
+
+async def test_pace_of_a_run(monkeypatch):
+    wire = _Wire(monkeypatch, _answer(200, clock_ms=5))
+    worker = platform.PlatformWorker("i-1", "127.0.0.1:1")
+    assert await worker.pace(7, orders.Pace(_KEY, 2, 40), 0.3) == orders.Taken(
+        5
+    )
+    assert wire.sent == [
+        (
+            "POST",
+            "/pace",
+            {"task": _NAME, "run_id": 2, "percent": 40, "fencing_token": 7},
+        )
+    ]
--- a/crocusrouter/platform/workers.py
+++ b/crocusrouter/platform/workers.py
@@ -89,6 +89,18 @@
         }
         return await self._order("/run-stop", document, timeout_s)
 
+    async def pace(
+        self, epoch: int, order: orders.Pace, timeout_s: float
+    ) -> orders.Taken | orders.Rejected | orders.Silent:
+        """Set the share of its speed at which a run works."""
+        document = {
+            "task": names.build_task(order.key),
+            "run_id": order.run,
+            "percent": order.percent,
+            "fencing_token": epoch,
+        }
+        return await self._order("/pace", document, timeout_s)
+
     async def aclose(self) -> None:
         """Close all connections."""
         await self._holds.aclose()
--- a/crocusrouter/pools/links.py
+++ b/crocusrouter/pools/links.py
@@ -247,6 +247,23 @@
             self.wake()
             await trio.sleep(_RETRY_S)
 
+    async def pace(self, order: orders.Pace) -> None:
+        """Deliver a pace once; the next decision repeats what was lost.
+
+        Raises:
+            DeposedError: The worker knows a later owner.
+        """
+        result = await self._port.pace(self._epoch, order, _ORDER_TIMEOUT_S)
+        now = self._times.steady()
+        match result:
+            case orders.Taken():
+                self._book.note_paced(order.key, order.run, order.percent, now)
+                log("run:paced", task=order.key, percent=order.percent)
+            case orders.Rejected(orders.Why.FENCED):
+                raise journals.DeposedError(f"fenced by {self.worker}")
+            case _:
+                log("run:not-paced", task=order.key, answer=str(result))
+
     async def _settle_stop(self, order: orders.Stop, now: float) -> None:
         run = self._book.runs.get(order.key)
         ours = run is not None and run.number == order.run
--- a/crocusrouter/pools/owner.py
+++ b/crocusrouter/pools/owner.py
@@ -327,6 +327,7 @@
                 self.book.stop_run(run, why, now)
             for placement in plan.reservations:
                 self._reservations.add(placement, now)
+            self._send_paces(now)
         self._advisor.wake()
         self._send_stops()
         self._write_log()
@@ -386,6 +387,16 @@
             if link is not None:
                 self._nursery.start_soon(link.stop, order)
 
+    def _send_paces(self, now: float) -> None:
+        assert self._nursery is not None
+        for run, percent in work.choose_paces(self.book, now):
+            link = self._links.get(run.worker)
+            if link is not None:
+                # Sent again only when this one can have been answered.
+                run.paced_at = now
+                order = orders.Pace(run.key, run.number, percent)
+                self._nursery.start_soon(link.pace, order)
+
     def _write_log(self) -> None:
         while self.book.events:
             what, facts = self.book.events.popleft()
--- a/crocusrouter/work/__init__.py
+++ b/crocusrouter/work/__init__.py
@@ -10,6 +10,7 @@
 from crocusrouter.work.model import Step
 from crocusrouter.work.model import StepKey
 from crocusrouter.work.model import TaskKey
+from crocusrouter.work.pacing import choose_paces
 from crocusrouter.work.planner import Placement
 from crocusrouter.work.planner import Plan
 from crocusrouter.work.planner import plan
@@ -30,6 +31,7 @@
     "Step",
     "StepKey",
     "TaskKey",
+    "choose_paces",
     "choose_question",
     "dump_progress",
     "parse_progress",
--- a/crocusrouter/work/book.py
+++ b/crocusrouter/work/book.py
@@ -330,6 +330,15 @@
         if held is not None:
             held.begun = True
 
+    def note_paced(
+        self, key: model.TaskKey, number: int, percent: int, now: float
+    ) -> None:
+        """Note that a worker gives a run this share of its speed."""
+        run = self.runs.get(key)
+        if run is not None and run.number == number:
+            run.pace = percent
+            run.paced_at = now
+
     def note_not_begun(
         self, key: model.TaskKey, number: int, why: str, now: float
     ) -> None:
--- a/crocusrouter/work/orders.py
+++ b/crocusrouter/work/orders.py
@@ -138,6 +138,21 @@
     run: int
 
 
+@dataclasses.dataclass(frozen=True)
+class Pace:
+    """Let a run work, and disturb others, at a share of its speed.
+
+    Attributes:
+        key: The task.
+        run: The start's number.
+        percent: 0 to 100.
+    """
+
+    key: model.TaskKey
+    run: int
+    percent: int
+
+
 @dataclasses.dataclass(frozen=True)
 class PolicyAnswer:
     """Which workers may run a step.
@@ -186,6 +201,12 @@
         """Stop a run."""
         ...
 
+    async def pace(
+        self, epoch: int, order: Pace, timeout_s: float
+    ) -> Taken | Rejected | Silent:
+        """Set the share of its speed at which a run works."""
+        ...
+
     async def aclose(self) -> None:
         """Close all connections."""
         ...
--- a/crocusrouter/work/runs.py
+++ b/crocusrouter/work/runs.py
@@ -33,6 +33,8 @@
         moved_at: When `percent` last changed.
         load: See `orders.Running`.
         why: Why it is being stopped.
+        pace: Percent of its speed that its worker was last told to give it.
+        paced_at: Steady time at which that was answered.
     """
 
     key: model.TaskKey
@@ -46,6 +48,8 @@
     moved_at: float = 0.0
     load: float = 0.0
     why: str = ""
+    pace: int = 100
+    paced_at: float = 0.0
 
 
 @dataclasses.dataclass
--- /dev/null
+++ b/standins/emulator/tests/test_sharing.py
@@ -0,0 +1,87 @@
+"""Tasks that serve and tasks that fill on the same workers."""
+
+import pytest
+import trio
+
+from crocusrouter import work
+from standins import emulator
+
+_TARGET_MS = 90
+_HARM_S = 4.0
+_WALL = 1_700_000_000.0
+
+
+def _make_job(number, *steps):
+    return work.Job(
+        f"{number:016x}",
+        "q",
+        emulator.cluster.POOL,
+        "a",
+        1,
+        3,
+        2.0,
+        1.0,
+        "text",
+        steps,
+        _WALL,
+    )
+
+
+_SERVING = work.Step(
+    6, work.Room(2000, 1000, 1), lasting=True, target_ms=_TARGET_MS
+)
+_FILLING = work.Step(12, work.Room(8000, 1000, 1), 60.0, fills=True)
+
+
+def _is_harmed(worker):
+    """Tell whether a task is over its bound because of what fills."""
+    tails = [worker.measure_tail(task) for task in worker.tasks.values()]
+    works_on = any(
+        task.pace
+        for task in worker.tasks.values()
+        if worker.oracle.jobs[task.key.job].steps[task.key.step].fills
+    )
+    return works_on and max(tails, default=0.0) > _TARGET_MS
+
+
+async def _watch(held, longest):
+    """Keep for each worker how long its users were harmed on end."""
+    since = {}
+    while True:
+        now = trio.current_time()
+        for name, worker in held.workers.items():
+            if not _is_harmed(worker):
+                since.pop(name, None)
+                continue
+            since.setdefault(name, now)
+            longest[name] = max(longest.get(name, 0.0), now - since[name])
+        await trio.sleep(0.05)
+
+
+# Users of a serving task get slow answers for as long as the tasks that fill
+# beside it work at full speed: two of them are enough here. An owner that
+# takes over knows no pace and must find it from the tail alone.
+@pytest.mark.parametrize("kill", [False, True])
+async def test_what_fills_harms_nobody_for_long(kill, autojump_clock):
+    held = emulator.Cluster(3)
+    longest = {}
+    async with trio.open_nursery() as nursery:
+        await nursery.start(held.run)
+        await trio.sleep(2.0)
+        await held.submit(_make_job(1, _SERVING))
+        await trio.sleep(3.0)
+        nursery.start_soon(_watch, held, longest)
+        await held.submit(_make_job(2, _FILLING))
+        await trio.sleep(8.0)
+        if kill:
+            held.kill_entry(held.find_owner())
+        await trio.sleep(15.0)
+        paces = [
+            task.pace
+            for worker in held.workers.values()
+            for task in worker.tasks.values()
+            if task.key.job.endswith("2")
+        ]
+        nursery.cancel_scope.cancel()
+    assert longest and max(longest.values()) < _HARM_S
+    assert len(paces) == 12 and sum(paces) > 0
--- a/standins/emulator/worker.py
+++ b/standins/emulator/worker.py
@@ -17,6 +17,11 @@
 _SLOWEST = 0.98
 # A task that lasts is at work after this.
 _STARTUP_S = 0.4
+# Tail of a serving task alone, and what one task that fills adds to it.
+_TAIL_MS = 40.0
+_DISTURBANCE_MS = 60.0
+# The figure is one for the last half second; a step of time is 20 ms.
+_TAIL_SHARE = 0.08
 
 
 @dataclasses.dataclass
@@ -31,6 +36,7 @@
     stops_at: float | None = None
     how: orders.How = orders.How.DONE
     lasting: bool = False
+    pace: int = 100
 
 
 class Gangs:
@@ -82,6 +88,7 @@
         self.noted = 0
         self.offset_ms = self.random.uniform(1e5, 1e6)
         self.rate = self.random.uniform(_SLOWEST, 1.0)
+        self._tail_ms = _TAIL_MS
         self._news = trio.Event()
 
     def read_clock(self) -> float:
@@ -92,6 +99,7 @@
         """Let time pass: ends, stops, lapses."""
         if not self.alive:
             return
+        self._follow_tail()
         lapsed = self.read_clock() > self.until_ms
         if lapsed:
             # An end that nobody noted before the lease ended stands for
@@ -178,7 +186,7 @@
             return orders.Rejected(orders.Why.OLD, int(clock))
         job = self.oracle.jobs[order.key.job]
         step = job.steps[order.key.step]
-        if not self._find_free().holds(step.room):
+        if not self._find_free().holds(step.charge):
             return orders.Rejected(orders.Why.NO_ROOM, int(clock))
         asked = work.StepKey(*order.key[:3])
         if job.advised and not self.policy.is_valid(
@@ -193,7 +201,7 @@
         free = self.entry.room
         for key in self.tasks:
             step = self.oracle.jobs[key.job].steps[key.step]
-            free = free.minus(step.room)
+            free = free.minus(step.charge)
         return free
 
     def _add(self, order: orders.Start, job: work.Job, step: work.Step) -> None:
@@ -250,11 +258,46 @@
         self.noted = max(self.noted, seen)
         self.ended = [e for e in self.ended if e.number > self.noted]
         running = tuple(
-            orders.Running(task.key, task.run, "", _measure_percent(task))
+            orders.Running(
+                task.key,
+                task.run,
+                "",
+                _measure_percent(task),
+                self.measure_tail(task),
+            )
             for task in self.tasks.values()
         )
         return orders.Report(int(clock), running, tuple(self.ended))
 
+    def measure_tail(self, task: Task) -> float:
+        """Return the tail of a serving task's answers in milliseconds."""
+        return self._tail_ms if self._find_step(task).target_ms else 0.0
+
+    def _follow_tail(self) -> None:
+        """Move the tail towards what fills beside, each by its pace."""
+        beside = sum(
+            other.pace / 100
+            for other in self.tasks.values()
+            if self._find_step(other).fills
+        )
+        wanted = _TAIL_MS + _DISTURBANCE_MS * beside
+        self._tail_ms += _TAIL_SHARE * (wanted - self._tail_ms)
+
+    def _find_step(self, task: Task) -> work.Step:
+        return self.oracle.jobs[task.key.job].steps[task.key.step]
+
+    def set_pace(
+        self, epoch: int, order: orders.Pace
+    ) -> orders.Taken | orders.Rejected:
+        """Carry a pace out."""
+        refused = self.check(epoch)
+        if refused is not None:
+            return refused
+        held = self.tasks.get(order.key)
+        if held is not None and held.run == order.run:
+            held.pace = order.percent
+        return orders.Taken(int(self.read_clock()))
+
     async def wait_for_news(self, wait_s: float) -> None:
         """Wait for an end."""
         with trio.move_on_after(wait_s):
@@ -344,5 +387,15 @@
         await trio.sleep(_ORDER_S)
         return outcome
 
+    async def pace(
+        self, epoch: int, order: orders.Pace, timeout_s: float
+    ) -> orders.Taken | orders.Rejected | orders.Silent:
+        """Set a run's pace."""
+        await trio.sleep(_ORDER_S)
+        if not self._is_reachable():
+            await trio.sleep(timeout_s)
+            return orders.Silent("cut")
+        return self._worker.set_pace(epoch, order)
+
     async def aclose(self) -> None:
         """Close nothing."""
