Tell callers to come back later the longer a shared outage has lasted

Ruled out: the refusal itself (nothing can be promised then, and it must come at once); a fixed longer time (an entry that is cut off or turned away alone would send callers away whom the next entry serves). Change: Retry-After is what the outage has lasted, 1 to 4 s, if peers were heard since it began and none of them is served; else one second. Red first: two rows of the table and the caller that heeds (five tries within the outage).

--- a/crocusrouter/http/queue_calls.py
+++ b/crocusrouter/http/queue_calls.py
@@ -19,8 +19,9 @@
 
 KEY_HEADER = "X-Api-Key"
 _JSON = {"Content-Type": "application/json"}
-# What an entry or the store lacks for a moment is back within about this.
-_RETRY_S = 1.0
+# A pool without an owner has one again within two seconds; its lease of 1.8 s
+# has often run for some time.
+_OWNER_RETRY_S = 1.0
 # Statuses that callers of the platform expect, where ours differ: 503 says
 # that a job never runs, so what is not known must be told by another one.
 _STATUS = {
@@ -56,7 +57,7 @@
     config = entry.configuration.current
     now = entry.times.steady()
     if config is None or not entry.configuration.is_fresh(now):
-        raise refuse(RefusalReason.NOT_READY, "", _RETRY_S)
+        raise refuse(RefusalReason.NOT_READY, "", entry.choose_retry_after())
     path = request.url.path
     host = request.headers.get("Host", "")
     queue = queues.find_queue(config, host, path)
@@ -100,6 +101,10 @@
             status = _STATUS.get(reason, rendered.status)
             return dataclasses.replace(rendered, status=status)
 
+    def _refuse(self, reason: RefusalReason, detail: str) -> RefusedError:
+        """Build a refusal for want of the store, with when to come back."""
+        return refuse(reason, detail, self._entry.choose_retry_after())
+
     async def _submit(
         self, request: starlette_requests.Request, call: QueueCall
     ) -> Rendered:
@@ -118,8 +123,8 @@
             case pools.Stored.STORED:
                 return Rendered(200, dict(_JSON), b"{}")
             case pools.Stored.NOT_STORED:
-                raise refuse(RefusalReason.STORE_UNAVAILABLE, job.id, _RETRY_S)
-        raise refuse(RefusalReason.COMMIT_UNKNOWN, job.id, _RETRY_S)
+                raise self._refuse(RefusalReason.STORE_UNAVAILABLE, job.id)
+        raise self._refuse(RefusalReason.COMMIT_UNKNOWN, job.id)
 
     async def _show(
         self, request: starlette_requests.Request, call: QueueCall
@@ -132,8 +137,8 @@
                 call.queue.pool, call.job_id
             )
         except pools.StateUnknownError as error:
-            raise refuse(
-                RefusalReason.STORE_UNAVAILABLE, str(error), _RETRY_S
+            raise self._refuse(
+                RefusalReason.STORE_UNAVAILABLE, str(error)
             ) from error
         if state is None:
             raise refuse(RefusalReason.UNKNOWN_JOB, f"job {call.job_id}")
@@ -147,7 +152,9 @@
         )
         if count is None:
             raise refuse(
-                RefusalReason.OWNER_UNAVAILABLE, call.queue.name, _RETRY_S
+                RefusalReason.OWNER_UNAVAILABLE,
+                call.queue.name,
+                _OWNER_RETRY_S,
             )
         return Rendered(200, dict(_JSON), platform.render_pending(count))
 
@@ -161,10 +168,8 @@
             case pools.Cancelled.NO_JOB:
                 raise refuse(RefusalReason.UNKNOWN_JOB, f"job {call.job_id}")
             case pools.Cancelled.NOT_TRIED:
-                raise refuse(
-                    RefusalReason.STORE_UNAVAILABLE, call.job_id, _RETRY_S
-                )
-        raise refuse(RefusalReason.COMMIT_UNKNOWN, call.job_id, _RETRY_S)
+                raise self._refuse(RefusalReason.STORE_UNAVAILABLE, call.job_id)
+        raise self._refuse(RefusalReason.COMMIT_UNKNOWN, call.job_id)
 
 
 def _check_id(call: QueueCall) -> None:
--- a/crocusrouter/http/tests/test_queue_calls.py
+++ b/crocusrouter/http/tests/test_queue_calls.py
@@ -211,3 +211,42 @@
         status, _, data = await served.ask("GET", "/any", port=port)
     assert status == 200
     assert expected in data
+
+
+# A caller gives a job up although the store comes back: it asks four times
+# more, a second apart as it was told, and the outage lasts 4.2 s. It is told
+# to come back after as long as the outage has lasted already.
+@pytest.mark.parametrize(
+    ("after_s", "told"), [(0.6, b"1"), (2.7, b"3"), (9.0, b"4")]
+)
+async def test_longer_outage_is_told_by_a_later_return(
+    after_s, told, autojump_clock
+):
+    async with _serve() as served:
+        served.cluster.store.fault = emulator.StoreFault.BUSY
+        # Something fails at once: a renewal, a watch, or this call.
+        await served.ask("POST", "/q/00000000000000ff", _JOB)
+        await trio.sleep(after_s)
+        status, headers, _ = await served.ask("POST", f"/q/{_ID}", _JOB)
+    assert status == 503
+    assert headers[b"retry-after"] == told
+
+
+async def test_caller_that_heeds_is_served_after_an_outage(autojump_clock):
+    """Callers as the users describe them: four tries after the first, each
+    after the time that the one before was told.
+    """
+    async with _serve() as served:
+        served.cluster.store.fault = emulator.StoreFault.BUSY
+        statuses = []
+        with trio.move_on_after(4.2) as outage:
+            for _ in range(5):
+                status, headers, _ = await served.ask("POST", f"/q/{_ID}", _JOB)
+                statuses.append(status)
+                await trio.sleep(float(headers[b"retry-after"]))
+        assert outage.cancelled_caught
+        assert len(statuses) < 5
+        served.cluster.store.fault = emulator.StoreFault.NONE
+        await trio.sleep(1.0)
+        status, _, _ = await served.ask("POST", f"/q/{_ID}", _JOB)
+    assert status == 200
--- a/crocusrouter/pools/entry.py
+++ b/crocusrouter/pools/entry.py
@@ -41,6 +41,10 @@
 _OWNER_READS_S = 1.5
 _OTHERS_READ_S = 3.0
 _DRAIN_S = 0.8
+# Bounds of what a refused caller is told. A shorter one asks more often than
+# anything here recovers; a longer one is missed by callers whose work is due.
+_SHORTEST_RETRY_S = 1.0
+_LONGEST_RETRY_S = 4.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -151,6 +155,20 @@
         )
         self._nursery: trio.Nursery | None = None
 
+    def choose_retry_after(self) -> float:
+        """Return the seconds after which a refused caller should ask again.
+
+        An outage of the store that all entries share is taken to last as long
+        again as it has lasted. Callers ask four times more; told one second
+        each time, they had given up when an outage of 4.2 s ended. Where only
+        this entry is affected, another one serves the next try.
+        """
+        now = self.times.steady()
+        outage = self._observed.measure_outage()
+        if not self.peers.shares_outage(now - outage):
+            return _SHORTEST_RETRY_S
+        return min(_LONGEST_RETRY_S, max(_SHORTEST_RETRY_S, outage))
+
     @property
     def is_ready(self) -> bool:
         """Whether this entry may take new callers."""
--- a/crocusrouter/pools/peers.py
+++ b/crocusrouter/pools/peers.py
@@ -29,6 +29,8 @@
 _HEARD_S = 2.5
 # A peer that was served this long ago is asked for help first.
 _SERVED_S = 3.0
+# Peers notice an outage within this of each other.
+_NOTICE_S = 0.3
 
 
 class PeerPort(Protocol):
@@ -79,6 +81,7 @@
         self._links: dict[str, tuple[str, PeerPort, trio.CancelScope]] = {}
         self._nursery: trio.Nursery | None = None
         self._heard_at: float | None = None
+        self._heard_from: dict[str, float] = {}
         self._served_at: dict[str, float] = {}
         self._random = random.Random(name)
 
@@ -104,9 +107,21 @@
             return True
         return self._heard_at is not None and now - self._heard_at < _HEARD_S
 
+    def shares_outage(self, since: float) -> bool:
+        """Tell whether peers were heard since a time, and none is served.
+
+        An entry that is cut off alone, or that the store turns away alone,
+        must not send its callers away for long: others would serve them.
+        """
+        settled = since + _NOTICE_S
+        heard = any(at >= settled for at in self._heard_from.values())
+        served = any(at >= settled for at in self._served_at.values())
+        return heard and not served
+
     def note_heard(self, beat: messages.Beat, now: float) -> None:
         """Note that a peer was heard."""
         self._heard_at = now
+        self._heard_from[beat.name] = now
         if beat.is_served:
             self._served_at[beat.name] = now
         else:
--- a/crocusrouter/pools/tests/test_peers.py
+++ b/crocusrouter/pools/tests/test_peers.py
@@ -1,5 +1,6 @@
 """Peers while an entry stops."""
 
+import pytest
 import trio
 
 from crocusrouter import fleet
@@ -65,3 +66,23 @@
     made.note_heard(messages.Beat("f", 1, None, (), True), 0.0)
     made.note_heard(messages.Beat("b", 1, None, (), False), 0.0)
     assert made.choose_helpers()[0] == "f"
+
+
+@pytest.mark.parametrize(
+    ("heard", "shared"),
+    [
+        ([], False),
+        ([("b", 9.0, False)], False),
+        ([("b", 10.5, False)], True),
+        ([("b", 10.5, False), ("c", 10.6, True)], False),
+        ([("b", 10.1, True), ("c", 10.6, False)], True),
+    ],
+)
+def test_outage_is_shared_if_no_peer_is_served(heard, shared):
+    """The store is away for all, or turns this entry away alone. Beats from
+    before, or from the first moment, say nothing.
+    """
+    made = _make_peers()
+    for name, at, served in heard:
+        made.note_heard(messages.Beat(name, 1, 0.0, (), served), at)
+    assert made.shares_outage(10.0) is shared
--- a/crocusrouter/store/observed.py
+++ b/crocusrouter/store/observed.py
@@ -41,6 +41,11 @@
             return False
         return self._read_clock() >= since + _DOWN_AFTER_S
 
+    def measure_outage(self) -> float:
+        """Return for how many seconds no call has been served."""
+        since = self._failing_since
+        return 0.0 if since is None else self._read_clock() - since
+
     def _note(self, served: bool) -> None:
         if served:
             self._failing_since = None
