--- a/bench/replay/day.py
+++ b/bench/replay/day.py
@@ -217,7 +217,7 @@
             report = orders.Report(0, rows, tuple(self.ends[name]))
             changed |= bool(self.ends[name])
             self.ends[name] = []
-            self.book.note_report(name, report, now, now)
+            work.take_report(self.book, name, report, now, now)
         self._note_ended(now)
         return changed
 
--- a/bench/steps.py
+++ b/bench/steps.py
@@ -170,7 +170,7 @@
     )
     ended = orders.Ended(held.noted + 1, key, run.number, orders.How.DONE)
     report = orders.Report(0, rows, (ended,))
-    book.note_report(run.worker, report, now, now)
+    work.take_report(book, run.worker, report, now, now)
 
 
 def _decide(
--- a/crocusrouter/work/__init__.py
+++ b/crocusrouter/work/__init__.py
@@ -18,6 +18,7 @@
 from crocusrouter.work.progress import Progress
 from crocusrouter.work.progress import dump_progress
 from crocusrouter.work.progress import parse_progress
+from crocusrouter.work.reports import take_report
 
 __all__ = [
     "FINAL",
@@ -38,4 +39,5 @@
     "dump_progress",
     "parse_progress",
     "plan",
+    "take_report",
 ]
--- a/crocusrouter/work/book.py
+++ b/crocusrouter/work/book.py
@@ -12,11 +12,10 @@
 from crocusrouter.work import orders
 from crocusrouter.work import progress as progresses
 from crocusrouter.work import runs
-from crocusrouter.work import suspicion
 
 # A failed task comes back after this pause, so that a task which fails at
 # once does not spend its attempts on one bad second of the fleet.
-_RETRY_PAUSE_S = 0.3
+RETRY_PAUSE_S = 0.3
 Stopping = tuple[str, orders.Stop]
 
 
@@ -65,7 +64,7 @@
             held.job = job
             self._close(held, "cancelled", now)
 
-    def _open_reported(self, key: model.TaskKey, now: float) -> None:
+    def open_reported(self, key: model.TaskKey, now: float) -> None:
         """Open an occurrence that a worker reports before its time has come.
 
         A successor hears from workers before its first decision, and its
@@ -244,8 +243,8 @@
         self.note("worker:lapsed", worker=worker, why=why, runs=len(held.runs))
         for key in list(held.runs):
             run = self.runs[key]
-            self._drop_run(run)
-            self._requeue(run, orders.How.LAPSED, now)
+            self.drop_run(run)
+            self.requeue(run, orders.How.LAPSED, now)
         held.lapsed = True
 
     def note_gone(self, worker: str, now: float) -> None:
@@ -286,7 +285,7 @@
             held.runs[run.key] = run
             held.lapsed = False
 
-    def _drop_run(self, run: runs.Run) -> None:
+    def drop_run(self, run: runs.Run) -> None:
         """Remove a run that has certainly ended."""
         held = self.workers.get(run.worker)
         work = self.find_work(run.key)
@@ -348,214 +347,45 @@
         self.note(
             "run:rejected", task=key, run=number, worker=run.worker, why=why
         )
-        self._drop_run(run)
-        self._requeue(run, orders.How.STOPPED, now)
+        self.drop_run(run)
+        self.requeue(run, orders.How.STOPPED, now)
         work = self.find_work(key)
         if work is None:
             return
-        work.not_before = max(work.not_before, now + _RETRY_PAUSE_S)
+        work.not_before = max(work.not_before, now + RETRY_PAUSE_S)
         if why == orders.Why.NO_TICKET:
             work.permits.drop_ticket(run.worker)
         else:
             work.avoid.add(run.worker)
 
-    def _requeue(self, run: runs.Run, how: orders.How, now: float) -> None:
+    def requeue(self, run: runs.Run, how: orders.How, now: float) -> None:
         """Put a task back after a run that has not ended well."""
         work = self.find_work(run.key)
         if work is None or run.key.position in work.kept.done:
             return
         work.waiting.add(run.key.position)
         work.waiting_since = now
-        self._keep_checkpoint(work, run.key, run.saved)
+        self.keep_checkpoint(work, run.key, run.saved)
         if work.step.gang:
             # Members that are left would wait for this one, or run without
             # use; all of them start again together.
             self.stop_step(work, f"a member ended: {how}", now)
 
-    def _keep_checkpoint(
+    def keep_checkpoint(
         self, work: runs.StepWork, key: model.TaskKey, saved: str
     ) -> None:
+        """Note where a task or its gang goes on when it starts again."""
         index = 0 if work.step.gang else key.position
         if saved and saved != work.kept.saved.get(index):
             work.kept.saved[index] = saved
             self.dirty.add(key.job)
 
-    # Reports.
+    # Ends of jobs.
 
-    def note_report(
-        self, worker: str, report: orders.Report, sent_at: float, now: float
-    ) -> None:
-        """Take what a worker says that it holds.
-
-        Args:
-            worker: Which.
-            report: What it said.
-            sent_at: Steady time at which it was asked; what was ordered
-                after that may be missing from the report.
-            now: Steady time.
-        """
-        held = self.workers.get(worker)
-        if held is None:
-            return
-        if held.silent_since is not None or not held.reached:
-            self.note("worker:reached", worker=worker)
-        held.silent_since = None
-        held.reached = True
-        for ended in report.ended:
-            # An end is listed again until it is confirmed.
-            if ended.number > held.noted:
-                held.noted = ended.number
-                self._note_end(worker, ended, now)
-        listed = {row.key: row for row in report.running}
-        ended_keys = {(row.key, row.run) for row in report.ended}
-        for row in report.running:
-            if (row.key, row.run) not in ended_keys:
-                self._note_running(worker, row, now)
-        self._find_missing(held, listed, sent_at, now)
-
-    def _note_running(
-        self, worker: str, row: orders.Running, now: float
-    ) -> None:
-        self._open_reported(row.key, now)
-        run = self.runs.get(row.key)
-        if run is not None and run.number == row.run and run.worker == worker:
-            self.note_taken(row.key, row.run, now)
-            if row.percent != run.percent:
-                run.moved_at = now
-            run.percent = row.percent
-            run.load = row.load
-            run.saved = row.saved or run.saved
-            return
-        if run is None and self._may_adopt(row.key):
-            adopted = self.add_run(row.key, row.run, worker, now)
-            adopted.saved = row.saved or adopted.saved
-            adopted.percent = row.percent
-            self.note_taken(row.key, row.run, now)
-            self.note("run:adopted", task=row.key, run=row.run, worker=worker)
-            return
-        self.outbox.append((worker, orders.Stop(row.key, row.run)))
-        self.note("run:stray", task=row.key, run=row.run, worker=worker)
-
-    def _may_adopt(self, key: model.TaskKey) -> bool:
-        held = self.jobs.get(key.job)
-        work = self.find_work(key)
-        return (
-            held is not None
-            and not held.is_final
-            and work is not None
-            and key.position in work.waiting
-        )
-
-    def _find_missing(
-        self,
-        held: runs.Worker,
-        listed: dict[model.TaskKey, orders.Running],
-        sent_at: float,
-        now: float,
-    ) -> None:
-        """Drop runs that their worker no longer knows.
-
-        An end may have been confirmed by an earlier owner that died before
-        it could tell; without this the task would count as running for ever.
-        """
-        for key in list(held.runs):
-            run = self.runs[key]
-            confirmed = run.confirmed_at
-            if key in listed or confirmed is None or confirmed >= sent_at:
-                continue
-            self.note("run:missing", task=key, worker=run.worker)
-            self._drop_run(run)
-            self._requeue(run, orders.How.LAPSED, now)
-
-    def _note_end(self, worker: str, ended: orders.Ended, now: float) -> None:
-        key = ended.key
-        self._open_reported(key, now)
-        run = self.runs.get(key)
-        ours = (
-            run is not None and run.number == ended.run and run.worker == worker
-        )
-        work = self.find_work(key)
-        held = self.jobs.get(key.job)
-        if ours and run is not None:
-            run.saved = ended.saved or run.saved
-            self._drop_run(run)
-        if held is None or work is None:
-            return
-        held.begun = True
-        if key.position in work.kept.done:
-            return
-        self.note(
-            "run:ended",
-            task=key,
-            run=ended.run,
-            worker=worker,
-            how=str(ended.how),
-        )
-        if ended.how is orders.How.DONE:
-            self._note_done(held, work, key, worker, now)
-            return
-        if ended.how is orders.How.FAILED:
-            self._note_failed(held, work, ended, worker, now)
-        if ours and run is not None:
-            self._requeue(run, ended.how, now)
-        elif run is None:
-            self._keep_checkpoint(work, key, ended.saved)
-
-    def _note_done(
-        self,
-        held: runs.JobWork,
-        work: runs.StepWork,
-        key: model.TaskKey,
-        worker: str,
-        now: float,
-    ) -> None:
-        suspicion.note_good(self.workers.get(worker))
-        if work.step.lasting:
-            # It must run until cancelled, however it ends.
-            work.waiting.add(key.position)
-            return
-        indices = range(work.step.count) if work.step.gang else (key.position,)
-        for index in indices:
-            work.kept.done.add(index)
-            work.kept.saved.pop(index, None)
-            work.waiting.discard(index)
-            other = self.runs.get(key._replace(position=index))
-            if other is not None and not work.step.gang:
-                self.stop_run(other, "its task has ended elsewhere", now)
-        self.dirty.add(held.job.id)
-        self._check_done(held, now)
-
-    def _note_failed(
-        self,
-        held: runs.JobWork,
-        work: runs.StepWork,
-        ended: orders.Ended,
-        worker: str,
-        now: float,
-    ) -> None:
-        suspicion.note_failure(
-            self.workers.get(worker), held.job.id, now, self.note
-        )
-        work.avoid.add(worker)
-        work.not_before = max(work.not_before, now + _RETRY_PAUSE_S)
-        index = 0 if work.step.gang else ended.key.position
-        failed = work.kept.failed.setdefault(index, [])
-        if ended.run in failed:
-            return
-        failed.append(ended.run)
-        self.dirty.add(held.job.id)
-        if len(failed) >= held.job.max_attempts and not work.step.lasting:
-            self._finish(held, model.State.FAILED, now)
-
-    def _check_done(self, held: runs.JobWork, now: float) -> None:
-        if held.opened < held.job.occurrences:
-            return
-        if all(work.is_done for work in held.steps.values()):
-            self._finish(held, model.State.DONE, now)
-
-    def _finish(
+    def finish(
         self, held: runs.JobWork, state: model.State, now: float
     ) -> None:
+        """Give a job its final state; told once the journal has it."""
         if held.is_final:
             return
         held.progress.final = state
--- a/crocusrouter/work/tests/build.py
+++ b/crocusrouter/work/tests/build.py
@@ -102,4 +102,5 @@
             and book.runs[key].phase is not runs.Phase.ORDERED
         )
     shown = orders.Report(0, running, ended)
-    book.note_report(worker, shown, now if sent_at is None else sent_at, now)
+    asked_at = now if sent_at is None else sent_at
+    work.take_report(book, worker, shown, asked_at, now)
--- a/crocusrouter/work/tests/test_book.py
+++ b/crocusrouter/work/tests/test_book.py
@@ -63,7 +63,7 @@
     )
     successor.open_due(build.WALL, 0.0)
     ended = orders.Ended(3, _key("j"), 7, HOW.FAILED)
-    successor.note_report("w0", orders.Report(0, (), (ended,)), 0.0, 0.0)
+    work.take_report(successor, "w0", orders.Report(0, (), (ended,)), 0.0, 0.0)
     assert book.jobs["j"].progress.final is None
     assert successor.jobs["j"].progress.final is None
 
@@ -208,7 +208,7 @@
     book.put_job(job, work.Progress(), 2, 0.0)
     running = () if how else (orders.Running(_key("j"), 5),)
     ended = (orders.Ended(1, _key("j"), 5, how),) if how else ()
-    book.note_report("w0", orders.Report(0, running, ended), 0.0, 0.0)
+    work.take_report(book, "w0", orders.Report(0, running, ended), 0.0, 0.0)
     book.open_due(build.WALL + 9, 9.0)
     assert book.outbox == []
     assert work.plan(book, 9.0, build.WALL + 9).placements == []
