Give each listener of a soak a port of its own

The entries' own start lines show the cause: e1's "ready" port was e0's port for callers, since ports were probed and let go one entry after the other. Change: ports are handed out once, below the kernel's own range.

--- a/standins/soak/world.py
+++ b/standins/soak/world.py
@@ -1,5 +1,6 @@
 """Store, workers, proxies and entry processes of one soak."""
 
+import os
 import pathlib
 import signal
 import socket
@@ -23,18 +24,41 @@
 HOST = "queue.example"
 PREFIX = "/match/"
 KEY = "key-of-a"
+_FIRST_PORT = 12_000
+_PORTS = 18_000
+# More than one soak uses; those of another process begin elsewhere.
+_PORTS_EACH = 101
 _STEP_S = 0.02
 _HEARTBEAT_S = 1.5
 _ROOM = work.Room(32_000, 131_072, 8)
 
 
-def find_free_ports(count: int) -> list[int]:
-    """Return loopback ports that nobody uses at this moment."""
-    probes = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
-    ports = [probe.getsockname()[1] for probe in probes]
-    for probe in probes:
-        probe.close()
-    return ports
+class Ports:
+    """Hands out loopback ports, each once.
+
+    They lie below those that the kernel gives to sockets without one of
+    their own. Drawn from these, a port was given to two listeners: a caller
+    of one entry then heard the empty "ready" of another.
+    """
+
+    def __init__(self) -> None:
+        self._next = _FIRST_PORT + os.getpid() * _PORTS_EACH % _PORTS
+
+    def take(self, count: int) -> list[int]:
+        """Return `count` ports that nobody listens on at this moment."""
+        found: list[int] = []
+        while len(found) < count:
+            self._next += 1
+            with socket.socket() as probe:
+                # As the listeners set it: a port whose last connections are
+                # still being forgotten can be used.
+                probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+                try:
+                    probe.bind(("127.0.0.1", self._next))
+                except OSError:
+                    continue
+            found.append(self._next)
+        return found
 
 
 class World:
@@ -60,6 +84,7 @@
         self.worker_proxies: dict[str, proxies.Proxy] = {}
         self.workers: dict[str, workers.Worker] = {}
         self._platform = wire.Platform()
+        self._ports = Ports()
         self._settings: dict[str, dict[str, str]] = {}
         gangs, policy = workers.Gangs(), policies.Policy()
         for number in range(hosts):
@@ -85,7 +110,7 @@
             task_status.started()
 
     async def _serve_platform(self, nursery: trio.Nursery) -> None:
-        listed = find_free_ports(len(self.entries) + len(self.workers))
+        listed = self._ports.take(len(self.entries) + len(self.workers))
         config = server.build_config("127.0.0.1:0", 1.0, Metrics())
         config.bind = [f"127.0.0.1:{number}" for number in listed]
         await nursery.start(
@@ -105,7 +130,7 @@
             await nursery.start(self.worker_proxies[name].run)
 
     def _build_settings(self, name: str) -> dict[str, str]:
-        front, ready, mesh, metrics = find_free_ports(4)
+        front, ready, mesh, metrics = self._ports.take(4)
         self.urls[name] = f"http://127.0.0.1:{front}"
         found = {
             "NAME": name,
