Read a wave's record anew while other pools work on it

Cause (found by reading): an owner kept the record that it had read first; once its own part was done it never saw the others finish, and listed all VMs twice a second for ever. And a duty that ended because it was fenced left its workers resting. Change: the record is read anew while VMs of other pools still wait; the workers take work again when the duty ends.

--- /dev/null
+++ b/crocusrouter/pools/tests/test_upkeep.py
@@ -0,0 +1,83 @@
+"""The duty of a pool whose wave concerns other pools as well."""
+
+import types
+
+import trio
+
+from crocusrouter import work
+from crocusrouter.pools import clock
+from crocusrouter.pools import keys
+from crocusrouter.pools import upkeep as duties
+from crocusrouter.store import port
+from crocusrouter.work import upkeep
+from crocusrouter.work import vms
+from standins.emulator import store as stores
+
+_WAVE = vms.Wave(1, frozenset({"m1"}), 20.0, 1)
+_KEY = keys.build_wave_key(1)
+
+
+class _Vms:
+    """One VM of another pool; counts how often it is listed."""
+
+    def __init__(self):
+        self.listed = 0
+
+    async def list_vms(self):
+        self.listed += 1
+        return (vms.Vm("m1", "other", vms.VmState.UP, "w1"),)
+
+    async def begin_upkeep(self, holder, epoch, vm, wave):
+        raise AssertionError("not ours to order")
+
+    async def aclose(self):
+        pass
+
+
+def _make_duty(store, platform):
+    owner = store.put("owner", b"e0")
+    held = types.SimpleNamespace(
+        pool="ours",
+        epoch=owner,
+        guard=port.Guard("owner", owner),
+        is_valid=lambda: True,
+    )
+    waves = duties.Waves(
+        duties.Upkeeping(
+            "op/wave/",
+            lambda key, value: _WAVE,
+            lambda: platform,
+            lambda wave, over: (f"status/{wave}", str(over).encode()),
+        )
+    )
+    waves.open["op/wave/1"] = _WAVE
+    return duties.UpkeepDuty(
+        held,
+        "e0",
+        stores.StoreView(store, "e0"),
+        work.Book(1),
+        clock.Clock(trio.current_time, lambda: 0.0),
+        waves,
+        lambda: None,
+    )
+
+
+# Operators pay for a list of VMs twice a second for ever: the owner of one
+# pool keeps the record that it read first, and never sees that the owner of
+# the other pool has finished the wave.
+async def test_owner_sees_what_other_owners_have_done(autojump_clock):
+    store = stores.Store(1)
+    platform = _Vms()
+    begun = upkeep.WaveRecord(begun={"m1": "w1"})
+    store.put(_KEY, upkeep.dump_record(begun))
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(_make_duty(store, platform).run)
+        await trio.sleep(6.0)
+        assert platform.listed > 2
+        store.put(_KEY, upkeep.dump_record(upkeep.WaveRecord(done={"m1"})))
+        await trio.sleep(2.0)
+        listed = platform.listed
+        await trio.sleep(10.0)
+        nursery.cancel_scope.cancel()
+    assert platform.listed == listed
+    assert store.items["status/1"].value == b"True"
--- a/crocusrouter/pools/upkeep.py
+++ b/crocusrouter/pools/upkeep.py
@@ -120,6 +120,13 @@
         if meeting is None:
             return
         await trio.sleep(_PREDECESSOR_S)
+        try:
+            await self._work_forever(meeting)
+        finally:
+            # Workers that were being emptied take work again.
+            self._book.set_resting(set())
+
+    async def _work_forever(self, meeting: Upkeeping) -> None:
         while not self._fenced:
             await trio.sleep(_TICK_S)
             waves = [
@@ -157,15 +164,15 @@
         listed: tuple[vm_port.Vm, ...],
         vms: vm_port.VmPort,
     ) -> None:
-        if wave.number not in self._records:
-            await self._load(wave.number)
-        record = self._records[wave.number]
+        record = self._records.get(wave.number)
+        pool = self._tenure.pool
+        if record is None or upkeep.is_shared(wave, record, listed, pool):
+            # Owners of other pools change it too.
+            record = await self._load(wave.number)
         before = upkeep.dump_record(record)
         upkeep.note_back(record, listed)
         now = self._times.steady()
-        chosen = upkeep.choose_vm(
-            self._book, self._tenure.pool, wave, record, listed, now
-        )
+        chosen = upkeep.choose_vm(self._book, pool, wave, record, listed, now)
         if chosen is not None:
             record.begun[chosen.name] = chosen.worker
         is_over = upkeep.is_over(wave, record, listed)
@@ -237,14 +244,16 @@
 
     # The record.
 
-    async def _load(self, wave: int) -> None:
+    async def _load(self, wave: int) -> upkeep.WaveRecord:
         found = await self._store.read(keys.build_wave_key(wave))
         self._revisions[wave] = found.revision if found is not None else 0
-        self._records[wave] = (
+        record = (
             upkeep.parse_record(found.value)
             if found is not None
             else upkeep.WaveRecord()
         )
+        self._records[wave] = record
+        return record
 
     async def _write(
         self, wave: int, record: upkeep.WaveRecord, is_over: bool
--- a/crocusrouter/work/upkeep.py
+++ b/crocusrouter/work/upkeep.py
@@ -210,6 +210,19 @@
     return changed
 
 
+def is_shared(
+    wave: vms.Wave,
+    record: WaveRecord,
+    listed: tuple[vms.Vm, ...],
+    pool: str,
+) -> bool:
+    """Tell whether VMs of other pools still wait for their upkeep."""
+    return any(
+        vm.pool != pool and vm.name in wave.vms and vm.name not in record.done
+        for vm in listed
+    )
+
+
 def is_over(
     wave: vms.Wave, record: WaveRecord, listed: tuple[vms.Vm, ...]
 ) -> bool:
