--- a/standins/emulator/tests/test_histories.py
+++ b/standins/emulator/tests/test_histories.py
@@ -31,9 +31,15 @@
 # Callers see a task run twice, a job lost or refused though it ran, a gang in
 # part. Owners, entries, store and workers fail at any times, also while the
 # system still recovers from the last failure; the day is drawn with them.
-# In the explicit histories the stand-in for the policy service let no worker,
-# or fewer workers than a gang has members, run a step, which no real policy
-# does: it could never end.
+# The first explicit history was judged while a gang of a job that always fails
+# waited for a suspected worker. In the others the stand-in for the policy
+# service let no worker, or fewer workers than a gang has members, run a step,
+# which no real policy does: it could never end.
+@hypothesis.example(
+    seed=5,
+    load=emulator.Load(2.0, _LENGTH_S, 0.8, advised=0.3),
+    events=[faults.Event(4.0, emulator.Fault.CANCEL_MANY, 1.25)],
+)
 @hypothesis.example(
     seed=728,
     load=emulator.Load(1.0, _LENGTH_S, 0.8, advised=0.3),
