--- a/standins/emulator/tests/test_histories.py
+++ b/standins/emulator/tests/test_histories.py
@@ -33,10 +33,10 @@
 # system still recovers from the last failure; the day is drawn with them.
 # In the first explicit history a try to hand a job in was answered "nobody
 # knows" and carried out after the next try had been refused at another entry;
-# it counted as refused all the same. The second one was judged while a gang of a job that always fails
-# waited for a suspected worker. In the others the stand-in for the policy
-# service let no worker, or fewer workers than a gang has members, run a step,
-# which no real policy does: it could never end.
+# it counted as refused all the same. The second one was judged while a gang of
+# a job that always fails waited for a suspected worker. In the others the
+# stand-in for the policy service let no worker, or fewer workers than a gang
+# has members, run a step, which no real policy does: it could never end.
 @hypothesis.example(
     seed=424,
     load=emulator.Load(2.0, _LENGTH_S, 0.8, advised=0.3),
