--- a/crocusrouter/pools/entry.py
+++ b/crocusrouter/pools/entry.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Callable
 import dataclasses
-import hashlib
 import traceback
 
 import trio
@@ -19,6 +18,7 @@
 from crocusrouter.pools import members
 from crocusrouter.pools import owner as owners
 from crocusrouter.pools import peers as peer_links
+from crocusrouter.pools import ranking
 from crocusrouter.pools import relay
 from crocusrouter.pools import tenure as tenures
 from crocusrouter.pools import upkeep
@@ -338,7 +338,7 @@
             return False
         since = self._vacant_since.setdefault(pool, now)
         candidates = self._members | {self.name: self._own_member}
-        rank = rank_candidates(pool, candidates).index(self.name)
+        rank = ranking.rank_candidates(pool, candidates).index(self.name)
         wait_s = rank * _RANK_DELAY_S
         if len(candidates) == 1:
             wait_s = _ALONE_DELAY_S
@@ -426,23 +426,3 @@
     await held.keep()
     log("owner:lease-ended", pool=held.pool, epoch=held.epoch)
     scope.cancel()
-
-
-def rank_candidates(
-    pool: str, candidates: dict[str, members.Member]
-) -> list[str]:
-    """Return who should own a pool, the first choice first.
-
-    The VM with the most processor goes first, since the owner does most of
-    the work: on VMs of 0.5 cores among some of 2 it answered 1.2 s late.
-    Pools are spread over VMs of one size by a hash.
-    """
-    return sorted(
-        candidates,
-        key=lambda name: (-candidates[name].cores, _weigh(pool, name)),
-    )
-
-
-def _weigh(pool: str, name: str) -> bytes:
-    text = f"{pool}\0{name}".encode()
-    return hashlib.blake2b(text, digest_size=8).digest()
--- a/crocusrouter/pools/tests/test_ranking.py
+++ b/crocusrouter/pools/tests/test_ranking.py
@@ -1,7 +1,7 @@
 import pytest
 
-from crocusrouter.pools import entry
 from crocusrouter.pools import members
+from crocusrouter.pools import ranking
 
 _SMALL = members.Member("a:1", 0.5)
 _LARGE = members.Member("b:1", 2.0)
@@ -12,13 +12,13 @@
 @pytest.mark.parametrize("pool", ["match", "tag", "sync"])
 def test_largest_vm_owns_a_pool(pool):
     candidates = {f"s{n}": _SMALL for n in range(9)} | {"l0": _LARGE}
-    assert entry.rank_candidates(pool, candidates)[0] == "l0"
+    assert ranking.rank_candidates(pool, candidates)[0] == "l0"
 
 
 def test_pools_are_spread_over_vms_of_one_size():
     candidates = {f"l{n}": _LARGE for n in range(4)}
     first = {
-        entry.rank_candidates(f"pool {n}", candidates)[0] for n in range(40)
+        ranking.rank_candidates(f"pool {n}", candidates)[0] for n in range(40)
     }
     assert first == set(candidates)
 
--- a/crocusrouter/work/policy.py
+++ b/crocusrouter/work/policy.py
@@ -22,7 +22,8 @@
             much as what it stops and has no slack.
         second_loss_factor: Likewise for the second priority: next to
             nothing, so that only work that goes on from a checkpoint makes
-            room. In replayed days its gangs earned 3 to 4 points of 100 more.
+            room. In replayed days its gangs earned 2 to 3 points of 100
+            more, the third priority 1 to 9 less; the whole is within the noise.
     """
 
     rack_patience: float = 2.0
--- a/crocusrouter/work/victims.py
+++ b/crocusrouter/work/victims.py
@@ -13,7 +13,8 @@
 _FAR = 1e9
 # Bounds of one search, so that a decision's cost doesn't grow with the pool:
 # victims in the emptiest racks, or on the emptiest workers, are the cheapest
-# as a rule. Of 1,400 workers in 100 racks all were searched in 0.1 s.
+# as a rule. With 1,400 workers a decision took 87 ms instead of 142, half of
+# the time.
 _MOST_RACKS = 24
 _MOST_WORKERS = 256
 
