Repeat the stop of an unknown run; repeat no start on a worker that drains

Cause (read, then a test that was red, 5 of 6): a stop of a run that the book doesn't know returned after its first lost answer, and nothing looks at an idle worker, so a task of a cancelled job that was started late ran until its lease ended. A start is repeated for 2 s; the worker may have begun to drain meanwhile. Change: such a stop goes on until it is answered, the worker is another one or its lease has ended; a start is not sent again to a worker that drains. Ruled out: starts of a removed owner; its successor's first look fences them.

--- a/crocusrouter/pools/links.py
+++ b/crocusrouter/pools/links.py
@@ -193,11 +193,19 @@
         await self._give_up(order, maybe_begun)
 
     def _is_wanted(self, order: orders.Start) -> bool:
+        """Tell whether an order may be sent, or sent again.
+
+        Not to a worker that drains meanwhile: a start that was repeated until
+        2 s after the decision came later than it may get anything new.
+        """
         run = self._book.runs.get(order.key)
+        held = self._book.workers.get(self.worker)
         return (
             run is not None
             and run.number == order.run
             and run.phase is runs.Phase.ORDERED
+            and held is not None
+            and not held.sealed
         )
 
     def _reject(self, order: orders.Start, why: str) -> None:
@@ -222,12 +230,21 @@
             self._book.stop_run(run, "its start was not answered", now)
             self._changed()
 
+    def _is_current(self, order: orders.Stop) -> bool:
+        run = self._book.runs.get(order.key)
+        return run is not None and run.number == order.run
+
     async def stop(self, order: orders.Stop) -> None:
         """Deliver a stop; repeated until it is answered or has no object.
 
+        A run that the book doesn't know, such as one of a cancelled job that
+        an order carried out late has begun, would go on until its lease ends
+        if its only stop were lost: nothing else looks at an idle worker.
+
         Raises:
             DeposedError: The worker knows a later owner.
         """
+        known = self._is_current(order)
         while not self._gone:
             result = await self._port.stop(self._epoch, order, _ORDER_TIMEOUT_S)
             match result:
@@ -241,8 +258,9 @@
                 case orders.Rejected(orders.Why.OTHER_INCARNATION):
                     self._leave()
                     return
-            run = self._book.runs.get(order.key)
-            if run is None or run.number != order.run:
+            if known and not self._is_current(order):
+                return
+            if not known and self.lease.has_lapsed(self._times.steady()):
                 return
             self.wake()
             await trio.sleep(_RETRY_S)
--- /dev/null
+++ b/crocusrouter/pools/tests/test_links.py
@@ -0,0 +1,112 @@
+"""Orders that a worker leaves unanswered."""
+
+import dataclasses
+
+import pytest
+import trio
+
+from crocusrouter import work
+from crocusrouter.pools import clock
+from crocusrouter.pools import links
+from crocusrouter.work import orders
+from crocusrouter.work.tests import build
+
+_WORKER = "w0"
+_SILENT = orders.Silent("lost", maybe_done=True)
+_NOT_SENT = orders.Silent("refused", maybe_done=False)
+
+
+class _Port:
+    """Answers orders from a script, then always takes them."""
+
+    def __init__(self, *answers):
+        self.answers = list(answers)
+        self.sent = []
+
+    async def _answer(self, order):
+        self.sent.append(order)
+        await trio.sleep(0.01)
+        return self.answers.pop(0) if self.answers else orders.Taken(1000)
+
+    async def start(self, epoch, order, until_ms, timeout_s):
+        return await self._answer(order)
+
+    async def stop(self, epoch, order, timeout_s):
+        return await self._answer(order)
+
+    async def hold(self, epoch, seen, until_ms, wait_s):
+        await trio.sleep(0.01)
+        return orders.Report(1000, (), ())
+
+    async def aclose(self):
+        pass
+
+
+async def _settle():
+    pass
+
+
+def _make_link(port):
+    book = work.Book(1)
+    book.set_worker(build.make_entry(_WORKER), 0.0)
+    book.workers[_WORKER].reached = True
+    times = clock.Clock(trio.current_time, lambda: 1e6 + trio.current_time())
+    link = links.WorkerLink(
+        _WORKER, port, 1, book, times, _settle, lambda: True, lambda: None
+    )
+    link.lease.note(500, trio.current_time())
+    return book, link
+
+
+@pytest.mark.parametrize("lost", [1, 3, 6])
+async def test_stop_of_an_unknown_run_is_repeated_until_taken(
+    lost, autojump_clock
+):
+    """A job was cancelled while its start was unanswered; the worker carried
+    it out seconds later. The owner's next look showed the run and a stop was
+    sent, whose answer got lost. Nothing else looked at that worker, and the
+    task ran until its lease ended.
+    """
+    port = _Port(*[_SILENT] * lost)
+    _, link = _make_link(port)
+    key = work.TaskKey("00000000000000aa", 0, 0, 0)
+    await link.stop(orders.Stop(key, 7))
+    assert len(port.sent) == lost + 1
+
+
+async def test_stop_of_an_unknown_run_ends_with_its_lease(autojump_clock):
+    """Nothing can run there any more, so there is nothing left to stop."""
+    port = _Port(*[_SILENT] * 1000)
+    _, link = _make_link(port)
+    key = work.TaskKey("00000000000000aa", 0, 0, 0)
+    with trio.fail_after(20.0):
+        await link.stop(orders.Stop(key, 7))
+
+
+@pytest.mark.parametrize(
+    ("answer", "settled"), [(_NOT_SENT, True), (_SILENT, False)]
+)
+async def test_start_is_not_repeated_on_a_worker_that_drains(
+    answer, settled, autojump_clock
+):
+    """A start is repeated for two seconds. The worker had said meanwhile that
+    it leaves, and the task began 2 s later than anything new may begin there.
+    """
+    port = _Port(*[answer] * 50)
+    book, link = _make_link(port)
+    job = build.make_job("00000000000000aa", build.make_step(1))
+    book.put_job(job, work.Progress(), 1, 0.0)
+    book.open_due(2e6, 0.0)
+    key = work.TaskKey(job.id, 0, 0, 0)
+    run = book.add_run(key, 7, _WORKER, 0.0)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(link.start, orders.Start(key, 7, "", ""))
+        await trio.sleep(0.025)
+        entry = book.workers[_WORKER].entry
+        book.set_worker(dataclasses.replace(entry, draining=True), 0.0)
+        sent = len(port.sent)
+    assert len(port.sent) <= sent
+    if settled:
+        assert book.find_work(key).waiting == {0}
+    else:
+        assert run.why == "its start was not answered"
