--- /dev/null
+++ b/bench/tests/test_losses.py
@@ -0,0 +1,84 @@
+import orjson
+import pytest
+
+from bench import losses
+
+
+def _lines(*events):
+    return [
+        b"  3.1 e1 " + orjson.dumps({"timestamp": at, "message_type": kind} | f)
+        for at, kind, f in events
+    ]
+
+
+_ACCEPT = (100.0, "job:accept", {"job": "aa", "outcome": "stored"})
+_SEEN = (
+    100.1,
+    "job:seen",
+    {
+        "job": "aa",
+        "priority": 0,
+        "cancelled": False,
+        "objective_s": 4.0,
+        "expected_s": 2.0,
+    },
+)
+
+
+def _start(at):
+    return at, "step:start", {"step": "aa.0.0"}
+
+
+def _final(at):
+    return at, "job:final", {"job": "aa", "state": "done"}
+
+
+@pytest.mark.parametrize(
+    ("events", "expected"),
+    [
+        ([_start(100.2), _final(103.0)], (losses.Reason.IN_TIME, 0.0)),
+        ([_start(100.2), _final(106.0)], (losses.Reason.SLOW, 2.0)),
+        ([_start(104.0), _final(106.0)], (losses.Reason.WAITED, 2.0)),
+        ([_start(100.2)], (losses.Reason.NOT_ENDED, 0.0)),
+        (
+            [
+                _start(100.2),
+                (
+                    101.0,
+                    "run:stop",
+                    {"task": "aa.0.0.1", "why": "its room is guaranteed to x"},
+                ),
+                _start(104.0),
+                _final(106.0),
+            ],
+            (losses.Reason.STOPPED, 2.0),
+        ),
+        (
+            [
+                _start(100.2),
+                (102.0, "run:ended", {"task": "aa.0.0.1", "how": "failed"}),
+                _start(103.0),
+                _final(105.0),
+            ],
+            (losses.Reason.FAILED, 1.0),
+        ),
+        (
+            [(101.0, "job:seen", _SEEN[2] | {"cancelled": True})],
+            (losses.Reason.CANCELLED, 0.0),
+        ),
+    ],
+)
+def test_longest_part_beyond_plan(events, expected):
+    stories = losses.read_lines(_lines(_ACCEPT, _SEEN, *events))
+    assert losses.judge(stories["aa"]) == pytest.approx(expected)
+
+
+def test_lines_that_are_not_ours_are_passed_over():
+    lines = [b"", b"day  worth", b'{"half": ', b"[1]", b'{"job": "bb"}']
+    assert losses.read_lines(lines) == {}
+
+
+def test_table_has_a_line_for_each_priority_and_reason():
+    lines = _lines(_ACCEPT, _SEEN, _start(104.0), _final(106.0))
+    [row] = losses.build_table(losses.read_lines(lines).values())
+    assert row.split(None, 3) == ["0", "1", "2.0", "waited for room"]
--- a/crocusrouter/work/model.py
+++ b/crocusrouter/work/model.py
@@ -201,6 +201,14 @@
     step: int
     position: int
 
+    def __str__(self) -> str:
+        """Return the name by which logs show it; an id finds all of a job.
+
+        >>> str(TaskKey("0a", 0, 1, 17))
+        '0a.0.1.17'
+        """
+        return ".".join(map(str, self))
+
 
 class StepKey(NamedTuple):
     """Names one step of one occurrence."""
@@ -209,6 +217,14 @@
     occurrence: int
     step: int
 
+    def __str__(self) -> str:
+        """Return the name by which logs show it.
+
+        >>> str(StepKey("0a", 0, 1))
+        '0a.0.1'
+        """
+        return ".".join(map(str, self))
+
 
 def find_step(key: TaskKey) -> StepKey:
     """Return the step that a task belongs to."""
