Give listeners of tests ports that no connection can take

Trace: the port was drawn from the kernel's own range, let go, and given to a connection of the same test before its listener bound it. Ruled out: a listener left open by an earlier test (each is closed by its nursery).

--- a/standins/soak/world.py
+++ b/standins/soak/world.py
@@ -1,9 +1,7 @@
 """Store, workers, proxies and entry processes of one soak."""
 
-import os
 import pathlib
 import signal
-import socket
 
 import orjson
 import trio
@@ -13,6 +11,7 @@
 from crocusrouter.telemetry import Metrics
 from crocusrouter.work import orders
 from demo import processes
+from standins import ports
 from standins.emulator import oracle as oracles
 from standins.emulator import policy as policies
 from standins.emulator import store as stores
@@ -24,43 +23,11 @@
 HOST = "queue.example"
 PREFIX = "/match/"
 KEY = "key-of-a"
-_FIRST_PORT = 12_000
-_PORTS = 18_000
-# More than one soak uses; those of another process begin elsewhere.
-_PORTS_EACH = 101
 _STEP_S = 0.02
 _HEARTBEAT_S = 1.5
 _ROOM = work.Room(32_000, 131_072, 8)
 
 
-class Ports:
-    """Hands out loopback ports, each once.
-
-    They lie below those that the kernel gives to sockets without one of
-    their own. Drawn from these, a port was given to two listeners: a caller
-    of one entry then heard the empty "ready" of another.
-    """
-
-    def __init__(self) -> None:
-        self._next = _FIRST_PORT + os.getpid() * _PORTS_EACH % _PORTS
-
-    def take(self, count: int) -> list[int]:
-        """Return `count` ports that nobody listens on at this moment."""
-        found: list[int] = []
-        while len(found) < count:
-            self._next += 1
-            with socket.socket() as probe:
-                # As the listeners set it: a port whose last connections are
-                # still being forgotten can be used.
-                probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-                try:
-                    probe.bind(("127.0.0.1", self._next))
-                except OSError:
-                    continue
-            found.append(self._next)
-        return found
-
-
 class World:
     """Everything but callers and faults."""
 
@@ -84,7 +51,7 @@
         self.worker_proxies: dict[str, proxies.Proxy] = {}
         self.workers: dict[str, workers.Worker] = {}
         self._platform = wire.Platform()
-        self._ports = Ports()
+        self._ports = ports.Ports()
         self._settings: dict[str, dict[str, str]] = {}
         gangs, policy = workers.Gangs(), policies.Policy()
         for number in range(hosts):
--- /dev/null
+++ b/standins/tests/test_ports.py
@@ -0,0 +1,30 @@
+"""Ports for listeners of tests."""
+
+import socket
+
+from standins import ports
+
+
+def test_no_port_is_handed_out_twice():
+    """A port was drawn, let go, and given to another socket before its
+    listener took it: "address already in use", once in some thousand tests.
+    """
+    found = [port for _ in range(500) for port in ports.find_ports(4)]
+    assert len(set(found)) == len(found)
+
+
+def test_ports_are_not_given_to_connections():
+    with socket.socket() as one:
+        one.bind(("127.0.0.1", 0))
+        lowest = min(32_768, one.getsockname()[1])
+    assert all(port < lowest for port in ports.find_ports(50))
+
+
+# A caller of one entry heard the empty answer of another's "ready": both had
+# been given the same port, one after the other, before either listened.
+def test_port_that_is_taken_is_passed_over():
+    held = ports.Ports()
+    taken = held.take(4) + held.take(4)
+    assert len(set(taken)) == 8
+    with socket.create_server(("127.0.0.1", taken[-1] + 1)):
+        assert taken[-1] + 1 not in held.take(4)
