Let the emulator pause leases and check starts on workers that drain

Its leases lapsed in the tick after an outage in which they should have paused, so a new owner read everything and no deaf one was ever seen. The oracle notes starts that come over 2 s after a worker has said that it leaves while the store is well.

--- a/standins/emulator/cluster.py
+++ b/standins/emulator/cluster.py
@@ -24,6 +24,8 @@
 CONFIG = "op/config"
 _STEP_S = 0.02
 _PEER_S = 0.001
+# A worker that drains must get nothing new from here on.
+_DRAIN_S = 2.0
 _WALL = 1_700_000_000.0
 
 
@@ -95,6 +97,7 @@
         self._scopes: dict[str, trio.CancelScope] = {}
         self._nursery: trio.Nursery | None = None
         self._version = 1
+        self._troubled_at = 0.0
         for number in range(hosts):
             self.add_worker(f"w{number}", f"r0-{number // 3}")
         self.put_config({"a": 16, "b": 8})
@@ -132,6 +135,7 @@
         """Say that a worker leaves."""
         held = self.workers[name]
         held.entry = dataclasses.replace(held.entry, draining=True)
+        held.drains_since = trio.current_time()
         self.list_worker(name)
 
     def crash_worker(self, name: str) -> None:
@@ -254,6 +258,26 @@
 
     # Time.
 
+    def _check_drains(self, now: float) -> None:
+        """Note starts on workers that had long said that they leave.
+
+        While the store is in trouble, and for a while after it, nobody can
+        be expected to have heard that.
+        """
+        troubled = self.store.fault is not stores.StoreFault.NONE
+        if troubled or self.store.turned_away or self.cut_off:
+            self._troubled_at = now
+        for name, held in self.workers.items():
+            starts, held.started_draining = held.started_draining, []
+            for key, at in starts:
+                assert held.drains_since is not None
+                heard_by = max(held.drains_since, self._troubled_at)
+                if at > heard_by + _DRAIN_S:
+                    self.oracle.broken.append(
+                        f"{at:.3f} drain: {key} on {name}, which drains since "
+                        f"{held.drains_since:.3f}"
+                    )
+
     async def run(
         self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
     ) -> None:
@@ -268,5 +292,6 @@
                 for held in list(self.workers.values()):
                     held.step(now)
                 self.store.note_silences(self.names, now)
+                self._check_drains(now)
                 self.store.expire(now)
                 await trio.sleep(_STEP_S)
--- a/standins/emulator/faults.py
+++ b/standins/emulator/faults.py
@@ -101,14 +101,25 @@
 
 
 async def play(
-    seed: int, load: loads.Load, faults: list[Event]
+    seed: int,
+    load: loads.Load,
+    faults: list[Event],
+    *,
+    lapses: bool = True,
 ) -> clusters.Cluster:
     """Play a day and check its end.
 
+    Args:
+        seed: Draws what callers and workers do.
+        load: What comes.
+        faults: What goes wrong.
+        lapses: Whether leases run out while the store is away.
+
     Returns:
         The cluster; its oracle lists what was broken.
     """
     held = clusters.Cluster(seed)
+    held.store.lapses = lapses
     async with trio.open_nursery() as nursery:
         await nursery.start(held.run)
         await trio.sleep(2.0)
--- a/standins/emulator/oracle.py
+++ b/standins/emulator/oracle.py
@@ -20,7 +20,7 @@
         self.refused: set[str] = set()
         self.cancelled: dict[str, float] = {}
         self.done: dict[work.TaskKey, float] = {}
-        self.begun: set[str] = set()
+        self.begun: dict[str, float] = {}
         self.failed: collections.Counter[work.TaskKey] = collections.Counter()
         self._forgotten: collections.Counter[work.TaskKey] = (
             collections.Counter()
@@ -38,7 +38,7 @@
         if job is None:
             self.broken.append(f"{now:.3f} unasked: {key} on {worker}")
             return
-        self.begun.add(key.job)
+        self.begun.setdefault(key.job, now)
         step = job.steps[key.step]
         others = self._running[key]
         if others:
@@ -109,7 +109,7 @@
         Args:
             states: What callers read of each accepted job.
         """
-        for job_id in self.refused & self.begun:
+        for job_id in self.refused & self.begun.keys():
             if job_id not in self.accepted:
                 self.broken.append(f"refused: {job_id} has run")
         for job_id in self.accepted:
--- a/standins/emulator/store.py
+++ b/standins/emulator/store.py
@@ -48,6 +48,7 @@
         self.deaf_until = 0.0
         self.fault = StoreFault.NONE
         self.lapses = True
+        self._expired_at = 0.0
         self.turned_away: dict[str, StoreFault] = {}
         self._silences: dict[str, float] = {}
         self.calls = 0
@@ -114,9 +115,15 @@
         await self._changed.wait()
 
     def expire(self, now: float) -> None:
-        """Remove the keys of leases that have run out."""
+        """Remove the keys of leases that have run out; called all the time."""
+        passed, self._expired_at = now - self._expired_at, now
         away = self.fault in (StoreFault.BUSY, StoreFault.SILENT)
         if away and not self.lapses:
+            # They pause: what was left of each is left when it is back.
+            self.leases = {
+                number: (ttl_s, end + passed)
+                for number, (ttl_s, end) in self.leases.items()
+            }
             return
         gone = {n for n, (_, end) in self.leases.items() if end <= now}
         for number in gone:
--- a/standins/emulator/tests/test_days.py
+++ b/standins/emulator/tests/test_days.py
@@ -1,6 +1,7 @@
 """Whole days of the emulated platform under drawn and scripted faults."""
 
 import os
+import statistics
 
 import pytest
 import trio
@@ -8,6 +9,8 @@
 from standins import emulator
 from standins.emulator import faults
 
+# From the start of a day to its first second of traffic.
+_LEAD_S = 2.0
 _SEEDS = int(os.environ.get("CROCUSROUTER_DAYS", "12"))
 
 
@@ -138,6 +141,33 @@
     assert used == ["w0"]
 
 
+async def test_workers_leave_after_a_silent_outage(autojump_clock):
+    """The store is silent for 4 s while jobs come; afterwards workers say that
+    they leave, a compaction hides changes, and the owner is killed.
+
+    The owner waited on a watch whose answer was lost: it heard of no job for
+    13 s, and went on giving work to the workers that were leaving.
+    """
+    load = emulator.Load(per_s=2.0)
+    events = [
+        faults.Event(4.0, emulator.Fault.STORE_SILENT, 4.0),
+        faults.Event(8.8, emulator.Fault.DRAIN_WORKER, 4.0),
+        faults.Event(8.8, emulator.Fault.DRAIN_WORKER, 4.0),
+        faults.Event(12.0, emulator.Fault.COMPACT_LATE, 1.0),
+        faults.Event(17.0, emulator.Fault.KILL_OWNER, 2.0),
+    ]
+    began = trio.current_time() + _LEAD_S
+    held = await emulator.play(11, load, events, lapses=False)
+    assert held.oracle.broken == []
+    waits = [
+        held.oracle.begun[job.id] - began - at
+        for at, job in load.draw(11)
+        if 8.0 <= at < 12.0 and job.id in held.oracle.begun
+    ]
+    assert len(waits) >= 4
+    assert statistics.median(waits) < 2.0
+
+
 async def test_failure_lost_with_its_worker_spends_no_attempt(autojump_clock):
     """A task fails while its owner is cut off from the store; the worker
     crashes before the end is written and confirmed. The successor can't know
--- a/standins/emulator/worker.py
+++ b/standins/emulator/worker.py
@@ -77,6 +77,8 @@
         self.reborn = False
         self.missed_starts = 0
         self.begun = 0
+        self.drains_since: float | None = None
+        self.started_draining: list[tuple[work.TaskKey, float]] = []
         self.fails_all = False
         self.cut_from: set[str] = set()
         self.late_share = 0.0
@@ -170,9 +172,14 @@
         return None
 
     def begin(
-        self, epoch: int, order: orders.Start, until_ms: int
+        self,
+        epoch: int,
+        order: orders.Start,
+        until_ms: int,
+        *,
+        late: bool = False,
     ) -> orders.Taken | orders.Rejected:
-        """Carry a start out."""
+        """Carry a start out; `late` if it was sent seconds ago."""
         refused = self.check(epoch)
         if refused is not None:
             return refused
@@ -196,6 +203,8 @@
             self.refused_tickets += 1
             return orders.Rejected(orders.Why.NO_TICKET, int(clock))
         self._add(order, job, step)
+        if self.drains_since is not None and not late:
+            self.started_draining.append((order.key, trio.current_time()))
         return orders.Taken(int(clock))
 
     def _find_free(self) -> work.Room:
@@ -373,7 +382,7 @@
     ) -> None:
         await trio.sleep(self._worker.random.uniform(2.0, 12.0))
         if self._worker.alive:
-            self._worker.begin(epoch, order, until_ms)
+            self._worker.begin(epoch, order, until_ms, late=True)
 
     async def stop(
         self, epoch: int, order: orders.Stop, timeout_s: float
