--- a/crocusrouter/store/observed.py
+++ b/crocusrouter/store/observed.py
@@ -88,8 +88,12 @@
         self._slowest_s = max(took, _FADING * self._slowest_s)
 
     @contextlib.contextmanager
-    def _noting(self) -> Iterator[None]:
-        """Note how the call in the body ends."""
+    def _noting(self, *, paged: bool = False) -> Iterator[None]:
+        """Note how the call in the body ends.
+
+        Args:
+            paged: Whether it is several calls; its time tells nothing then.
+        """
         began = self._read_clock()
         try:
             yield
@@ -97,7 +101,8 @@
             self._note(served=False)
             raise
         self._note(served=True)
-        self._note_answer(began)
+        if not paged:
+            self._note_answer(began)
 
     async def read(self, key: str) -> records.Record | None:
         """See `port.KeyValueStore`."""
@@ -106,7 +111,7 @@
 
     async def read_prefix(self, prefix: str) -> records.Snapshot:
         """See `port.KeyValueStore`."""
-        with self._noting():
+        with self._noting(paged=True):
             return await self._store.read_prefix(prefix)
 
     async def write(
