Let the lapsed-list test run something on each worker

A worker that runs nothing is forgotten while it isn't listed, and comes back as new; only those with runs stayed sealed. With a job of six whole workers it is red without the change and green with it.

--- a/crocusrouter/pools/tests/test_roster.py
+++ b/crocusrouter/pools/tests/test_roster.py
@@ -45,13 +45,17 @@
     run out meanwhile. The next owner reads an empty list, and the workers are
     listed again within two seconds.
 
-    They were taken for draining. Whole workers were free, and a job that needs
-    some waited until its caller had left.
+    Those that ran something were taken for draining. Later their room was free,
+    and a job that needs whole workers waited until the end of the day.
     """
     held = emulator.Cluster(3)
     async with trio.open_nursery() as nursery:
         await nursery.start(held.run)
-        await trio.sleep(6.0)
+        await trio.sleep(3.0)
+        step = build.make_step(6, gpu=8, expected_s=20.0)
+        job = build.make_job("00000000000000aa", step, pool=clusters.POOL)
+        await held.submit(job)
+        await trio.sleep(3.0)
         held.store.fault = stores.StoreFault.BUSY
         await trio.sleep(4.5)
         for name in held.workers:
