--- a/bench/replay/day.py
+++ b/bench/replay/day.py
@@ -75,6 +75,7 @@
         self.running: dict[work.TaskKey, _Running] = {}
         self.ends: dict[str, list[orders.Ended]] = {}
         self.numbers: dict[str, int] = {}
+        self.speeds: dict[str, float] = {}
         self.ended_at: dict[str, float] = {}
         self.wasted = 0.0
         self.stops = 0
@@ -92,6 +93,8 @@
             self.book.workers[name].reached = True
             self.ends[name] = []
             self.numbers[name] = 0
+            drawn = random.Random(f"{seed} {name}")
+            self.speeds[name] = drawn.choice(site.speeds)
 
     def run(self, length_s: float) -> Outcome:
         """Play the day and the calm after it."""
@@ -134,10 +137,10 @@
     # Workers.
 
     def _find_speed(self, worker: str, now: float) -> float:
-        speed = 1.0
+        speed = self.speeds[worker]
         for trouble in self.troubles:
             if trouble.worker == worker and trouble.start <= now < trouble.end:
-                speed = min(speed, trouble.speed)
+                speed = min(speed, self.speeds[worker] * trouble.speed)
         return speed
 
     def _work(self, now: float) -> None:
--- a/bench/replay/load.py
+++ b/bench/replay/load.py
@@ -71,6 +71,7 @@
         room: What each worker has.
         stop_s: Seconds that a stop takes at most.
         restore_s: Seconds to go on from a checkpoint.
+        speeds: How fast workers are; each is one of these.
         waste_price: Worth that a core-second thrown away costs.
     """
 
@@ -83,6 +84,7 @@
     room: work.Room = work.Room(32_000, 131_072, 8)
     stop_s: float = 0.2
     restore_s: float = 0.6
+    speeds: tuple[float, ...] = (1.0,)
     waste_price: float = 0.0018
 
 
@@ -137,6 +139,7 @@
         room=work.Room(128_000, 262_144, 8),
         stop_s=0.9,
         restore_s=0.25,
+        speeds=(0.8, 1.0, 1.25),
         waste_price=0.0015,
     ),
 }  # fmt: skip
