End no watch in doubt when a peer tells of a change once more

Change: a short watch is left to end; only the first word of a peer ends a long one. Ruled out: limiting it by time (the short watch is the limit).

--- a/crocusrouter/pools/intake.py
+++ b/crocusrouter/pools/intake.py
@@ -76,7 +76,13 @@
         return self._last_event
 
     def compare(self, last_event: int) -> None:
-        """Look again if a peer has heard of a change that we have not."""
+        """Look again if a peer has heard of a change that we have not.
+
+        A short watch that is under way is left to end: heartbeats come several
+        times a second, and each would end it before a slow service answers.
+        """
+        if self.failing or self._doubted:
+            return
         if self._revision and last_event > self._revision:
             log(
                 "watch:behind-peer",
