--- a/bench/replay/load.py
+++ b/bench/replay/load.py
@@ -72,7 +72,6 @@
         stop_s: Seconds that a stop takes at most.
         restore_s: Seconds to go on from a checkpoint.
         speeds: How fast workers are; each is one of these.
-        waste_price: Worth that a core-second thrown away costs.
     """
 
     name: str
@@ -85,7 +84,6 @@
     stop_s: float = 0.2
     restore_s: float = 0.6
     speeds: tuple[float, ...] = (1.0,)
-    waste_price: float = 0.0018
 
 
 _LARGE = (1, 2, 4, 8, 8)
@@ -120,7 +118,6 @@
                  0.0, 0.45, 0.5, 0.3, 3.0, 3.0, 1, 0.3, 2, 0.03),
         ),
         restore_s=0.1,
-        waste_price=0.0021,
     ),
     "rosario": Site(
         "rosario",
@@ -140,7 +137,6 @@
         stop_s=0.9,
         restore_s=0.25,
         speeds=(0.8, 1.0, 1.25),
-        waste_price=0.0015,
     ),
 }  # fmt: skip
 
