--- a/standins/emulator/store.py
+++ b/standins/emulator/store.py
@@ -37,7 +37,14 @@
 
 
 class Store:
-    """Keys, leases, history and faults, shared by all views."""
+    """Keys, leases, history and faults, shared by all views.
+
+    Attributes:
+        spares_quiet_watches: Whether a silence loses only the answers that are
+            sent in it, so that a watch on which nothing came stays whole.
+        refused_watches: Prefixes whose watches are refused, as calls beyond
+            the limits of a second are.
+    """
 
     def __init__(self, seed: int) -> None:
         self.items: dict[str, _Item] = {}
@@ -51,6 +58,8 @@
         self._expired_at = 0.0
         self.turned_away: dict[str, StoreFault] = {}
         self._silences: dict[str, float] = {}
+        self.spares_quiet_watches = False
+        self.refused_watches: set[str] = set()
         self.calls = 0
         self.random = random.Random(seed)
         self._changed = trio.Event()
@@ -95,6 +104,8 @@
 
     def was_silent(self, entry: str, since: float) -> bool:
         """Tell whether answers to an entry have been lost since a time."""
+        if self.spares_quiet_watches:
+            return self.find_fault(entry) is StoreFault.SILENT
         return self._silences.get(entry, -1.0) >= since
 
     async def forget_history_later(self) -> None:
@@ -250,6 +261,8 @@
         """Wait for changes under a prefix."""
         began = trio.current_time()
         await self._fetch()
+        if prefix in self._store.refused_watches:
+            raise client.StoreUnavailableError("status 429")
         with trio.move_on_after(wait_s):
             while True:
                 if revision < self._store.dropped_to:
--- /dev/null
+++ b/standins/emulator/tests/test_leaving_workers.py
@@ -0,0 +1,79 @@
+"""Workers that leave get nothing new, whatever their owner has missed.
+
+The oracle notes each start on a worker that said more than 2 s before that it
+leaves; while the store is in trouble the time counts from the trouble's end.
+"""
+
+import trio
+
+from crocusrouter import work
+from standins import emulator
+from standins.emulator import cluster as clusters
+from standins.emulator import faults
+
+_SETTLED_S = 6.0
+_LEAVING = "w1"
+
+
+def _make_wide_job(job_id, tasks=36):
+    """Return a job that has tasks for every worker."""
+    step = work.Step(tasks, work.Room(2800, 4096, 1), 2.0)
+    return work.Job(
+        job_id,
+        "q",
+        clusters.POOL,
+        "a",
+        2,
+        3,
+        2.0,
+        1.0,
+        "wide",
+        (step,),
+        1_700_000_000.0,
+    )
+
+
+def _count_begun(held):
+    return {name: worker.begun for name, worker in held.workers.items()}
+
+
+def _check_where_begun(held, before):
+    """Check that all workers got something, but for the one that leaves."""
+    assert held.list_failures() == []
+    assert held.oracle.broken == []
+    begun = _count_begun(held)
+    used = {name for name in before if begun[name] > before[name]}
+    assert used == set(held.workers) - {_LEAVING}
+
+
+async def test_worker_that_leaves_after_a_silent_outage(autojump_clock):
+    """The store took calls and answered none for 4.6 s. Its answer to the
+    owner's watch of the list of workers was lost on an open connection, and
+    the owner waited on it until 12 s after the store was back. On its watch of
+    jobs nothing had come in the outage, so it heard of each job within
+    milliseconds and started tasks on a worker that had said 4.5 s before that
+    it leaves. What settled it in the owner's lines, between 18.0 (silent) and
+    36 s: `watch:lost` of `servers/` at 34.65 and no earlier, `worker:state`
+    (draining since 24.1) at 34.97, `job:seen` 26 times from 22.82 to 34.74.
+    """
+    held = emulator.Cluster(5)
+    held.store.lapses = False
+    held.store.spares_quiet_watches = True
+    async with trio.open_nursery() as nursery:
+        await nursery.start(held.run)
+        await trio.sleep(_SETTLED_S)
+        async with trio.open_nursery() as striking:
+            silence = faults.Event(0.0, emulator.Fault.STORE_SILENT, 4.6)
+            striking.start_soon(faults.strike, held, silence)
+            await trio.sleep(2.3)
+            held.list_worker("w2")
+        await trio.sleep(1.5)
+        held.drain_worker(_LEAVING)
+        await trio.sleep(4.5)
+        before = _count_begun(held)
+        assert await held.submit(_make_wide_job("00000000000000aa")) == (
+            "accepted"
+        )
+        await trio.sleep(1.0)
+        nursery.cancel_scope.cancel()
+    _check_where_begun(held, before)
