--- a/standins/emulator/tests/test_leaving_workers.py
+++ b/standins/emulator/tests/test_leaving_workers.py
@@ -4,6 +4,7 @@
 leaves; while the store is in trouble the time counts from the trouble's end.
 """
 
+import pytest
 import trio
 
 from crocusrouter import work
@@ -77,3 +78,30 @@
         await trio.sleep(1.0)
         nursery.cancel_scope.cancel()
     _check_where_begun(held, before)
+
+
+@pytest.mark.parametrize("for_s", [2.0, 5.0, 9.0])
+async def test_owner_whose_watch_of_workers_alone_is_refused(
+    for_s, autojump_clock
+):
+    """The store refuses the owner's watches of the list of workers, as it does
+    beyond its calls a second, and serves renewals and the watch of jobs. A
+    worker says that it leaves. The owner knew that its watch failed, and went
+    on starting tasks by the list that it had before. Once the watch is served
+    again, the job starts on all other workers.
+    """
+    held = emulator.Cluster(5)
+    async with trio.open_nursery() as nursery:
+        await nursery.start(held.run)
+        await trio.sleep(_SETTLED_S)
+        held.store.refused_watches.add(clusters.WORKERS)
+        await trio.sleep(1.5)
+        held.drain_worker(_LEAVING)
+        await trio.sleep(for_s)
+        before = _count_begun(held)
+        await held.submit(_make_wide_job("00000000000000aa"))
+        await trio.sleep(1.0)
+        held.store.refused_watches.clear()
+        await trio.sleep(1.5)
+        nursery.cancel_scope.cancel()
+    _check_where_begun(held, before)
