Start tasks only by a list of workers that was heard within 1.8 s

Cause: what a follower misses without a sign is unbounded in principle. Ruled out: holding starts back whenever the follower fails (one lost answer would cost every waiting job half a second). Change: the owner's list of workers has a module of its own with its age; it places, and repeats a start, only while the age is at most 1.8 s. A short watch that failed is tried again as a question, so that one lost answer leaves the list unheard for 1.4 s and holds nothing back. Sight: worker:leaves (revision, how long unheard, what was started meanwhile, what is under way), run:on-leaving with a counter, list:stale and list:fresh with a counter, list_age_s in step:start, a gauge of how long each follower has had no answer at this moment.

--- a/crocusrouter/pools/intake.py
+++ b/crocusrouter/pools/intake.py
@@ -20,6 +20,10 @@
 # however long it waits. Shorter than the history that the service keeps (20 s
 # on the users' sites), or a quiet watch would end with its history gone.
 _LONG_S = 10.0
+# A short watch that has failed is tried again as a question: an empty answer
+# also shows that nothing was missed. Waiting for a change again would add 0.6 s
+# to the 1.4 s for which one lost answer leaves the list of workers unheard.
+_PROBE_S = 0.001
 # Pause from the beginning of an attempt that failed to the next one.
 _RETRY_S = 0.2
 # A follower in doubt knows all changes this long after the service answers
@@ -130,6 +134,16 @@
 
     async def run(self) -> None:
         """Follow changes until cancelled."""
+        with self._metrics.show_silence(self._prefix, self.measure_silence):
+            await self._follow()
+
+    def measure_silence(self) -> float:
+        """Return the seconds since the service last answered."""
+        if self._heard_at is None:
+            return 0.0
+        return trio.current_time() - self._heard_at
+
+    async def _follow(self) -> None:
         while True:
             began = trio.current_time()
             try:
@@ -145,12 +159,15 @@
                 log("watch:history-gone", prefix=self._prefix)
                 self._revision = 0
 
+    def _choose_wait(self) -> float:
+        if not self._patient:
+            return _PROBE_S if self.failing else _SHORT_S
+        return _SHORT_S if self.failing or self._doubted else _LONG_S
+
     async def _follow_once(self) -> None:
-        in_doubt = self.failing or self._doubted
-        wait_s = _LONG_S if self._patient and not in_doubt else _SHORT_S
         with trio.CancelScope() as self._open:
             changes = await self._store.watch(
-                self._prefix, self._revision, wait_s
+                self._prefix, self._revision, self._choose_wait()
             )
         if self._open.cancelled_caught:
             return
--- a/crocusrouter/pools/links.py
+++ b/crocusrouter/pools/links.py
@@ -39,6 +39,7 @@
         times: clock.Clock,
         settle: Callable[[], Awaitable[None]],
         may_renew: Callable[[], bool],
+        may_start: Callable[[], bool],
         changed: Callable[[], None],
     ) -> None:
         """Open a link.
@@ -51,6 +52,7 @@
             times: The present time.
             settle: Waits until what the book has noted is durable.
             may_renew: Whether leases may be renewed now.
+            may_start: Whether it is known well enough which workers leave.
             changed: Called when the book has changed.
         """
         self.worker = worker
@@ -61,6 +63,7 @@
         self._times = times
         self._settle = settle
         self._may_renew = may_renew
+        self._may_start = may_start
         self._changed = changed
         self._seen = 0
         self._wake = trio.Event()
@@ -168,6 +171,7 @@
                 case orders.Taken(clock_ms):
                     self.lease.note(clock_ms, now)
                     self._book.note_taken(order.key, order.run, now)
+                    self._note_if_leaving(order)
                     self.wake()
                     self._changed()
                     return
@@ -206,8 +210,20 @@
             and run.phase is runs.Phase.ORDERED
             and held is not None
             and not held.sealed
+            and self._may_start()
         )
 
+    def _note_if_leaving(self, order: orders.Start) -> None:
+        """Tell of a start that crossed the word that its worker leaves."""
+        held = self._book.workers.get(self.worker)
+        if held is not None and held.sealed:
+            self._book.note(
+                "run:on-leaving",
+                task=order.key,
+                run=order.run,
+                worker=self.worker,
+            )
+
     def _reject(self, order: orders.Start, why: str) -> None:
         now = self._times.steady()
         self._book.note_not_begun(order.key, order.run, why, now)
--- a/crocusrouter/pools/owner.py
+++ b/crocusrouter/pools/owner.py
@@ -15,6 +15,7 @@
 from crocusrouter.pools import journal as journals
 from crocusrouter.pools import keys
 from crocusrouter.pools import links
+from crocusrouter.pools import listing
 from crocusrouter.pools import reservations
 from crocusrouter.pools import roster
 from crocusrouter.pools import tenure as tenures
@@ -31,14 +32,14 @@
 # Decisions are also made this often: pauses and suspicions run out.
 _TICK_S = 0.25
 _RETRY_S = 0.2
-# A draining worker must get nothing new from 2 s on.
-_LIST_PACE_S = 0.4
 # Numbers of starts rise from the epoch on, so a successor's outrank all of
 # its predecessor's without a written counter.
 _RUN_BITS = 20
 
+# What the book notes and operators also count.
+_COUNTED = {"run:on-leaving": "start-on-leaving-worker"}
+
 MakeWorker = Callable[[str, str], orders.WorkerPort]
-ParseWorker = Callable[[str, bytes], orders.WorkerEntry | None]
 
 
 @dataclasses.dataclass(frozen=True)
@@ -56,7 +57,7 @@
     """
 
     workers_prefix: str
-    parse_worker: ParseWorker
+    parse_worker: listing.ParseWorker
     make_worker: MakeWorker
     keep_jobs_s: float = 600.0
     make_policy: Callable[[], orders.PolicyPort] | None = None
@@ -117,12 +118,14 @@
         )
         self._draining = False
         self._jobs = intake.Follower(store, keys.JOBS, self._take_jobs, metrics)
-        self._list = intake.Follower(
+        self._list = listing.WorkerList(
+            listing.Source(platform.workers_prefix, platform.parse_worker),
             store,
-            platform.workers_prefix,
-            self._take_workers,
+            held.pool,
+            self.book,
+            times,
             metrics,
-            pace_s=_LIST_PACE_S,
+            listing.Listeners(self._open_link, self._note_unlisted, self.wake),
         )
 
     def set_config(self, config: queues.Config) -> None:
@@ -241,37 +244,16 @@
 
     # Workers.
 
-    def _take_workers(self, events: tuple[records.Event, ...]) -> None:
-        now = self._times.steady()
-        prefix = self._platform.workers_prefix
-        for event in events:
-            if isinstance(event, records.Removed):
-                self._unlist(event.key.removeprefix(prefix))
-                continue
-            key = event.record.key
-            entry = self._platform.parse_worker(key, event.record.value)
-            if entry is None:
-                self._metrics.count_event("worker-unreadable")
-            if entry is None or entry.pool != self.pool:
-                # Somebody else may have written over a worker's entry. It
-                # gets nothing new until its own heartbeat stands there again,
-                # and what it runs is looked after.
-                self._unlist(key.removeprefix(prefix))
-                continue
-            self.book.set_worker(entry, now)
-            if self._nursery is not None:
-                self._open_link(entry.id, entry.address)
-        self.wake()
-
-    def _unlist(self, worker: str) -> None:
-        self.book.unlist_worker(worker)
+    def _note_unlisted(self, worker: str) -> None:
         link = self._links.get(worker)
         if link is not None:
             link.wake()
         self._forget_if_over(worker)
 
     def _open_link(self, worker: str, address: str) -> None:
-        assert self._nursery is not None
+        if self._nursery is None:
+            # Not running yet; all that was loaded is opened then.
+            return
         if worker in self._links or self.book.workers[worker].gone:
             return
         link = links.WorkerLink(
@@ -282,6 +264,7 @@
             self._times,
             self._journal.settle,
             self._may_hold,
+            self._may_start,
             self.wake,
         )
         self._links[worker] = link
@@ -309,6 +292,9 @@
     def _may_hold(self) -> bool:
         return self._tenure.is_valid() or self._may_renew()
 
+    def _may_start(self) -> bool:
+        return self._list.may_start(self._times.steady())
+
     # Decisions.
 
     async def _decide_forever(self) -> None:
@@ -333,26 +319,28 @@
         self.book.open_due(wall, now)
         self._check_recovered(now)
         if self._tenure.is_valid() and not self._draining:
-            self._start_reserved(now)
-            plan = work.plan(
-                self.book,
-                now,
-                wall,
-                reserved=self._reservations.list_spots(),
-            )
-            for placement in plan.placements:
-                self._start(placement, now)
-            for run, why in plan.stops:
-                self.book.stop_run(run, why, now)
-            if plan.contended:
-                self.book.note_contention(now)
-            for placement in plan.reservations:
-                self._reservations.add(placement, now)
+            if self._list.may_start(now):
+                self._place(now, wall)
             self._send_paces(now)
         self._advisor.wake()
         self._send_stops()
         self._write_log()
 
+    def _place(self, now: float, wall: float) -> None:
+        """Start what has room, and stop what is in the way of guarantees."""
+        self._start_reserved(now)
+        plan = work.plan(
+            self.book, now, wall, reserved=self._reservations.list_spots()
+        )
+        for placement in plan.placements:
+            self._start(placement, now)
+        for run, why in plan.stops:
+            self.book.stop_run(run, why, now)
+        if plan.contended:
+            self.book.note_contention(now)
+        for placement in plan.reservations:
+            self._reservations.add(placement, now)
+
     def _check_recovered(self, now: float) -> None:
         """Note when every worker has told what an earlier owner started."""
         if self.is_recovered:
@@ -394,6 +382,7 @@
             run=shared,
             spots=list(placement.spots.items()),
             waited=round(now - (found.waiting_since or now), 3),
+            list_age_s=round(self._list.measure_age(now), 3),
         )
 
     def _take_number(self) -> int:
@@ -422,3 +411,5 @@
         while self.book.events:
             what, facts = self.book.events.popleft()
             log(what, pool=self.pool, **facts)
+            if what in _COUNTED:
+                self._metrics.count_event(_COUNTED[what])
--- a/crocusrouter/pools/tests/test_links.py
+++ b/crocusrouter/pools/tests/test_links.py
@@ -46,13 +46,17 @@
     pass
 
 
+def _always():
+    return True
+
+
 def _make_link(port):
     book = work.Book(1)
     book.set_worker(build.make_entry(_WORKER), 0.0)
     book.workers[_WORKER].reached = True
     times = clock.Clock(trio.current_time, lambda: 1e6 + trio.current_time())
     link = links.WorkerLink(
-        _WORKER, port, 1, book, times, _settle, lambda: True, lambda: None
+        _WORKER, port, 1, book, times, _settle, _always, _always, lambda: None
     )
     link.lease.note(500, trio.current_time())
     return book, link
--- a/crocusrouter/telemetry/metrics.py
+++ b/crocusrouter/telemetry/metrics.py
@@ -1,7 +1,10 @@
 """Counters and gauges through OpenTelemetry, read as Prometheus text."""
 
 import collections
+from collections.abc import Callable
 from collections.abc import Iterable
+from collections.abc import Iterator
+import contextlib
 
 from opentelemetry import metrics as api
 from opentelemetry.exporter import prometheus as exporter
@@ -61,6 +64,13 @@
             description="Time without an answer to a follower of the store.",
             explicit_bucket_boundaries_advisory=_BEHIND_S,
         )
+        self._silences: dict[object, tuple[str, Callable[[], float]]] = {}
+        meter.create_observable_gauge(
+            "crocusrouter_follower_silent_seconds",
+            unit="s",
+            callbacks=[self._observe_silences],
+            description="Time since a follower of the store had an answer.",
+        )
         self._meter = meter
         self.counts: collections.Counter[str] = collections.Counter()
 
@@ -98,9 +108,36 @@
         """Note how long a follower of a prefix had no answer."""
         self._behind.record(seconds, {"prefix": prefix})
 
-    def watch_gauge(
-        self, name: str, read: "collections.abc.Callable[[], float]"
-    ) -> None:
+    @contextlib.contextmanager
+    def show_silence(
+        self, prefix: str, read: Callable[[], float]
+    ) -> Iterator[None]:
+        """Export how long a follower has had no answer, inside the body.
+
+        A histogram of outages is told when they end; an owner that is deaf at
+        this moment shows only here.
+
+        Args:
+            prefix: What it follows.
+            read: Returns the seconds since its last answer.
+        """
+        shown = object()
+        self._silences[shown] = prefix, read
+        try:
+            yield
+        finally:
+            del self._silences[shown]
+
+    def _observe_silences(
+        self, _: api.CallbackOptions
+    ) -> Iterable[api.Observation]:
+        longest: dict[str, float] = {}
+        for prefix, read in self._silences.values():
+            longest[prefix] = max(read(), longest.get(prefix, 0.0))
+        for prefix, seconds in longest.items():
+            yield api.Observation(seconds, {"prefix": prefix})
+
+    def watch_gauge(self, name: str, read: Callable[[], float]) -> None:
         """Export the value of `read` under `name` at each scrape."""
 
         def observe(_: api.CallbackOptions) -> Iterable[api.Observation]:
