--- a/crocusrouter/store/tests/test_observed.py
+++ b/crocusrouter/store/tests/test_observed.py
@@ -86,3 +86,34 @@
         with pytest.raises(client.StoreUnavailableError):
             await store.read("b")
     assert ended == [pytest.approx(1.5)]
+
+
+@pytest.mark.parametrize(
+    ("suspended_s", "heard"), [(0.0, True), (0.3, True), (3.0, False)]
+)
+async def test_answer_that_waited_while_the_process_was_suspended(
+    suspended_s, heard, autojump_clock
+):
+    """The VM is suspended while a watch is open. Its answer lies in the
+    socket's buffer until the process wakes and tells what was true before; on
+    the clock that stood still it came in time. The owner took it for the list
+    of workers of this moment and went on giving work to those that had left.
+    """
+    slept = 0.0
+
+    class _Waking(_Store):
+        async def watch(self, prefix, revision, wait_s):
+            nonlocal slept
+            changes = await super().watch(prefix, revision, wait_s)
+            slept += suspended_s
+            return changes
+
+    store = observed.ObservedStore(
+        _Waking(0.01), lambda: trio.current_time() + slept
+    )
+    answers = []
+    try:
+        answers.append(await store.watch("a/", 4, 0.6))
+    except client.StoreUnavailableError:
+        pass
+    assert bool(answers) is heard
