Ask again when a watch's answer may be older than its time limit

Measured on the clock that goes on while the VM is suspended; the follower's revision stays where it was, so nothing is missed. Red before for a pause of 3 s, green for 0, 0.3 and 3 s.

--- a/crocusrouter/store/observed.py
+++ b/crocusrouter/store/observed.py
@@ -145,6 +145,7 @@
             StoreUnavailableError: No answer in time, or it may be lost.
         """
         limit_s = wait_s + self.find_watch_grace()
+        began = self._read_clock()
         with trio.move_on_after(limit_s) as scope:
             self._watching.add(scope)
             try:
@@ -161,6 +162,10 @@
             raise client.StoreUnavailableError(
                 f"no answer to a watch within {limit_s:.2f} s"
             )
+        if self._read_clock() - began > limit_s:
+            # The process was suspended, and the answer is as old as that. The
+            # clock of the time limit stood still meanwhile, this one did not.
+            raise client.StoreUnavailableError("an answer from before a pause")
         self._note(served=True)
         return changes
 
