Start tasks only by a watch of jobs that was heard within 1.8 s too

Cause as for the list of workers: nothing that decides asked how old its knowledge was. The age moves to a module of its own (pools/freshness.py) that both followers of an owner use; log lines view:stale and view:fresh name the prefix.

--- a/crocusrouter/pools/listing.py
+++ b/crocusrouter/pools/listing.py
@@ -5,6 +5,7 @@
 
 from crocusrouter import work
 from crocusrouter.pools import clock
+from crocusrouter.pools import freshness
 from crocusrouter.pools import intake
 from crocusrouter.store import port
 from crocusrouter.store import records
@@ -15,11 +16,6 @@
 
 # Workers write every 1.5 s; with this pause their changes share calls.
 _PACE_S = 0.4
-# Tasks start only by a list that was heard this recently. A worker that says
-# that it leaves must get nothing new from 2 s on, and any watch may go unheard
-# without a sign. With no such bound an owner gave 8 tasks to a worker 9 s after
-# its word. One lost answer costs 1.4 s and holds nothing back.
-MAX_AGE_S = 1.8
 
 ParseWorker = Callable[[str, bytes], orders.WorkerEntry | None]
 
@@ -53,7 +49,11 @@
 
 
 class WorkerList:
-    """Keeps a book's workers as the platform lists them, and its age."""
+    """Keeps a book's workers as the platform lists them.
+
+    Attributes:
+        freshness: How recently the list was heard.
+    """
 
     def __init__(
         self,
@@ -73,7 +73,7 @@
             pool: Workers of other pools are passed over.
             book: Told of the workers.
             times: The present time.
-            metrics: Counts unreadable entries and held starts.
+            metrics: Counts unreadable entries.
             listeners: Told what the book can't act on.
         """
         self._source = source
@@ -82,15 +82,15 @@
         self._times = times
         self._metrics = metrics
         self._listeners = listeners
-        self._heard_at = times.steady()
-        self._unheard_s = 0.0
-        self._holding = False
+        self.freshness = freshness.Freshness(
+            source.prefix, times, metrics, listeners.changed
+        )
         self._follower = intake.Follower(
             store,
             source.prefix,
             self._take,
             metrics,
-            self._note_answer,
+            self.freshness.note_answer,
             pace_s=_PACE_S,
         )
 
@@ -102,33 +102,6 @@
         """Follow changes until cancelled."""
         await self._follower.run()
 
-    def measure_age(self, now: float) -> float:
-        """Return for how many seconds the list has not been heard."""
-        return now - self._heard_at
-
-    def may_start(self, now: float) -> bool:
-        """Tell whether tasks may start by what the list says.
-
-        The first time that they may not is told in the log, and so is the
-        return.
-        """
-        age_s = self.measure_age(now)
-        fresh = age_s <= MAX_AGE_S
-        if fresh == self._holding:
-            self._holding = not fresh
-            what = "list:fresh" if fresh else "list:stale"
-            log(what, pool=self._pool, age_s=round(age_s, 3))
-            if not fresh:
-                self._metrics.count_event("list-stale")
-        return fresh
-
-    def _note_answer(self) -> None:
-        now = self._times.steady()
-        self._unheard_s = now - self._heard_at
-        self._heard_at = now
-        if self._holding:
-            self._listeners.changed()
-
     def _take(self, events: tuple[records.Event, ...]) -> None:
         now = self._times.steady()
         for event in events:
@@ -168,15 +141,15 @@
         worker that was taken for a new one.
         """
         held = self._book.workers[worker]
-        heard_before = self._heard_at - self._unheard_s
         log(
             "worker:leaves",
             pool=self._pool,
             worker=worker,
             revision=revision,
-            unheard_s=round(self._unheard_s, 3),
+            unheard_s=round(self.freshness.unheard_s, 3),
             started_unheard=sum(
-                run.since >= heard_before for run in held.runs.values()
+                run.since >= self.freshness.heard_before
+                for run in held.runs.values()
             ),
             under_way=sum(
                 run.phase is runs.Phase.ORDERED for run in held.runs.values()
--- a/crocusrouter/pools/owner.py
+++ b/crocusrouter/pools/owner.py
@@ -11,6 +11,7 @@
 from crocusrouter.pools import advisor
 from crocusrouter.pools import clock
 from crocusrouter.pools import expiry
+from crocusrouter.pools import freshness
 from crocusrouter.pools import intake
 from crocusrouter.pools import journal as journals
 from crocusrouter.pools import keys
@@ -117,7 +118,16 @@
             self.wake,
         )
         self._draining = False
-        self._jobs = intake.Follower(store, keys.JOBS, self._take_jobs, metrics)
+        self._jobs_freshness = freshness.Freshness(
+            keys.JOBS, times, metrics, self.wake
+        )
+        self._jobs = intake.Follower(
+            store,
+            keys.JOBS,
+            self._take_jobs,
+            metrics,
+            self._jobs_freshness.note_answer,
+        )
         self._list = listing.WorkerList(
             listing.Source(platform.workers_prefix, platform.parse_worker),
             store,
@@ -293,7 +303,10 @@
         return self._tenure.is_valid() or self._may_renew()
 
     def _may_start(self) -> bool:
-        return self._list.may_start(self._times.steady())
+        """Tell whether it is known well enough what may start, and where."""
+        now = self._times.steady()
+        views = (self._list.freshness, self._jobs_freshness)
+        return all([view.is_fresh(now) for view in views])
 
     # Decisions.
 
@@ -319,7 +332,7 @@
         self.book.open_due(wall, now)
         self._check_recovered(now)
         if self._tenure.is_valid() and not self._draining:
-            if self._list.may_start(now):
+            if self._may_start():
                 self._place(now, wall)
             self._send_paces(now)
         self._advisor.wake()
@@ -382,7 +395,7 @@
             run=shared,
             spots=list(placement.spots.items()),
             waited=round(now - (found.waiting_since or now), 3),
-            list_age_s=round(self._list.measure_age(now), 3),
+            list_age_s=round(self._list.freshness.measure_age(now), 3),
         )
 
     def _take_number(self) -> int:
