Move the accepted jobs of an owner into a module of their own

pools/owner.py had 428 lines and read jobs, followed them, and decided. The follower of jobs, its age and the progress that was found go to pools/backlog.py, as the list of workers has pools/listing.py; owner.py has 370 lines. No change of what is decided; pools and the emulator's tests pass.

--- a/crocusrouter/pools/owner.py
+++ b/crocusrouter/pools/owner.py
@@ -5,16 +5,13 @@
 
 import trio
 
-from crocusrouter import codec
 from crocusrouter import queues
 from crocusrouter import work
 from crocusrouter.pools import advisor
+from crocusrouter.pools import backlog
 from crocusrouter.pools import clock
 from crocusrouter.pools import expiry
-from crocusrouter.pools import freshness
-from crocusrouter.pools import intake
 from crocusrouter.pools import journal as journals
-from crocusrouter.pools import keys
 from crocusrouter.pools import links
 from crocusrouter.pools import listing
 from crocusrouter.pools import reservations
@@ -23,7 +20,6 @@
 from crocusrouter.pools import upkeep
 from crocusrouter.store import client
 from crocusrouter.store import port
-from crocusrouter.store import records
 from crocusrouter.telemetry import Metrics
 from crocusrouter.telemetry import log
 from crocusrouter.work import orders
@@ -99,10 +95,11 @@
         self._times = times
         self._metrics = metrics
         self._may_renew = may_renew
-        self._revisions: dict[str, int] = {}
-        self._progress: dict[str, records.Record] = {}
+        self._backlog = backlog.Backlog(
+            store, held.pool, self.book, times, metrics, self.wake
+        )
         self._journal = journals.Journal(
-            store, held, self.book, self._revisions
+            store, held, self.book, self._backlog.revisions
         )
         self._links: dict[str, links.WorkerLink] = {}
         self._reservations = reservations.Reservations()
@@ -118,16 +115,6 @@
             self.wake,
         )
         self._draining = False
-        self._jobs_freshness = freshness.Freshness(
-            keys.JOBS, times, metrics, self.wake
-        )
-        self._jobs = intake.Follower(
-            store,
-            keys.JOBS,
-            self._take_jobs,
-            metrics,
-            self._jobs_freshness.note_answer,
-        )
         self._list = listing.WorkerList(
             listing.Source(platform.workers_prefix, platform.parse_worker),
             store,
@@ -161,7 +148,7 @@
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
             nursery.start_soon(self._journal.run)
-            nursery.start_soon(self._jobs.run)
+            nursery.start_soon(self._backlog.run)
             nursery.start_soon(self._list.run)
             nursery.start_soon(self._roster.run)
             nursery.start_soon(self._advisor.run)
@@ -192,14 +179,8 @@
         """Read what earlier owners and the entries have stored."""
         while True:
             try:
-                snapshot = await self._store.read_prefix(keys.PROGRESS)
-                kept = {
-                    record.key.removeprefix(keys.PROGRESS): record
-                    for record in snapshot.records
-                }
-                self._progress = kept
                 await self._roster.load()
-                await self._jobs.load()
+                await self._backlog.load()
                 await self._list.load()
                 break
             except client.StoreUnavailableError as error:
@@ -213,45 +194,6 @@
             workers=len(self.book.workers),
         )
 
-    def _take_jobs(self, events: tuple[records.Event, ...]) -> None:
-        now = self._times.steady()
-        for event in events:
-            if isinstance(event, records.Removed):
-                self.book.forget_job(event.key.removeprefix(keys.JOBS))
-                continue
-            self._take_record(event.record, now)
-        self.wake()
-
-    def _take_record(self, record: records.Record, now: float) -> None:
-        """Take one stored job; a record that can't be read harms no other."""
-        try:
-            job: work.Job = codec.unpack(work.Job, record.value)
-            if job.pool == self.pool:
-                self._put_job(job, record.revision, now)
-        except (codec.BadMessageError, ValueError) as error:
-            self._metrics.count_event("job-unreadable")
-            log("job:unreadable", key=record.key, error=str(error))
-
-    def _put_job(self, job: work.Job, revision: int, now: float) -> None:
-        progress = work.Progress()
-        kept = self._progress.pop(job.id, None)
-        if kept is not None:
-            progress = work.parse_progress(kept.value)
-            self._revisions[job.id] = kept.revision
-        known = job.id in self.book.jobs
-        self.book.put_job(job, progress, revision, now)
-        log(
-            "job:seen",
-            job=job.id,
-            customer=job.customer,
-            priority=job.priority,
-            cancelled=job.cancelled,
-            revision=revision,
-            repeat=known,
-            objective_s=round(job.objective_s, 3),
-            expected_s=round(max(job.tails, default=0.0), 3),
-        )
-
     # Workers.
 
     def _note_unlisted(self, worker: str) -> None:
@@ -305,7 +247,7 @@
     def _may_start(self) -> bool:
         """Tell whether it is known well enough what may start, and where."""
         now = self._times.steady()
-        views = (self._list.freshness, self._jobs_freshness)
+        views = (self._list.freshness, self._backlog.freshness)
         return all([view.is_fresh(now) for view in views])
 
     # Decisions.
