Keep ports that are found for listeners until the listener has come

Cause: a port was drawn from the kernel's range and let go at once; a connection took it before its listener began ("address already in use", once in two whole runs). Change: a socket stays bound to each port that was found; listeners share it by SO_REUSEADDR, connections and others are given another. Test: red before (another socket could bind), green after.

--- a/standins/ports.py
+++ b/standins/ports.py
@@ -1,6 +1,7 @@
 """Free loopback ports."""
 
-import contextlib
+import atexit
+import collections
 import os
 import socket
 
@@ -8,6 +9,10 @@
 _LAST = 32_000
 # Processes that run beside each other begin this far apart.
 _APART = 397
+# Reservations that are kept; a test needs some dozens.
+_MOST_RESERVED = 400
+
+_reserved: collections.deque[socket.socket] = collections.deque()
 
 
 class Ports:
@@ -46,9 +51,29 @@
 
 
 def find_ports(count: int) -> list[int]:
-    """Return loopback ports of the kernel's choice that are free now."""
-    with contextlib.ExitStack() as stack:
-        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
-        for one in sockets:
-            one.bind(("127.0.0.1", 0))
-        return [one.getsockname()[1] for one in sockets]
+    """Return loopback ports of the kernel's choice, kept for listeners.
+
+    A socket stays bound to each, so that the kernel gives it to no connection
+    before the listener comes: let go at once, one was taken in one of two
+    whole runs of the tests ("address already in use").
+    """
+    kept = [_reserve() for _ in range(count)]
+    _reserved.extend(kept)
+    while len(_reserved) > _MOST_RESERVED:
+        _reserved.popleft().close()
+    return [one.getsockname()[1] for one in kept]
+
+
+def _reserve() -> socket.socket:
+    one = socket.socket()
+    one.bind(("127.0.0.1", 0))
+    # Set after binding: the kernel chose a port that nobody shares, and
+    # listeners, which set it too, may bind to it beside this socket.
+    one.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    return one
+
+
+@atexit.register
+def _release() -> None:
+    while _reserved:
+        _reserved.pop().close()
--- a/standins/tests/test_ports.py
+++ b/standins/tests/test_ports.py
@@ -2,6 +2,8 @@
 
 import socket
 
+import pytest
+
 from standins import ports
 
 
@@ -20,3 +22,17 @@
     assert len(set(taken)) == 8
     with socket.create_server(("127.0.0.1", taken[-1] + 1)):
         assert taken[-1] + 1 not in held.take(4)
+
+
+def test_port_found_for_a_listener_is_given_to_nobody_else():
+    """A connection took a port between its finding and its listener's start;
+    the listener failed with "address already in use".
+    """
+    [port] = ports.find_ports(1)
+    with socket.socket() as other, pytest.raises(OSError, match="in use"):
+        other.bind(("127.0.0.1", port))
+    with (
+        socket.create_server(("127.0.0.1", port)) as listener,
+        socket.create_connection(("127.0.0.1", port)),
+    ):
+        listener.accept()[0].close()
