--- a/standins/emulator/cluster.py
+++ b/standins/emulator/cluster.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 import dataclasses
 import random
+from typing import cast
 
 import orjson
 import trio
@@ -11,11 +12,13 @@
 from crocusrouter import pools
 from crocusrouter import queues
 from crocusrouter import work
+from crocusrouter.store import port
 from crocusrouter.telemetry import Metrics
 from crocusrouter.work import orders
 from standins.emulator import oracle as oracles
 from standins.emulator import policy as policies
 from standins.emulator import store as stores
+from standins.emulator import suspension
 from standins.emulator import vms as vm_control
 from standins.emulator import worker as workers
 
@@ -72,12 +75,20 @@
     async def call(self, message: object, timeout_s: float) -> object:
         """Ask the other entry."""
         await trio.sleep(_PEER_S)
+        suspensions = self._cluster.suspensions
+        async with suspensions.pass_through(self._source):
+            return await self._exchange(message, timeout_s)
+
+    async def _exchange(self, message: object, timeout_s: float) -> object:
         target = self._cluster.entries.get(self._target)
         cut = {self._source, self._target} & self._cluster.cut_off
         if target is None or cut:
             await trio.sleep(timeout_s)
             raise mesh.PeerUnreachableError("cut", maybe_received=False)
-        return await target.answer_peer(message)
+        with trio.move_on_after(timeout_s):
+            await self._cluster.suspensions.wait_awake(self._target)
+            return await target.answer_peer(message)
+        raise mesh.PeerUnreachableError("suspended", maybe_received=True)
 
 
 class Cluster:
@@ -93,6 +104,7 @@
         self.workers: dict[str, workers.Worker] = {}
         self.entries: dict[str, pools.PoolEntry] = {}
         self.cut_off: set[str] = set()
+        self.suspensions = suspension.Suspensions()
         self.names = [f"e{number}" for number in range(entries)]
         self._scopes: dict[str, trio.CancelScope] = {}
         self._nursery: trio.Nursery | None = None
@@ -154,7 +166,7 @@
         entry = pools.PoolEntry(
             pools.Identity(name, f"{name}:7000"),
             "secret",
-            stores.StoreView(self.store, name),
+            self._find_store_view(name),
             pools.ConfigSource("op/", CONFIG, _parse_config),
             pools.Platform(
                 WORKERS,
@@ -177,8 +189,18 @@
         self._scopes[name] = scope
         self._nursery.start_soon(self._run_entry, entry, scope)
 
+    def _find_store_view(self, name: str) -> port.KeyValueStore:
+        view = stores.StoreView(self.store, name)
+        held = suspension.Suspendable(view, self.suspensions, name)
+        return cast(port.KeyValueStore, held)
+
     def _find_view(self, name: str) -> Callable[[str, str], orders.WorkerPort]:
-        return lambda worker, _: workers.WorkerView(self.workers[worker], name)
+        def open_view(worker: str, _: str) -> orders.WorkerPort:
+            view = workers.WorkerView(self.workers[worker], name)
+            held = suspension.Suspendable(view, self.suspensions, name)
+            return cast(orders.WorkerPort, held)
+
+        return open_view
 
     async def _run_entry(
         self, entry: pools.PoolEntry, scope: trio.CancelScope
@@ -265,6 +287,7 @@
         be expected to have heard that.
         """
         troubled = self.store.fault is not stores.StoreFault.NONE
+        troubled |= self.suspensions.is_any()
         if troubled or self.store.turned_away or self.cut_off:
             self._troubled_at = now
         for name, held in self.workers.items():
--- a/standins/emulator/faults.py
+++ b/standins/emulator/faults.py
@@ -42,6 +42,7 @@
     STORE_SLOW = "store-slow"
     STORE_LOST = "store-lost"
     STORE_LATE = "store-late"
+    FREEZE_OWNER = "freeze-owner"
     COMPACT = "compact"
     COMPACT_LATE = "compact-late"
     FOREIGN_ENTRY = "foreign-entry"
@@ -68,7 +69,8 @@
 DRAWN = tuple(
     fault
     for fault in Fault
-    if fault not in (Fault.COMPACT_LATE, Fault.FOREIGN_ENTRY)
+    if fault
+    not in (Fault.COMPACT_LATE, Fault.FOREIGN_ENTRY, Fault.FREEZE_OWNER)
 )
 
 
@@ -174,6 +176,8 @@
     elif fault in (Fault.CUT_OWNER_FROM_STORE, Fault.CUT_OWNER):
         if owner is not None:
             await _cut(held, owner, event)
+    elif fault is Fault.FREEZE_OWNER and owner is not None:
+        await held.suspensions.suspend(owner, event.for_s)
     elif fault is Fault.CANCEL_MANY:
         await _cancel_many(held)
     else:
--- a/standins/emulator/tests/test_days.py
+++ b/standins/emulator/tests/test_days.py
@@ -110,7 +110,27 @@
     worker was used on.
     """
     load = emulator.Load()
-    drawn = emulator.choose_faults(seed, 8, load.length_s, list(emulator.Fault))
+    # Kept seeds would play other days with a kind that came later.
+    kinds = [k for k in emulator.Fault if k is not emulator.Fault.FREEZE_OWNER]
+    drawn = emulator.choose_faults(seed, 8, load.length_s, kinds)
+    held = await emulator.play(seed, load, drawn)
+    assert held.oracle.broken == []
+
+
+@pytest.mark.parametrize("seed", range(_SEEDS))
+async def test_days_with_frozen_owners_keep_the_rules(seed, autojump_clock):
+    """Owners' VMs stand still for 1 to 6 s while workers leave, jobs are
+    cancelled and others take over; what they had under way leaves them when
+    they wake, and what they then read is as old.
+    """
+    load = emulator.Load()
+    kinds = [
+        emulator.Fault.FREEZE_OWNER,
+        emulator.Fault.DRAIN_WORKER,
+        emulator.Fault.CANCEL_MANY,
+        emulator.Fault.CUT_OWNER_FROM_STORE,
+    ]
+    drawn = emulator.choose_faults(seed, 8, load.length_s, kinds)
     held = await emulator.play(seed, load, drawn)
     assert held.oracle.broken == []
 
