Test the new lines and the gauge; give the time to what decides on starts

The test file of the owner's missed changes is named after them, since it also holds the cancelled job. A start is checked once more when it is sent, with the present time as its argument. No change of what is decided.

--- a/crocusrouter/pools/links.py
+++ b/crocusrouter/pools/links.py
@@ -39,7 +39,7 @@
         times: clock.Clock,
         settle: Callable[[], Awaitable[None]],
         may_renew: Callable[[], bool],
-        may_start: Callable[[], bool],
+        may_start: Callable[[float], bool],
         changed: Callable[[], None],
     ) -> None:
         """Open a link.
@@ -52,7 +52,8 @@
             times: The present time.
             settle: Waits until what the book has noted is durable.
             may_renew: Whether leases may be renewed now.
-            may_start: Whether it is known well enough which workers leave.
+            may_start: Whether it is known well enough, at a steady time, which
+                jobs were cancelled and which workers leave.
             changed: Called when the book has changed.
         """
         self.worker = worker
@@ -210,7 +211,7 @@
             and run.phase is runs.Phase.ORDERED
             and held is not None
             and not held.sealed
-            and self._may_start()
+            and self._may_start(self._times.steady())
         )
 
     def _note_if_leaving(self, order: orders.Start) -> None:
--- a/crocusrouter/pools/owner.py
+++ b/crocusrouter/pools/owner.py
@@ -244,11 +244,11 @@
     def _may_hold(self) -> bool:
         return self._tenure.is_valid() or self._may_renew()
 
-    def _may_start(self) -> bool:
+    def _may_start(self, now: float) -> bool:
         """Tell whether it is known well enough what may start, and where."""
-        now = self._times.steady()
-        views = (self._list.freshness, self._backlog.freshness)
-        return all([view.is_fresh(now) for view in views])
+        workers_known = self._list.freshness.is_fresh(now)
+        jobs_known = self._backlog.freshness.is_fresh(now)
+        return workers_known and jobs_known
 
     # Decisions.
 
@@ -274,7 +274,7 @@
         self.book.open_due(wall, now)
         self._check_recovered(now)
         if self._tenure.is_valid() and not self._draining:
-            if self._may_start():
+            if self._may_start(now):
                 self._place(now, wall)
             self._send_paces(now)
         self._advisor.wake()
--- a/crocusrouter/pools/tests/test_links.py
+++ b/crocusrouter/pools/tests/test_links.py
@@ -46,17 +46,17 @@
     pass
 
 
-def _always():
+def _always(*_):
     return True
 
 
-def _make_link(port):
+def _make_link(port, may_start=_always):
     book = work.Book(1)
     book.set_worker(build.make_entry(_WORKER), 0.0)
     book.workers[_WORKER].reached = True
     times = clock.Clock(trio.current_time, lambda: 1e6 + trio.current_time())
     link = links.WorkerLink(
-        _WORKER, port, 1, book, times, _settle, _always, _always, lambda: None
+        _WORKER, port, 1, book, times, _settle, _always, may_start, lambda: None
     )
     link.lease.note(500, trio.current_time())
     return book, link
@@ -114,3 +114,44 @@
         assert book.find_work(key).waiting == {0}
     else:
         assert run.why == "its start was not answered"
+
+
+@pytest.mark.parametrize("leaves", [False, True])
+async def test_start_that_crosses_the_word_of_its_worker_is_told(
+    leaves, autojump_clock
+):
+    """A worker says that it leaves while a start is on its way, and takes it.
+    Callers see the same as with an owner that heard nothing; the line tells
+    the two apart.
+    """
+    port = _Port()
+    book, link = _make_link(port)
+    job = build.make_job("00000000000000aa", build.make_step(1))
+    book.put_job(job, work.Progress(), 1, 0.0)
+    book.open_due(2e6, 0.0)
+    key = work.TaskKey(job.id, 0, 0, 0)
+    book.add_run(key, 7, _WORKER, 0.0)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(link.start, orders.Start(key, 7, "", ""))
+        await trio.sleep(0.005)
+        entry = book.workers[_WORKER].entry
+        book.set_worker(dataclasses.replace(entry, draining=leaves), 0.0)
+    assert len(port.sent) == 1
+    told = [facts for what, facts in book.events if what == "run:on-leaving"]
+    assert told == (
+        [{"task": key, "run": 7, "worker": _WORKER}] if leaves else []
+    )
+
+
+async def test_start_is_not_sent_by_a_list_that_is_stale(autojump_clock):
+    """The list was heard when the start was decided, not when it is sent."""
+    port = _Port()
+    book, link = _make_link(port, may_start=lambda _: False)
+    job = build.make_job("00000000000000aa", build.make_step(1))
+    book.put_job(job, work.Progress(), 1, 0.0)
+    book.open_due(2e6, 0.0)
+    key = work.TaskKey(job.id, 0, 0, 0)
+    book.add_run(key, 7, _WORKER, 0.0)
+    await link.start(orders.Start(key, 7, "", ""))
+    assert port.sent == []
+    assert book.find_work(key).waiting == {0}
--- a/standins/emulator/tests/test_leaving_workers.py
+++ b/standins/emulator/tests/test_unheard_changes.py
@@ -1,7 +1,8 @@
-"""Workers that leave get nothing new, whatever their owner has missed.
+"""Owners that have not heard of a change start nothing against it.
 
 The oracle notes each start on a worker that said more than 2 s before that it
-leaves; while the store is in trouble the time counts from the trouble's end.
+leaves, and each start of a job that was cancelled more than 3 s before. While
+the store is in trouble the first counts from the trouble's end.
 """
 
 import pytest
