Start the waiting jobs at once after a takeover, although a worker is silent

Cause: a successor asks the workers what runs. While one of them can't be reached anything might run there, so no job accepted before the successor became owner was started until that worker's lease had certainly ended, 7.7 s later.

Weighed: a durable mark before each job's first start (a write more for every job, and first starts that wait for a slow store); a shorter lease (work would not outlast all entries losing power); concluding from the workers that did answer (not certain). Chosen: the owner writes down which jobs have waited for a second with nothing running, and starts one of them only after a record without it is durable. Calm jobs cost nothing.

A start that the record holds up for a second is withdrawn and planned anew.

--- a/crocusrouter/pools/keys.py
+++ b/crocusrouter/pools/keys.py
@@ -9,6 +9,7 @@
 MEMBERS = f"{SYSTEM}entry/"
 OWNERS = f"{SYSTEM}owner/"
 KNOWN_WORKERS = f"{ROOT}workers/"
+PARKED = f"{ROOT}parked/"
 WAVES = f"{ROOT}wave/"
 
 
--- a/crocusrouter/pools/owner.py
+++ b/crocusrouter/pools/owner.py
@@ -14,6 +14,7 @@
 from crocusrouter.pools import journal as journals
 from crocusrouter.pools import links
 from crocusrouter.pools import listing
+from crocusrouter.pools import parking
 from crocusrouter.pools import reservations
 from crocusrouter.pools import roster
 from crocusrouter.pools import tenure as tenures
@@ -29,6 +30,9 @@
 # Decisions are also made this often: pauses and suspicions run out.
 _TICK_S = 0.25
 _RETRY_S = 0.2
+# A start that waits for the record of parked jobs is planned anew after this:
+# the store is away, and what its room was kept for may be more urgent then.
+_UNPARK_PATIENCE_S = 1.0
 # Numbers of starts rise from the epoch on, so a successor's outrank all of
 # its predecessor's without a written counter.
 _RUN_BITS = 20
@@ -108,6 +112,7 @@
         self._nursery: trio.Nursery | None = None
         self._roster = roster.Roster(store, held, self.book)
         make_policy = platform.make_policy
+        self._parking = parking.Parking(store, held, self.book, times.steady)
         self._advisor = advisor.Advisor(
             make_policy() if make_policy is not None else None,
             self.book,
@@ -151,6 +156,7 @@
             nursery.start_soon(self._backlog.run)
             nursery.start_soon(self._list.run)
             nursery.start_soon(self._roster.run)
+            nursery.start_soon(self._parking.run)
             nursery.start_soon(self._advisor.run)
             nursery.start_soon(
                 expiry.expire_jobs,
@@ -180,17 +186,21 @@
         while True:
             try:
                 await self._roster.load()
+                parked = await self._parking.load()
                 await self._backlog.load()
                 await self._list.load()
                 break
             except client.StoreUnavailableError as error:
                 log("owner:load-failed", pool=self.pool, cause=str(error))
                 await trio.sleep(_RETRY_S)
+        for job_id in parked & self.book.jobs.keys():
+            self.book.jobs[job_id].parked = True
         log(
             "owner:loaded",
             pool=self.pool,
             epoch=self.epoch,
             jobs=len(self.book.jobs),
+            parked=len(parked),
             workers=len(self.book.workers),
         )
 
@@ -321,6 +331,7 @@
         found = self.book.find_work(work.TaskKey(*placement.step, 0))
         assert found is not None
         shared = self._take_number()
+        started: list[tuple[links.WorkerLink, orders.Start]] = []
         for index, worker in placement.spots.items():
             number = shared if found.step.gang else self._take_number()
             key = work.TaskKey(*placement.step, index)
@@ -329,8 +340,11 @@
             order = orders.Start(
                 key, number, held.job.payload, run.saved, ticket
             )
-            link = self._links[worker]
-            self._nursery.start_soon(link.start, order)
+            started.append((self._links[worker], order))
+        if self._parking.is_parked(placement.step.job):
+            self._nursery.start_soon(self._start_parked, started)
+        else:
+            self._send_starts(started)
         log(
             "step:start",
             step=placement.step,
@@ -340,6 +354,27 @@
             list_age_s=round(self._list.freshness.measure_age(now), 3),
         )
 
+    def _send_starts(
+        self, started: list[tuple[links.WorkerLink, orders.Start]]
+    ) -> None:
+        assert self._nursery is not None
+        for link, order in started:
+            self._nursery.start_soon(link.start, order)
+
+    async def _start_parked(
+        self, started: list[tuple[links.WorkerLink, orders.Start]]
+    ) -> None:
+        """Send starts once a successor would know that the job may run."""
+        job_id = started[0][1].key.job
+        with trio.move_on_after(_UNPARK_PATIENCE_S):
+            await self._parking.leave(job_id)
+            self._send_starts(started)
+            return
+        log("start:withdrawn", job=job_id, tasks=len(started))
+        for _, order in started:
+            self.book.withdraw_run(order.key, order.run)
+        self.wake()
+
     def _take_number(self) -> int:
         self._runs += 1
         return self._runs
--- a/crocusrouter/work/__init__.py
+++ b/crocusrouter/work/__init__.py
@@ -19,11 +19,13 @@
 from crocusrouter.work.progress import dump_progress
 from crocusrouter.work.progress import parse_progress
 from crocusrouter.work.reports import take_report
+from crocusrouter.work.runs import JobWork
 
 __all__ = [
     "FINAL",
     "Book",
     "Job",
+    "JobWork",
     "Placement",
     "Plan",
     "Policy",
--- a/crocusrouter/work/book.py
+++ b/crocusrouter/work/book.py
@@ -224,6 +224,25 @@
             blocked |= held.blocks
         return frozenset(blocked)
 
+    def may_run_unseen(
+        self, held: runs.JobWork, blocked: frozenset[str] | None
+    ) -> bool:
+        """Tell whether a job may run where nobody can look yet.
+
+        An earlier owner may have started it on a worker that has not answered
+        its successor, and it would run twice. Jobs accepted after the
+        successor became owner can't have been started by anyone else.
+
+        Args:
+            held: The job.
+            blocked: What `list_blocked` returned.
+        """
+        if held.parked:
+            return False
+        if blocked is None:
+            return held.created <= self.epoch
+        return held.job.id in blocked
+
     def unlist_worker(self, worker: str) -> None:
         """Note that the platform lists a worker no more.
 
@@ -374,6 +393,16 @@
         else:
             work.avoid.add(run.worker)
 
+    def withdraw_run(self, key: model.TaskKey, number: int) -> None:
+        """Take back a run whose start was never sent."""
+        run = self.runs.get(key)
+        work = self.find_work(key)
+        if run is None or run.number != number or work is None:
+            return
+        self.drop_run(run)
+        if key.position not in work.kept.done:
+            work.waiting.add(key.position)
+
     def requeue(self, run: runs.Run, how: orders.How, now: float) -> None:
         """Put a task back after a run that has not ended well."""
         work = self.find_work(run.key)
--- a/crocusrouter/work/planner.py
+++ b/crocusrouter/work/planner.py
@@ -92,7 +92,7 @@
     found = []
     blocked = book.list_blocked()
     for held in book.live.values():
-        if held.is_final or _is_blocked(book, held, blocked):
+        if held.is_final or book.may_run_unseen(held, blocked):
             continue
         for work in held.steps.values():
             if not work.waiting or work.not_before > now:
@@ -104,20 +104,6 @@
     return sorted(found, key=lambda waiting: waiting.rank)
 
 
-def _is_blocked(
-    book: books.Book, held: runs.JobWork, blocked: frozenset[str] | None
-) -> bool:
-    """Tell whether a job may run where nobody can look yet.
-
-    An earlier owner may have started it on a worker that has not answered
-    its successor, and it would run twice. Jobs accepted after the successor
-    became owner can't have been started by anyone else.
-    """
-    if blocked is None:
-        return held.created <= book.epoch
-    return held.job.id in blocked
-
-
 def _rank(
     held: runs.JobWork,
     work: runs.StepWork,
--- a/crocusrouter/work/runs.py
+++ b/crocusrouter/work/runs.py
@@ -170,6 +170,8 @@
         begun: Whether a task of it has started.
         durable: Whether the final state is in the journal.
         over_since: Steady time at which it was first known to be over.
+        parked: Whether nothing of it ran when this owner began, as the one
+            before has recorded.
     """
 
     job: model.Job
@@ -182,6 +184,7 @@
     begun: bool = False
     durable: bool = False
     over_since: float | None = None
+    parked: bool = False
 
     @property
     def is_final(self) -> bool:
--- /dev/null
+++ b/standins/emulator/tests/test_takeover.py
@@ -0,0 +1,142 @@
+"""What starts at once after a takeover, and what must wait for a worker."""
+
+import pytest
+import trio
+
+from crocusrouter import work
+from standins import emulator
+from standins.emulator import cluster as clusters
+from standins.emulator import store as stores
+
+_OUTAGE_S = 1.5
+# An owner has its pool 0.2 s after the entries are back.
+_PROMPT_S = 1.0
+
+
+def _make_job(number, tasks=1, **changes):
+    step = work.Step(
+        tasks, work.Room(1000, 4096, 8), changes.pop("expected_s", 2.0)
+    )
+    fields = {
+        "queue": "q",
+        "pool": clusters.POOL,
+        "customer": "a",
+        "priority": 2,
+        "max_attempts": 3,
+        "slack": 3.0,
+        "target_s": 5.0,
+        "payload": f"job {number}",
+        "accepted_at": 1_700_000_000.0,
+    }
+    return work.Job(f"{number:016x}", steps=(step,), **(fields | changes))
+
+
+async def _lose_all_entries(held, dark_s=_OUTAGE_S):
+    for name in list(held.entries):
+        held.kill_entry(name)
+    await trio.sleep(dark_s)
+    for name in held.names:
+        held.start_entry(name)
+
+
+async def _wait_for_owner(held):
+    while held.find_owner() is None:
+        await trio.sleep(0.02)
+
+
+@pytest.mark.parametrize(("entries", "workers"), [(4, 6), (97, 270)])
+async def test_jobs_that_nothing_ran_of_start_although_a_worker_is_silent(
+    entries, workers, autojump_clock
+):
+    """All workers are taken and more jobs wait. All entries lose power; while
+    they are dark one worker is cut off, and the others end what they ran.
+
+    Nobody could look at that worker, so every older job might have run there:
+    the whole backlog waited for its lease, 8 s beside idle workers.
+    """
+    held = emulator.Cluster(3, entries=entries, hosts=workers)
+    waiting = [_make_job(1000 + n) for n in range(workers // 2)]
+    async with trio.open_nursery() as nursery:
+        await nursery.start(held.run)
+        await trio.sleep(3.0)
+        await held.submit(_make_job(1, workers, expected_s=5.0))
+        await trio.sleep(0.5)
+        for job in waiting:
+            assert await held.submit(job) == "accepted"
+        await trio.sleep(2.5)
+        assert not any(job.id in held.oracle.begun for job in waiting)
+        held.workers["w0"].cut_from = set(held.names)
+        await _lose_all_entries(held)
+        await _wait_for_owner(held)
+        await trio.sleep(_PROMPT_S)
+        begun = [job for job in waiting if job.id in held.oracle.begun]
+        assert len(begun) >= len(waiting) - 1
+        held.workers["w0"].cut_from = set()
+        await trio.sleep(15.0)
+        held.oracle.check_over(await held.read_states())
+        nursery.cancel_scope.cancel()
+    assert held.oracle.broken == []
+    assert held.list_failures() == []
+
+
+@pytest.mark.parametrize("ran_s", [0.0, 0.02, 0.1, 0.5, 1.0])
+async def test_parked_job_that_was_started_is_not_started_again(
+    ran_s, autojump_clock
+):
+    """A job has waited and is recorded as one of which nothing runs. Its start
+    is sent to a worker; then the owner dies, and that worker is cut off.
+
+    A successor that still found the job in the record would start it elsewhere,
+    beside the run that it can't see.
+    """
+    held = emulator.Cluster(3, hosts=2)
+    filler = _make_job(1, 2, expected_s=3.5)
+    waiting = _make_job(2, expected_s=6.0)
+    async with trio.open_nursery() as nursery:
+        await nursery.start(held.run)
+        await trio.sleep(3.0)
+        await held.submit(filler)
+        await trio.sleep(0.3)
+        await held.submit(waiting)
+        await trio.sleep(2.5)
+        assert waiting.id not in held.oracle.begun
+        with trio.fail_after(5.0):
+            while waiting.id not in held.oracle.begun:
+                await trio.sleep(0.005)
+        await trio.sleep(ran_s)
+        for worker in held.workers.values():
+            if worker.tasks:
+                worker.cut_from = set(held.names)
+        await _lose_all_entries(held)
+        await trio.sleep(12.0)
+        for worker in held.workers.values():
+            worker.cut_from = set()
+        await trio.sleep(15.0)
+        held.oracle.check_over(await held.read_states())
+        nursery.cancel_scope.cancel()
+    assert held.oracle.broken == []
+
+
+async def test_start_that_the_record_holds_up_is_planned_anew(autojump_clock):
+    """The store loses answers to the owner alone while a parked job's turn
+    comes. Its start was never sent, so its room must not stay taken, and it
+    must run once the store answers.
+    """
+    held = emulator.Cluster(3, hosts=1)
+    filler, waiting = _make_job(1, expected_s=3.5), _make_job(2)
+    async with trio.open_nursery() as nursery:
+        await nursery.start(held.run)
+        await trio.sleep(3.0)
+        await held.submit(filler)
+        await trio.sleep(0.3)
+        await held.submit(waiting)
+        await trio.sleep(2.5)
+        owner = held.find_owner()
+        held.store.turned_away[owner] = stores.StoreFault.SILENT
+        await trio.sleep(1.5)
+        held.store.turned_away.clear()
+        await trio.sleep(10.0)
+        held.oracle.check_over(await held.read_states())
+        nursery.cancel_scope.cancel()
+    assert held.oracle.broken == []
+    assert held.oracle.done.keys() >= {work.TaskKey(waiting.id, 0, 0, 0)}
