Let workers that left empty hold nothing back after a takeover

Cause: a drained worker on which nothing ran was left out of the roster. The platform lists it for some seconds after it has gone, so a successor read it from the list as one that might run anything, could not reach it, and held all older jobs back until its lease had ended.

Change: drained workers stay in the record for as long as they are listed.

Emulator: red before (no older job begun 3 s after the successor began), green after.

--- a/crocusrouter/pools/roster.py
+++ b/crocusrouter/pools/roster.py
@@ -70,7 +70,10 @@
                 if held.is_untold:
                     known = held.blocks
                     jobs = sorted(known) if known is not None else None
-                elif not jobs:
+                elif not jobs and not held.listed:
+                    # One that is still listed stands here as long as that: a
+                    # successor that knew nothing of it would hold all older
+                    # jobs back until its lease had ended.
                     continue
             elif held.gone or (held.lapsed and not held.listed):
                 continue
--- a/standins/emulator/tests/test_takeover.py
+++ b/standins/emulator/tests/test_takeover.py
@@ -140,3 +140,40 @@
         nursery.cancel_scope.cancel()
     assert held.oracle.broken == []
     assert held.oracle.done.keys() >= {work.TaskKey(waiting.id, 0, 0, 0)}
+
+
+async def test_workers_that_left_empty_hold_nothing_back(autojump_clock):
+    """Two workers say that they leave, end what they run, and are gone while
+    all entries are without power. The platform lists them for some seconds.
+
+    Drained workers on which nothing ran were not in the record, so a successor
+    took them for workers that might run anything: no older job was started
+    until their leases had ended, 8 s beside idle workers.
+    """
+    held = emulator.Cluster(3)
+    filler = _make_job(1, len(held.workers) - 2, expected_s=3.0)
+    waiting = [_make_job(10 + number) for number in range(4)]
+    async with trio.open_nursery() as nursery:
+        await nursery.start(held.run)
+        await trio.sleep(3.0)
+        await held.submit(_make_job(2, 2, expected_s=1.0))
+        await trio.sleep(0.5)
+        leaving = [n for n, worker in held.workers.items() if worker.tasks]
+        assert len(leaving) == 2
+        for name in leaving:
+            held.drain_worker(name)
+        await trio.sleep(1.5)
+        await held.submit(filler)
+        for job in waiting:
+            assert await held.submit(job) == "accepted"
+        # Accepted a moment ago: not in the record of parked jobs.
+        await trio.sleep(0.2)
+        for name in leaving:
+            held.workers[name].crash()
+        await _lose_all_entries(held)
+        await _wait_for_owner(held)
+        await trio.sleep(3.0)
+        assert all(job.id in held.oracle.begun for job in waiting)
+        nursery.cancel_scope.cancel()
+    assert held.oracle.broken == []
+    assert held.list_failures() == []
