Answer callers from the first moment, before the store can be read

Cause: an entry opened its listeners only after it had read the shared secret from the store.

Change: the listeners open at once; callers hear 503 with a Retry-After and the balancer hears that the entry isn't ready. The mesh follows when the secret is known.

--- a/crocusrouter/cli/entry_service.py
+++ b/crocusrouter/cli/entry_service.py
@@ -39,23 +39,14 @@
     log("entry:starting", settings=loaded.model_dump())
     stopped = trio.Event()
     with trio.open_signal_receiver(*_STOPS, signal.SIGHUP) as signals:
-        secret = await _find_secret_unless_stopped(store, signals)
-        if secret is None:
-            log("entry:stopped", why="before the store had answered")
-            return
         async with trio.open_nursery() as nursery:
-            entry = _build_entry(loaded, secret, store, metrics)
-            await nursery.start(
-                mesh.serve_mesh,
-                entry.answer_peer,
-                loaded.ip,
-                loaded.mesh_port,
-                secret,
-            )
-            nursery.start_soon(entry.run)
+            entry = _build_entry(loaded, store, metrics)
+            nursery.start_soon(_run_entry, entry, loaded, store)
             nursery.start_soon(_take_signals, signals, entry, stopped)
             nursery.start_soon(_watch_settings, loaded)
-            log("entry:started", listen=loaded.listen)
+            # Callers are answered before the store is: while it was away, an
+            # entry that came up took no connection, and callers had used their
+            # tries up within a second instead of hearing when to come back.
             await http.serve_http(
                 entry_app.build_entry_app(
                     entry,
@@ -70,9 +61,27 @@
     log("entry:stopped")
 
 
+async def _run_entry(
+    entry: pools.PoolEntry,
+    loaded: settings.EntrySettings,
+    store: platform.PlatformStore,
+) -> None:
+    """Join the other entries as soon as the secret can be read."""
+    entry.secret = await _find_secret(store)
+    async with trio.open_nursery() as nursery:
+        await nursery.start(
+            mesh.serve_mesh,
+            entry.answer_peer,
+            loaded.ip,
+            loaded.mesh_port,
+            entry.secret,
+        )
+        log("entry:started", listen=loaded.listen)
+        await entry.run()
+
+
 def _build_entry(
     loaded: settings.EntrySettings,
-    secret: str,
     store: platform.PlatformStore,
     metrics: Metrics,
 ) -> pools.PoolEntry:
@@ -82,7 +91,6 @@
             f"{loaded.ip}:{loaded.mesh_port}",
             loaded.cpu_share * loaded.cores,
         ),
-        secret,
         store,
         pools.ConfigSource(
             platform.CONFIG_PREFIX, platform.CONFIG_KEY, platform.parse_config
@@ -128,28 +136,6 @@
     return config
 
 
-async def _find_secret_unless_stopped(
-    store: platform.PlatformStore, signals: AsyncIterator[int]
-) -> str | None:
-    """Return the shared secret; None after a stop signal.
-
-    While the store is away an entry waits here. It takes no callers yet, so
-    it can stop at once instead of being killed after its time of grace.
-    """
-    found: str | None = None
-    async with trio.open_nursery() as nursery:
-
-        async def wait_for_stop() -> None:
-            async for number in signals:
-                if number in _STOPS:
-                    nursery.cancel_scope.cancel()
-
-        nursery.start_soon(wait_for_stop)
-        found = await _find_secret(store)
-        nursery.cancel_scope.cancel()
-    return found
-
-
 async def _find_secret(store: platform.PlatformStore) -> str:
     while True:
         try:
--- a/crocusrouter/pools/entry.py
+++ b/crocusrouter/pools/entry.py
@@ -78,12 +78,17 @@
 
 
 class PoolEntry:
-    """Everything that one process runs, except its listeners."""
+    """Everything that one process runs, except its listeners.
+
+    Until `run` it answers callers that it is not ready.
+
+    Attributes:
+        secret: Shared by all entries; set before `run`.
+    """
 
     def __init__(
         self,
         identity: Identity,
-        secret: str,
         store: port.KeyValueStore,
         source: ConfigSource,
         platform: owners.Platform,
@@ -95,7 +100,6 @@
 
         Args:
             identity: Who it is.
-            secret: Shared by all entries.
             store: The key-value service.
             source: Where the operators' configuration lies.
             platform: How workers are met.
@@ -107,6 +111,7 @@
         self.metrics = metrics
         self.times = times or clock.Clock()
         self.is_stopping = False
+        self.secret = ""
         self.owned: dict[str, owners.PoolOwner] = {}
         self.configuration = configurations.Configuration(
             source.key, source.parse, self.times, metrics
@@ -125,7 +130,7 @@
         self.peers = peer_links.Peers(
             identity.name,
             make_link
-            or (lambda name, where: mesh.PeerLink(name, where, secret)),
+            or (lambda name, where: mesh.PeerLink(name, where, self.secret)),
             self.times,
             self._describe,
             self._take_beat,
--- a/crocusrouter/pools/parking.py
+++ b/crocusrouter/pools/parking.py
@@ -104,11 +104,14 @@
             # Jobs that are over do no harm in the record.
             if wanted <= self._recorded and not self._is_awaited():
                 continue
-            if await self._write(wanted, timeout_s):
+            outcome = await self._write(wanted, timeout_s)
+            if isinstance(outcome, port.Written):
                 timeout_s = _FIRST_TIMEOUT_S
                 async with self._changed:
                     self._changed.notify_all()
                 continue
+            if timeout_s == _FIRST_TIMEOUT_S:
+                log("parking:retried", outcome=type(outcome).__name__)
             timeout_s = min(_LONGEST_TIMEOUT_S, 2 * timeout_s)
             self._wake.set()
             await trio.sleep(_RETRY_S)
@@ -129,8 +132,10 @@
             and (job_id in self._recorded or _has_waited(held, now))
         )
 
-    async def _write(self, wanted: frozenset[str], timeout_s: float) -> bool:
-        """Replace the record; True if it says what is wanted now."""
+    async def _write(
+        self, wanted: frozenset[str], timeout_s: float
+    ) -> port.WriteOutcome:
+        """Replace the record; raises DeposedError."""
         before = self._recorded
         # An unanswered write may be carried out: until that is known, a job
         # counts as parked that stands in either state of the record.
@@ -144,7 +149,6 @@
             case port.Written(revision):
                 self._revision = revision
                 self._recorded = wanted
-                return True
             case port.Mismatched(current):
                 owner = current.get(self._tenure.key)
                 if owner is None or owner.revision != self._tenure.epoch:
@@ -153,8 +157,7 @@
                 self._revision = record.revision if record else 0
             case port.NotWritten():
                 self._recorded = before
-        log("parking:retried", outcome=type(outcome).__name__)
-        return False
+        return outcome
 
 
 def _has_waited(held: work.JobWork, now: float) -> bool:
--- a/standins/emulator/cluster.py
+++ b/standins/emulator/cluster.py
@@ -165,7 +165,6 @@
         )
         entry = pools.PoolEntry(
             pools.Identity(name, f"{name}:7000"),
-            "secret",
             self._find_store_view(name),
             pools.ConfigSource("op/", CONFIG, _parse_config),
             pools.Platform(
