--- a/bench/losses.py
+++ b/bench/losses.py
@@ -69,14 +69,15 @@
         Stories by the job's id, of accepted jobs only.
     """
     found: dict[str, Story] = collections.defaultdict(Story)
-    for fields in _parse_lines(lines):
+    for fields in parse_lines(lines):
         job = str(fields.get("job") or _find_job(fields))
         if job:
             _take(found[job], fields)
     return {job: story for job, story in found.items() if story.accepted}
 
 
-def _parse_lines(lines: Iterable[bytes]) -> Iterator[dict[str, Any]]:
+def parse_lines(lines: Iterable[bytes]) -> Iterator[dict[str, Any]]:
+    """Yield the fields of each line that is one of ours."""
     for line in lines:
         _, brace, rest = line.partition(b"{")
         try:
--- a/crocusrouter/pools/owner.py
+++ b/crocusrouter/pools/owner.py
@@ -350,6 +350,8 @@
             step=placement.step,
             run=shared,
             spots=list(placement.spots.items()),
+            cores=found.step.charge.cores,
+            checkpoints=found.step.checkpoints,
             waited=round(now - (found.waiting_since or now), 3),
             list_age_s=round(self._list.freshness.measure_age(now), 3),
         )
