Trace the claim that was answered "unknown": the test asked too early

Cause, from the failed run's lines and a replay of it: the third call reached entry e1 10 ms after the world had opened, before e1 had read of e2 in the VM list. It can't ask an entry that it does not know, and answers truthfully that an earlier try may have run (0.8 ms, so no call was tried). With e2 taken out of e1's peers the answers are "done" and "unknown", just as in the failure; right after the start e1 did not know e2.

Change: the test waits until e1 knows e2. What it asks for stays as strict.

--- a/crocusrouter/controllers/tests/test_entry.py
+++ b/crocusrouter/controllers/tests/test_entry.py
@@ -235,6 +235,10 @@
 async def test_claim_passes_on_after_not_run():
     async with worlds.open_world(entries=2, workers=0) as world:
         await world.put_template(retry_share=0.0)
+        # An entry that has not read of the other one yet can't ask it, and
+        # truthfully says "unknown".
+        peers = world.entries["e1"].entry.peers
+        await world.wait_for(lambda: peers.find_link("e2") is not None)
         path = "/v1/requests/reserve"
         for held in world.runners.values():
             held.slots = 0
