--- a/bench/tests/test_waste.py
+++ b/bench/tests/test_waste.py
@@ -11,24 +11,30 @@
     return b"  3.1 e1 " + orjson.dumps(line)
 
 
-def _start(at, tasks=1, cores=10.0, *, checkpoints=False):
+def _start(at, tasks=1, cores=10.0, run=7, *, checkpoints=False, gang=True):
     spots = [[index, f"w{index}"] for index in range(tasks)]
     return _line(
         at,
         "step:start",
         step="aa.0.0",
+        run=run,
+        gang=gang,
         spots=spots,
         cores=cores,
         checkpoints=checkpoints,
     )
 
 
-def _stop(at, why):
-    return _line(at, "run:stop", task="aa.0.0.0", why=why)
+def _stop(at, why, run=7):
+    return _line(at, "run:stop", task="aa.0.0.0", run=run, why=why)
 
 
-def _end(at, how, index=0):
-    return _line(at, "run:ended", task=f"aa.0.0.{index}", how=how)
+def _end(at, how, index=0, run=7):
+    return _line(at, "run:ended", task=f"aa.0.0.{index}", run=run, how=how)
+
+
+def _lapse(at, runs=1):
+    return _line(at, "worker:lapsed", worker="w1", runs=runs)
 
 
 @pytest.mark.parametrize(
@@ -46,8 +52,8 @@
                 _start(1.0),
                 _stop(2.0, f"its room is wanted first by job {_OTHER}"),
                 _end(2.5, "stopped"),
-                _start(4.0),
-                _end(5.0, "failed"),
+                _start(4.0, run=8),
+                _end(5.0, "failed", run=8),
             ],
             [
                 ("its room is wanted first by job JOB", 15.0, 1),
@@ -69,9 +75,29 @@
             [("failed", 0.0, 1)],
         ),
         (
-            [_start(1.0, 2), _line(3.0, "worker:lapsed", worker="w1")],
+            [_start(1.0, 2), _lapse(3.0)],
             [("its worker was lost", 20.0, 1)],
         ),
+        # A successor of the owner has seen that nothing runs there any more.
+        ([_start(1.0, 2), _lapse(3.0, runs=0)], []),
+        # Its next start is written before the end of the run before.
+        (
+            [
+                _start(1.0),
+                _stop(2.0, "cancelled"),
+                _start(3.0, run=8),
+                _end(3.0, "stopped"),
+            ],
+            [("cancelled", 20.0, 1)],
+        ),
+        (
+            [
+                _start(1.0, 2, gang=False),
+                _end(2.0, "failed", 1, run=9),
+                _end(3.0, "done", 0, run=8),
+            ],
+            [("failed", 10.0, 1)],
+        ),
         # Lines of entries come one file after the other.
         ([_end(3.0, "failed"), _start(1.0)], [("failed", 20.0, 1)]),
     ],
--- a/bench/waste.py
+++ b/bench/waste.py
@@ -18,6 +18,9 @@
 _JOB = re.compile(r"\b[0-9a-f]{16}\b")
 _WITH_GANG = "with its gang, whose first end is not in these logs"
 _WORKER_LOST = "its worker was lost"
+# A task and the number of its start. A task may start again in the same moment
+# in which its end is told, and the line of the start then comes first.
+_RunKey = tuple[str, int]
 
 
 @dataclasses.dataclass
@@ -57,8 +60,8 @@
 
     def __init__(self) -> None:
         self._starts: list[_Start] = []
-        self._running: dict[str, tuple[float, str, _Start]] = {}
-        self._stops: dict[str, str] = {}
+        self._running: dict[_RunKey, tuple[float, str, _Start]] = {}
+        self._stops: dict[_RunKey, str] = {}
 
     def take(self, fields: dict[str, Any]) -> None:
         """Take one line."""
@@ -67,39 +70,42 @@
             case "step:start" if "cores" in fields:
                 self._take_start(fields, at)
             case "run:stop":
-                self._stops[str(fields["task"])] = str(fields["why"])
+                self._stops[_find_run(fields)] = str(fields["why"])
             case "run:ended":
-                self._take_end(str(fields["task"]), str(fields["how"]), at)
-            case "worker:lapsed":
+                self._take_end(_find_run(fields), str(fields["how"]), at)
+            case "worker:lapsed" if fields["runs"]:
                 self._take_lapse(str(fields["worker"]), at)
 
     def _take_start(self, fields: dict[str, Any], at: float) -> None:
         cores = 0.0 if fields["checkpoints"] else float(fields["cores"])
         start = _Start(cores)
         self._starts.append(start)
+        number = int(fields["run"])
         for index, worker in fields["spots"]:
-            task = f"{fields['step']}.{index}"
-            self._running[task] = at, str(worker), start
-            self._stops.pop(task, None)
+            if not fields["gang"]:
+                # Tasks of their own have the numbers that follow.
+                number += 1
+            key = f"{fields['step']}.{index}", number
+            self._running[key] = at, str(worker), start
 
     def _take_lapse(self, worker: str, at: float) -> None:
-        for task, (_, where, _) in list(self._running.items()):
+        for key, (_, where, _) in list(self._running.items()):
             if where == worker:
-                self._lose(task, _WORKER_LOST, at)
+                self._lose(key, _WORKER_LOST, at)
 
-    def _take_end(self, task: str, how: str, at: float) -> None:
+    def _take_end(self, key: _RunKey, how: str, at: float) -> None:
         if how == "done":
-            self._running.pop(task, None)
+            self._running.pop(key, None)
         elif how == "broken":
-            self._lose(task, "", at)
+            self._lose(key, "", at)
         elif how == "stopped":
-            why = self._stops.get(task, "stopped by nobody in these logs")
-            self._lose(task, _JOB.sub("JOB", why), at)
+            why = self._stops.get(key, "stopped by nobody in these logs")
+            self._lose(key, _JOB.sub("JOB", why), at)
         else:
-            self._lose(task, how, at)
+            self._lose(key, how, at)
 
-    def _lose(self, task: str, cause: str, at: float) -> None:
-        found = self._running.pop(task, None)
+    def _lose(self, key: _RunKey, cause: str, at: float) -> None:
+        found = self._running.pop(key, None)
         if found is None:
             return
         since, _, start = found
@@ -122,6 +128,10 @@
         return sorted(rows, key=lambda row: (-row.core_s, row.cause))
 
 
+def _find_run(fields: dict[str, Any]) -> _RunKey:
+    return str(fields["task"]), int(fields["run"])
+
+
 def read_rows(lines: Iterable[bytes]) -> list[Row]:
     """Return what came to nothing, by cause.
 
--- a/crocusrouter/pools/owner.py
+++ b/crocusrouter/pools/owner.py
@@ -352,6 +352,7 @@
             spots=list(placement.spots.items()),
             cores=found.step.charge.cores,
             checkpoints=found.step.checkpoints,
+            gang=found.step.gang,
             waited=round(now - (found.waiting_since or now), 3),
             list_age_s=round(self._list.freshness.measure_age(now), 3),
         )
