--- a/crocusrouter/pools/desk.py
+++ b/crocusrouter/pools/desk.py
@@ -1,5 +1,6 @@
 """What callers ask of jobs: hand in, cancel, state, how many wait."""
 
+from collections.abc import Callable
 import dataclasses
 import enum
 
@@ -70,14 +71,14 @@
         store: relay.RelayedStore,
         peers: peer_links.Peers,
         owned: dict[str, owners.PoolOwner],
-        owner_names: dict[str, str],
+        find_owner: Callable[[str], str | None],
         times: clock.Clock,
         metrics: Metrics,
     ) -> None:
         self._store = store
         self._peers = peers
         self._owned = owned
-        self._owner_names = owner_names
+        self._find_owner = find_owner
         self._times = times
         self._metrics = metrics
 
@@ -149,7 +150,7 @@
         return await self._read_state(job_id)
 
     async def _ask_owner(self, pool: str, job_id: str) -> str | None:
-        owner = self._owner_names.get(pool)
+        owner = self._find_owner(pool)
         if owner is None:
             return None
         reply = await self._peers.call(owner, messages.FindState(pool, job_id))
@@ -190,7 +191,7 @@
         """Return how many jobs wait; None if the owner can't be asked."""
         if pool in self._owned:
             return self.count_here(pool, queue)
-        owner = self._owner_names.get(pool)
+        owner = self._find_owner(pool)
         if owner is None:
             return None
         reply = await self._peers.call(
--- a/crocusrouter/pools/entry.py
+++ b/crocusrouter/pools/entry.py
@@ -17,8 +17,8 @@
 from crocusrouter.pools import keys
 from crocusrouter.pools import members
 from crocusrouter.pools import owner as owners
+from crocusrouter.pools import ownership
 from crocusrouter.pools import peers as peer_links
-from crocusrouter.pools import ranking
 from crocusrouter.pools import relay
 from crocusrouter.pools import tenure as tenures
 from crocusrouter.pools import upkeep
@@ -30,11 +30,6 @@
 from crocusrouter.telemetry import log
 
 _ELECTION_TICK_S = 0.1
-# Candidates take turns, so that one write settles most elections.
-_RANK_DELAY_S = 0.12
-# At the first start of all, entries register within some tenths of a second;
-# one that knows no other can't tell yet whether a larger VM is there.
-_ALONE_DELAY_S = 0.6
 _VOUCH_TICK_S = 0.5
 # An owner reads the configuration this often and vouches for it to all who
 # send it heartbeats; the others read only when no peer has vouched.
@@ -122,12 +117,9 @@
         self._store: port.KeyValueStore = observing
         self._platform = platform
         self._waves = upkeep.Waves(platform.upkeeping)
-        self._epochs: dict[str, int] = {}
-        self._owner_names: dict[str, str] = {}
-        self._vacant_since: dict[str, float] = {}
         self._scopes: dict[str, trio.CancelScope] = {}
         self._holder = tenures.make_holder(identity.name, identity.mesh_address)
-        self._left_behind: dict[str, int] = {}
+        self._ownership = ownership.Ownership(self._holder, self._end_replaced)
         self._tenures: dict[str, tenures.Tenure] = {}
         self.peers = peer_links.Peers(
             identity.name,
@@ -136,7 +128,7 @@
             self.times,
             self._describe,
             self._take_beat,
-            lambda: set(self._owner_names.values()),
+            self._ownership.list_names,
         )
         self._members: dict[str, members.Member] = {}
         own = members.Member(identity.mesh_address, identity.cores)
@@ -162,7 +154,7 @@
             self._relay,
             self.peers,
             self.owned,
-            self._owner_names,
+            self._ownership.find_owner,
             self.times,
             metrics,
         )
@@ -242,10 +234,7 @@
             self.name,
             self.configuration.version,
             self.configuration.measure_age(now),
-            tuple(
-                (pool, epoch, self._owner_names.get(pool, ""))
-                for pool, epoch in self._epochs.items()
-            ),
+            self._ownership.list_rows(),
             not self._observed.is_failing(),
             self._system_watch.last_event,
         )
@@ -260,9 +249,7 @@
             and beat.version == self.configuration.version
         ):
             self.configuration.vouch(asked_at - beat.vouched_age_s)
-        for pool, epoch, owner in beat.owners:
-            if epoch > self._epochs.get(pool, 0) and owner:
-                self._note_owner(pool, owner, epoch)
+        self._ownership.take_rows(beat.owners)
 
     async def _fetch_config(self, peer: str) -> None:
         reply = await self.peers.call(peer, messages.AskConfig())
@@ -302,25 +289,13 @@
             if key.startswith(keys.MEMBERS):
                 self._take_member(key.removeprefix(keys.MEMBERS), value)
             elif key.startswith(keys.OWNERS):
-                self._take_owner(
+                self._ownership.take_key(
                     key.removeprefix(keys.OWNERS), value, event.record.revision
                 )
         self.peers.set_members(
             {name: member.address for name, member in self._members.items()}
         )
 
-    def _take_owner(self, pool: str, value: bytes, revision: int) -> None:
-        """Take an owner's key, and note one that our VM has left behind.
-
-        After all VMs had lost power, the one that came back as owner waited
-        for its own lease of before, up to 1.8 s.
-        """
-        holder = tenures.parse_holder(value)
-        self._left_behind.pop(pool, None)
-        if holder.is_gone_before(self._holder):
-            self._left_behind[pool] = revision
-        self._note_owner(pool, holder.name, revision)
-
     def _take_member(self, name: str, value: bytes) -> None:
         """Take a member; one that can't be read must not end the entry."""
         try:
@@ -333,19 +308,12 @@
         if key.startswith(keys.MEMBERS):
             self._members.pop(key.removeprefix(keys.MEMBERS), None)
         elif key.startswith(keys.OWNERS):
-            pool = key.removeprefix(keys.OWNERS)
-            log("owner:vacant", pool=pool, before=self._owner_names.get(pool))
-            self._owner_names.pop(pool, None)
-            self._left_behind.pop(pool, None)
-            self._vacant_since[pool] = self.times.steady()
-
-    def _note_owner(self, pool: str, name: str, epoch: int) -> None:
-        """Take an owner's name from the store or a peer; the latest wins."""
-        if epoch < self._epochs.get(pool, 0):
-            return
-        log("owner:known", pool=pool, owner=name, epoch=epoch)
-        self._owner_names[pool] = name
-        self._epochs[pool] = max(epoch, self._epochs.get(pool, 0))
+            self._ownership.note_vacant(
+                key.removeprefix(keys.OWNERS), self.times.steady()
+            )
+
+    def _end_replaced(self, pool: str, epoch: int) -> None:
+        """Stop deciding on a pool that another entry owns by now."""
         held = self.owned.get(pool)
         if held is not None and held.epoch < epoch:
             self._scopes[pool].cancel()
@@ -363,30 +331,21 @@
                 for service in config.services.values():
                     if service.standby or not self._may_take(service.name, now):
                         continue
-                    self._vacant_since[service.name] = now + tenures.TTL_S
+                    self._ownership.note_tried(service.name, now)
                     nursery.start_soon(self._own, service.name)
 
     def _may_take(self, pool: str, now: float) -> bool:
         if pool in self._tenures:
             return False
-        if pool in self._left_behind:
-            return True
-        if pool in self._owner_names:
-            return False
-        since = self._vacant_since.setdefault(pool, now)
         candidates = self._members | {self.name: self._own_member}
-        rank = ranking.rank_candidates(pool, candidates).index(self.name)
-        wait_s = rank * _RANK_DELAY_S
-        if len(candidates) == 1:
-            wait_s = _ALONE_DELAY_S
-        return now >= since + wait_s
+        return self._ownership.may_take(pool, candidates, now)
 
     async def _own(self, pool: str) -> None:
         """Own a pool until it is lost or released."""
         held = tenures.Tenure(self._store, pool, self._holder, self.times)
         self._tenures[pool] = held
         try:
-            if await held.take(self._left_behind.get(pool, 0)):
+            if await held.take(self._ownership.find_left_behind(pool)):
                 self.metrics.count_event("owner-took-over")
                 await self._serve(held)
         except* journal.DeposedError as errors:
@@ -413,7 +372,7 @@
             self.metrics,
             lambda: self.peers.may_hear(self.times.steady()),
         )
-        self._note_owner(held.pool, self.name, held.epoch)
+        self._ownership.note_owner(held.pool, self.name, held.epoch)
         if self.configuration.current is not None:
             opened.set_config(self.configuration.current)
         self.owned[held.pool] = opened
@@ -438,8 +397,8 @@
         finally:
             del self.owned[held.pool]
             del self._scopes[held.pool]
-            if self._owner_names.get(held.pool) == self.name:
-                self._owner_names.pop(held.pool)
+            if self._ownership.find_owner(held.pool) == self.name:
+                self._ownership.forget_owner(held.pool)
             log("owner:ended", pool=held.pool, epoch=held.epoch)
 
     async def release_all(self) -> None:
