Parking: the book tells who must leave the record; read the code again

A job with a run leaves the record whoever found the run, also one that a worker reports unasked (test); so no list of leaving jobs is needed beside the book. Tried and reverted: no quick retry of an unanswered write while no start waits for it.

The replay's account of lost work is a plain mapping.

--- a/bench/replay/day.py
+++ b/bench/replay/day.py
@@ -53,7 +53,7 @@
     """
 
     served: list[worth.Served]
-    wasted_by: collections.Counter[str]
+    wasted_by: dict[str, float]
     stops: int
     decisions_s: list[float]
 
@@ -87,7 +87,9 @@
         self.numbers: dict[str, int] = {}
         self.speeds: dict[str, float] = {}
         self.ended_at: dict[str, float] = {}
-        self.wasted_by: collections.Counter[str] = collections.Counter()
+        self.wasted_by: collections.defaultdict[str, float] = (
+            collections.defaultdict(float)
+        )
         self.stops = 0
         self.next_run = 1
         self.decisions_s: list[float] = []
@@ -236,7 +238,7 @@
                 saved = f"{run.done_s:.3f}"
             else:
                 lost = run.done_s * run.step.room.cores
-                self.wasted_by[cause] += lost  # type: ignore[assignment]
+                self.wasted_by[cause] += lost
         if run.worker not in self.ends:
             return  # it has left; its owner learns that, and no ends
         self.numbers[run.worker] += 1
--- a/crocusrouter/pools/parking.py
+++ b/crocusrouter/pools/parking.py
@@ -61,7 +61,6 @@
         # What the record may say: more than one state of it, while a write is
         # unanswered.
         self._recorded: frozenset[str] = frozenset()
-        self._leaving: set[str] = set()
         self._wake = trio.Event()
         self._changed = trio.Condition()
 
@@ -83,15 +82,14 @@
         return job_id in self._recorded
 
     async def leave(self, job_id: str) -> None:
-        """Wait until the record says no more that nothing of a job runs."""
-        self._leaving.add(job_id)
-        try:
-            self._wake.set()
-            async with self._changed:
-                while self.is_parked(job_id):
-                    await self._changed.wait()
-        finally:
-            self._leaving.discard(job_id)
+        """Wait until the record says no more that nothing of a job runs.
+
+        The book holds the run that is to start by then, so the job leaves.
+        """
+        self._wake.set()
+        async with self._changed:
+            while self.is_parked(job_id):
+                await self._changed.wait()
 
     async def run(self) -> None:
         """Write changes until cancelled; raises DeposedError."""
@@ -101,8 +99,7 @@
                 await self._wake.wait()
             self._wake = trio.Event()
             wanted = self._choose(self._read_clock())
-            # Jobs that are over do no harm in the record.
-            if wanted <= self._recorded and not self._is_awaited():
+            if wanted <= self._recorded and not self._is_wrong():
                 continue
             outcome = await self._write(wanted, timeout_s)
             if isinstance(outcome, port.Written):
@@ -113,22 +110,29 @@
             if timeout_s == _FIRST_TIMEOUT_S:
                 log("parking:retried", outcome=type(outcome).__name__)
             timeout_s = min(_LONGEST_TIMEOUT_S, 2 * timeout_s)
+            # What the record says is not known until a write is answered, and
+            # all jobs that it may name can't start before that.
             self._wake.set()
             await trio.sleep(_RETRY_S)
 
-    def _is_awaited(self) -> bool:
-        return not self._leaving.isdisjoint(self._recorded)
+    def _is_wrong(self) -> bool:
+        """Tell whether the record names a job that runs.
+
+        Jobs that are over do no harm there.
+        """
+        return any(
+            _has_run(self._book.live.get(job_id)) for job_id in self._recorded
+        )
 
     def _choose(self, now: float) -> frozenset[str]:
-        """Return the jobs of which nothing runs, and nothing is to start."""
+        """Return the jobs to record, of which nothing runs."""
         blocked = self._book.list_blocked()
         return frozenset(
             job_id
             for job_id, held in self._book.live.items()
-            if job_id not in self._leaving
-            and not held.is_final
+            if not held.is_final
             and not self._book.may_run_unseen(held, blocked)
-            and not any(step.running for step in held.steps.values())
+            and not _has_run(held)
             and (job_id in self._recorded or _has_waited(held, now))
         )
 
@@ -160,6 +164,12 @@
         return outcome
 
 
+def _has_run(held: work.JobWork | None) -> bool:
+    if held is None:
+        return False
+    return any(step.running for step in held.steps.values())
+
+
 def _has_waited(held: work.JobWork, now: float) -> bool:
     """Tell whether tasks of a job have been in turn for a while."""
     return any(
--- a/crocusrouter/pools/tests/test_parking.py
+++ b/crocusrouter/pools/tests/test_parking.py
@@ -122,6 +122,23 @@
             nursery.cancel_scope.cancel()
 
 
+async def test_job_that_turns_out_to_run_leaves_the_record(autojump_clock):
+    """A worker reports a run that nobody has ordered: another writer, or a
+    fault. The record must not go on saying that nothing of the job runs.
+    """
+    store = stores.Store(1)
+    book = _make_book()
+    opened = await _open(store, book)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(opened.run)
+        await trio.sleep(2.5)
+        assert _read(store) == {_JOB}
+        book.add_run(work.TaskKey(_JOB, 0, 0, 0), 1, "w0", 2.5)
+        await trio.sleep(1.5)
+        nursery.cancel_scope.cancel()
+    assert _read(store) == set()
+
+
 async def test_successor_ends_the_writes_of_an_owner(autojump_clock):
     store = stores.Store(1)
     opened = await _open(store, _make_book())
