--- a/crocusrouter/settings/pools.py
+++ b/crocusrouter/settings/pools.py
@@ -68,6 +68,14 @@
         6.0, gt=0, description="Seconds from SIGTERM to the kill."
     )
 
+    @pydantic.field_validator("name")
+    @classmethod
+    def _check_name(cls, value: str) -> str:
+        """Refuse a name that an owner's key could not be read back from."""
+        if any(character.isspace() for character in value):
+            raise ValueError("must have no spaces, such as front-liege-1")
+        return value
+
     @pydantic.field_validator("listen", "ready_listen", "store_address")
     @classmethod
     def _check_address(cls, value: str) -> str:
--- a/crocusrouter/settings/tests/test_pools.py
+++ b/crocusrouter/settings/tests/test_pools.py
@@ -44,6 +44,7 @@
         ({"MESH_PORT": "0"}, "mesh_port"),
         ({"STORE_ADDRESS": None}, "store_address"),
         ({"GRACE_S": "-1"}, "grace_s"),
+        ({"NAME": "front liege 1"}, "name"),
     ],
 )
 def test_wrong_setting_is_named_with_its_remedy(
