--- a/bench/replay/__init__.py
+++ b/bench/replay/__init__.py
@@ -5,6 +5,7 @@
 two policies can be compared over many drawn days.
 """
 
+from bench.replay.bound import measure_bound
 from bench.replay.day import Outcome
 from bench.replay.day import play_day
 from bench.replay.load import SITES
@@ -23,6 +24,7 @@
     "Worth",
     "draw_arrivals",
     "draw_troubles",
+    "measure_bound",
     "measure_worth",
     "play_day",
 ]
--- a/bench/replay/day.py
+++ b/bench/replay/day.py
@@ -109,8 +109,7 @@
         self.book.workers[name].reached = True
         self.ends[name] = []
         self.numbers[name] = 0
-        drawn = random.Random(f"{self.seed} {name}")
-        self.speeds[name] = drawn.choice(self.site.speeds)
+        self.speeds[name] = loads.draw_speed(self.site, self.seed, name)
 
     def run(self, length_s: float) -> Outcome:
         """Play the day and the calm after it."""
--- a/bench/replay/load.py
+++ b/bench/replay/load.py
@@ -233,6 +233,11 @@
     }
 
 
+def draw_speed(site: Site, seed: int, worker: str) -> float:
+    """Return how fast a worker is on a day."""
+    return random.Random(f"{seed} {worker}").choice(site.speeds)
+
+
 def draw_arrivals(site: Site, seed: int, length_s: float) -> list[Arrival]:
     """Draw a day with a burst of urgent jobs and one of another kind."""
     rng = random.Random(f"{site.name} {seed}")
