Name earlier processes predecessors; look for racks only when asked

Read as a newcomer: is_gone_before did not say what it tells, and the share at which a pool counts as crowded had no reason beside it. Workers are grouped by rack only in decisions in which a step waits for one.

--- a/crocusrouter/pools/ownership.py
+++ b/crocusrouter/pools/ownership.py
@@ -76,7 +76,7 @@
         """
         holder = tenures.parse_holder(value)
         self._left_behind.pop(pool, None)
-        if holder.is_gone_before(self._ours):
+        if holder.is_predecessor_of(self._ours):
             self._left_behind[pool] = revision
         self.note_owner(pool, holder.name, revision)
 
--- a/crocusrouter/pools/tenure.py
+++ b/crocusrouter/pools/tenure.py
@@ -40,13 +40,13 @@
     address: str = ""
     process: str = ""
 
-    def is_gone_before(self, ours: "Holder") -> bool:
+    def is_predecessor_of(self, ours: "Holder") -> bool:
         """Tell whether this is an earlier process that has certainly ended.
 
         Two processes can't listen on one address: while ours does, the one
         that stands in the key under our name and address does not run.
 
-        >>> Holder("e1", "10.0.0.1:7", "a1").is_gone_before(
+        >>> Holder("e1", "10.0.0.1:7", "a1").is_predecessor_of(
         ...     Holder("e1", "10.0.0.1:7", "b2")
         ... )
         True
--- a/crocusrouter/pools/tests/test_tenure.py
+++ b/crocusrouter/pools/tests/test_tenure.py
@@ -13,7 +13,7 @@
 
 
 @pytest.mark.parametrize(
-    ("value", "gone"),
+    ("value", "earlier"),
     [
         (b"e1 10.0.0.1:7 a1", True),
         (b"e1 10.0.0.1:7 b2", False),  # we ourselves
@@ -24,8 +24,8 @@
         (b"\xff\xfe", False),
     ],
 )
-def test_only_an_earlier_process_of_our_vm_is_gone(value, gone):
-    assert tenure.parse_holder(value).is_gone_before(_OURS) is gone
+def test_only_an_earlier_process_of_our_vm_is_a_predecessor(value, earlier):
+    assert tenure.parse_holder(value).is_predecessor_of(_OURS) is earlier
 
 
 @pytest.mark.parametrize(
--- a/crocusrouter/work/racks.py
+++ b/crocusrouter/work/racks.py
@@ -8,6 +8,8 @@
 from crocusrouter.work import packing
 from crocusrouter.work import runs
 
+# Share of a pool's accelerators. With more than half of them taken, what a step
+# holds for three times as long is missing to others.
 _CROWDED_SHARE = 0.5
 
 
@@ -20,15 +22,18 @@
         Args:
             book: The pool's book; not changed.
         """
-        self._workers: dict[str, list[runs.Worker]] = collections.defaultdict(
-            list
-        )
-        for held in book.workers.values():
-            if held.listed and not held.sealed and not held.gone:
-                rack = packing.find_rack(held.entry.labels)
-                self._workers[rack].append(held)
+        self._book = book
         self._known: dict[model.Step, bool] = {}
 
+    @functools.cached_property
+    def _workers(self) -> dict[str, list[runs.Worker]]:
+        """Workers by rack; looked for only when a step waits for a rack."""
+        found = collections.defaultdict(list)
+        for held in self._book.workers.values():
+            if held.listed and not held.sealed and not held.gone:
+                found[packing.find_rack(held.entry.labels)].append(held)
+        return found
+
     @functools.cached_property
     def is_crowded(self) -> bool:
         """Whether more than half of the pool's accelerators are taken."""
