--- a/standins/emulator/faults.py
+++ b/standins/emulator/faults.py
@@ -108,6 +108,8 @@
     faults: list[Event],
     *,
     lapses: bool = True,
+    entries: int = 4,
+    hosts: int = 6,
 ) -> clusters.Cluster:
     """Play a day and check its end.
 
@@ -116,11 +118,13 @@
         load: What comes.
         faults: What goes wrong.
         lapses: Whether leases run out while the store is away.
+        entries: How many entries.
+        hosts: How many workers.
 
     Returns:
         The cluster; its oracle lists what was broken.
     """
-    held = clusters.Cluster(seed)
+    held = clusters.Cluster(seed, entries, hosts)
     held.store.lapses = lapses
     async with trio.open_nursery() as nursery:
         await nursery.start(held.run)
--- a/standins/emulator/tests/test_days.py
+++ b/standins/emulator/tests/test_days.py
@@ -12,6 +12,8 @@
 # From the start of a day to its first second of traffic.
 _LEAD_S = 2.0
 _SEEDS = int(os.environ.get("CROCUSROUTER_DAYS", "12"))
+# How many days of the size of hundreds of VMs; each takes some ten seconds.
+_LARGE = "CROCUSROUTER_LARGE_DAYS"
 # Days on which a job was never heard of.
 _KEPT_SEEDS = (25, 44)
 
@@ -119,6 +121,34 @@
     assert held.oracle.broken == []
 
 
+@pytest.mark.parametrize("seed", range(int(os.environ.get(_LARGE, "2"))))
+async def test_days_of_hundreds_of_vms_keep_the_rules(seed, autojump_clock):
+    """All entries lose power, owners are killed, and the store is in trouble,
+    while workers leave, are cut off and crash: what runs where is asked again
+    and again, and some never answer.
+    """
+    load = emulator.Load(per_s=12.0, length_s=14.0)
+    kinds = [
+        emulator.Fault.KILL_ALL,
+        emulator.Fault.KILL_OWNER,
+        emulator.Fault.STORE_BUSY,
+        emulator.Fault.STORE_SILENT,
+        emulator.Fault.STORE_LATE,
+        emulator.Fault.CUT_OWNER_FROM_STORE,
+    ]
+    drawn = emulator.choose_faults(seed, 3, load.length_s, kinds)
+    workers = [
+        emulator.Fault.CUT_WORKER,
+        emulator.Fault.DRAIN_WORKER,
+        emulator.Fault.CRASH_WORKER,
+    ]
+    drawn += emulator.choose_faults(seed, 24, load.length_s, workers)
+    held = await emulator.play(
+        seed, load, drawn, lapses=bool(seed % 2), entries=97, hosts=270
+    )
+    assert held.oracle.broken == []
+
+
 @pytest.mark.parametrize("seed", range(_SEEDS))
 async def test_days_with_frozen_owners_keep_the_rules(seed, autojump_clock):
     """Owners' VMs stand still for 1 to 6 s while workers leave, jobs are
