--- a/crocusrouter/pools/owner.py
+++ b/crocusrouter/pools/owner.py
@@ -38,7 +38,10 @@
 _RUN_BITS = 20
 
 # What the book notes and operators also count.
-_COUNTED = {"run:on-leaving": "start-on-leaving-worker"}
+_COUNTED = {
+    "run:on-leaving": "start-on-leaving-worker",
+    "run:lost": "run-lost-with-its-worker",
+}
 
 MakeWorker = Callable[[str, str], orders.WorkerPort]
 
--- a/crocusrouter/work/book.py
+++ b/crocusrouter/work/book.py
@@ -269,6 +269,14 @@
         self.note("worker:lapsed", worker=worker, why=why, runs=len(held.runs))
         for key in list(held.runs):
             run = self.runs[key]
+            self.note(
+                "run:lost",
+                task=key,
+                run=run.number,
+                worker=worker,
+                phase=str(run.phase),
+                ran_s=round((held.silent_since or now) - run.since, 3),
+            )
             self.drop_run(run)
             self.requeue(run, orders.How.LAPSED, now)
         held.lapsed = True
--- a/crocusrouter/work/tests/test_book.py
+++ b/crocusrouter/work/tests/test_book.py
@@ -228,3 +228,17 @@
     build.report(book, run.worker, (run.key, HOW.STOPPED), now=2.0)
     assert book.list_over(before=1.0) == []
     assert book.list_over(before=5.0) == ["j"]
+
+
+def test_runs_lost_with_their_worker_are_told():
+    """Tasks start again and again, and no line tells with which worker the
+    last run ended, nor how soon after its start.
+    """
+    book = build.make_book(build.make_job("j", build.make_step(2)))
+    build.start_planned(book, now=1.0)
+    worker = book.runs[_key("j")].worker
+    book.note_silent(worker, 1.25)
+    book.note_gone(worker, 4.0)
+    lost = [facts for what, facts in book.events if what == "run:lost"]
+    assert [facts["task"] for facts in lost] == [_key("j"), _key("j", 1)]
+    assert {facts["ran_s"] for facts in lost} == {0.25}
