--- a/standins/emulator/cluster.py
+++ b/standins/emulator/cluster.py
@@ -29,6 +29,10 @@
 _PEER_S = 0.001
 # A worker that drains must get nothing new from here on.
 _DRAIN_S = 2.0
+# A crashed worker is back after this; the platform lists its earlier life
+# until three heartbeats of 1.5 s have been missed.
+_RETURN_S = 3.2
+_UNLISTED_S = 4.5
 _WALL = 1_700_000_000.0
 
 
@@ -108,6 +112,7 @@
         self.names = [f"e{number}" for number in range(entries)]
         self._scopes: dict[str, trio.CancelScope] = {}
         self._nursery: trio.Nursery | None = None
+        self._returning: set[str] = set()
         self._version = 1
         self._troubled_at = 0.0
         for number in range(hosts):
@@ -155,6 +160,29 @@
         self.workers[name].crash()
         self.store.remove(WORKERS + name)
 
+    def bear_again(self, name: str) -> None:
+        """Let another incarnation answer at a worker's address."""
+        held = self.workers[name]
+        rack = next(label for label in held.entry.labels if "-" in label)
+        held.reborn = True
+        base = name.partition("+")[0]
+        self.add_worker(f"{base}+{self.random.getrandbits(16)}", rack)
+
+    async def _return_crashed(self, name: str) -> None:
+        """Bring a worker that a task has crashed back under another name."""
+        await trio.sleep(_RETURN_S)
+        self.bear_again(name)
+        await trio.sleep(_UNLISTED_S - _RETURN_S)
+        self.store.remove(WORKERS + name)
+
+    def _step_worker(self, name: str, now: float) -> None:
+        held = self.workers[name]
+        held.step(now)
+        if held.refuses and name not in self._returning:
+            assert self._nursery is not None
+            self._returning.add(name)
+            self._nursery.start_soon(self._return_crashed, name)
+
     # Entries.
 
     def start_entry(self, name: str) -> None:
@@ -311,8 +339,8 @@
             task_status.started()
             while True:
                 now = trio.current_time()
-                for held in list(self.workers.values()):
-                    held.step(now)
+                for name in list(self.workers):
+                    self._step_worker(name, now)
                 self.store.note_silences(self.names, now)
                 self._check_drains(now)
                 self.store.expire(now)
--- a/standins/emulator/faults.py
+++ b/standins/emulator/faults.py
@@ -251,12 +251,8 @@
 
     The platform lists the old one until its heartbeats have been missed.
     """
-    worker = held.workers[name]
-    rack = next(r for r in worker.entry.labels if "-" in r)
-    worker.crash()
-    worker.reborn = True
-    base = name.partition("+")[0]
-    held.add_worker(f"{base}+{held.random.getrandbits(16)}", rack)
+    held.workers[name].crash()
+    held.bear_again(name)
     await trio.sleep(_UNLISTED_S)
     held.store.remove(clusters.WORKERS + name)
 
--- a/standins/emulator/load.py
+++ b/standins/emulator/load.py
@@ -5,6 +5,7 @@
 
 from crocusrouter import work
 from standins.emulator import cluster
+from standins.emulator import worker
 
 _WALL = 1_700_000_000.0
 
@@ -19,6 +20,7 @@
         gangs: Share of gangs.
         poison: Share of jobs that can never be done.
         advised: Share of jobs whose workers a policy chooses.
+        crashing: Share of jobs whose tasks crash each worker they start on.
     """
 
     per_s: float = 1.0
@@ -26,6 +28,7 @@
     gangs: float = 0.4
     poison: float = 0.05
     advised: float = 0.0
+    crashing: float = 0.0
 
     def draw(self, seed: int) -> list[tuple[float, work.Job]]:
         """Return jobs with the times at which they are handed in."""
@@ -43,8 +46,13 @@
         steps = [self._draw_step(rng, gang, ())]
         if rng.random() < 0.3:
             steps.append(self._draw_step(rng, False, (0,)))
-        poisoned = rng.random() < self.poison
+        payload = f"job {number}"
+        if rng.random() < self.poison:
+            payload = "poison"
         repeats = 3 if rng.random() < 0.1 else 0
+        # Nothing is drawn where no job is: days without stay the same.
+        if self.crashing > 0 and rng.random() < self.crashing:
+            payload = worker.CRASHING
         return work.Job(
             f"{rng.getrandbits(64):016x}",
             "q",
@@ -54,13 +62,12 @@
             3,
             2.0,
             1.0,
-            "poison" if poisoned else f"job {number}",
+            payload,
             tuple(steps),
             _WALL + at,
             repeats,
             _WALL + at + 1.0,
             2.0,
-            # Nothing is drawn where no job is: days without stay the same.
             advised=self.advised > 0 and rng.random() < self.advised,
         )
 
--- a/standins/emulator/oracle.py
+++ b/standins/emulator/oracle.py
@@ -8,6 +8,10 @@
 # for this long.
 _CANCEL_S = 3.0
 _NOTED_S = 1.0
+# Workers that may crash under a task, and starts after that many crashes that
+# are too many.
+_CRASHES = 3
+_STARTS_AFTER_CRASHES = 3
 
 
 class Oracle:
@@ -25,6 +29,11 @@
         self._forgotten: collections.Counter[work.TaskKey] = (
             collections.Counter()
         )
+        self.crashed_at: list[tuple[float, work.TaskKey]] = []
+        self.crashes: collections.Counter[work.TaskKey] = collections.Counter()
+        self._started_after: collections.Counter[work.TaskKey] = (
+            collections.Counter()
+        )
         self._again: set[work.TaskKey] = set()
         self._running: dict[work.TaskKey, set[tuple[str, int]]] = (
             collections.defaultdict(set)
@@ -54,11 +63,27 @@
                 self.broken.append(f"{now:.3f} order: {key} before {earlier}")
         if self.failed[key] - self._forgotten[key] >= job.max_attempts:
             self.broken.append(f"{now:.3f} budget: {key}")
+        self._count_after_crashes(key, now)
         cancelled = self.cancelled.get(key.job)
         if cancelled is not None and now > cancelled + _CANCEL_S:
             self.broken.append(f"{now:.3f} unasked: {key} after its cancel")
         others.add((worker, run))
 
+    def _count_after_crashes(self, key: work.TaskKey, now: float) -> None:
+        if self.crashes[key] < _CRASHES:
+            return
+        self._started_after[key] += 1
+        if self._started_after[key] == _STARTS_AFTER_CRASHES:
+            self.broken.append(
+                f"{now:.3f} budget: {key} started {_STARTS_AFTER_CRASHES} "
+                f"times more after {_CRASHES} workers had crashed under it"
+            )
+
+    def note_crash(self, key: work.TaskKey, now: float) -> None:
+        """Take note that a task has crashed its worker."""
+        self.crashes[key] += 1
+        self.crashed_at.append((now, key))
+
     def _is_step_done(
         self, job: work.Job, key: work.TaskKey, earlier: int
     ) -> bool:
@@ -146,6 +171,8 @@
         spent = [_sum_gang(job, key, self.failed) for key in tasks]
         forgotten = [_sum_gang(job, key, self._forgotten) for key in tasks]
         wanted = set()
+        if any(self.crashes[key] > 1 for key in tasks):
+            wanted.add("failed")
         if any(count >= limit for count in spent):
             wanted.add("failed")
         certain = zip(spent, forgotten, strict=True)
--- /dev/null
+++ b/standins/emulator/tests/test_crashes.py
@@ -0,0 +1,96 @@
+"""Tasks that crash the workers that start them."""
+
+import dataclasses
+
+import pytest
+import trio
+
+from crocusrouter import work
+from standins import emulator
+from standins.emulator import cluster as clusters
+from standins.emulator import faults
+from standins.emulator import worker as workers
+
+_WALL = 1_700_000_000.0
+# Workers that one job may take down before it is given up: those of the tasks
+# that had started together with the first one, and two more for one task.
+_MORE_CRASHES = 2
+
+
+def _make_job(job_id, count, *, gang=False, crashes=True, **changes):
+    step = work.Step(count, work.Room(4000, 4096, 1), 2.0, gang=gang)
+    payload = workers.CRASHING if crashes else "sound"
+    job = work.Job(
+        job_id, "q", clusters.POOL, "a", 1, 3, 2.0, 1.0, payload, (step,), _WALL
+    )
+    return dataclasses.replace(job, **changes)
+
+
+async def _play(jobs, events=(), seed=3, entries=4, length_s=60.0):
+    """Hand jobs in at times of their own, and wait for the end."""
+    held = clusters.Cluster(seed, entries)
+    async with trio.open_nursery() as nursery:
+        await nursery.start(held.run)
+        await trio.sleep(2.0)
+        for event in events:
+            nursery.start_soon(faults.strike, held, event)
+        for at, job in jobs:
+            nursery.start_soon(_submit, held, at, job)
+        await trio.sleep(length_s)
+        held.oracle.check_over(await held.read_states())
+        held.oracle.broken += held.list_failures()
+        nursery.cancel_scope.cancel()
+    return held
+
+
+async def _submit(held, at, job):
+    await trio.sleep(at)
+    await held.submit(job)
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+@pytest.mark.parametrize(
+    ("job", "events"),
+    [
+        (_make_job("0a", 1), []),
+        (_make_job("0a", 1, priority=0), []),
+        (_make_job("0a", 4), []),
+        (_make_job("0a", 3, gang=True), []),
+        (_make_job("0a", 1), [faults.Event(5.5, faults.Fault.KILL_OWNER, 1.0)]),
+        (_make_job("0a", 1), [faults.Event(8.0, faults.Fault.KILL_ALL, 1.0)]),
+        (_make_job("0a", 1), [faults.Event(8.0, faults.Fault.CUT_OWNER, 4.0)]),
+        (_make_job("0a", 1), [faults.Event(7.0, faults.Fault.STORE_BUSY, 6.0)]),
+    ],
+    ids=["plain", "urgent", "wide", "gang", "owner", "power", "cut", "store"],
+)
+async def test_task_that_crashes_its_workers_is_given_up(
+    job, events, seed, autojump_clock
+):
+    """The caller of a job reads "running" for ever, and callers of others see
+    theirs start again and again.
+
+    A task ended its worker 10 ms after its start. The worker was back 3.3 s
+    later under another name, and within 2 ms the task had the next one, with
+    four or five tasks of others on it: 21 workers in 80 s. An end with a lost
+    worker was counted nowhere, neither by the owner nor in the journal.
+    """
+    sound = [
+        (at, _make_job(f"{number + 1:02x}", 2, crashes=False))
+        for number, at in enumerate((0.0, 1.0, 2.0, 4.0, 6.0, 9.0, 12.0))
+    ]
+    held = await _play([*sound, (3.0, job)], events, seed)
+    assert held.oracle.broken == []
+    crashes = [key for _, key in held.oracle.crashed_at]
+    assert len(crashes) <= job.steps[0].count + _MORE_CRASHES + len(events)
+
+
+@pytest.mark.parametrize("seed", range(4))
+async def test_days_with_tasks_that_crash_workers(seed, autojump_clock):
+    """Jobs that crash their workers come among others, while owners, store
+    and workers fail: each is given up, none of the others is.
+    """
+    load = emulator.Load(crashing=0.08)
+    drawn = emulator.choose_faults(seed, 5, load.length_s)
+    held = await emulator.play(seed, load, drawn, hosts=12)
+    assert held.oracle.crashed_at
+    assert held.oracle.broken == []
--- a/standins/emulator/worker.py
+++ b/standins/emulator/worker.py
@@ -20,6 +20,11 @@
 # Tail of a serving task alone, and what one task that fills adds to it.
 _TAIL_MS = 40.0
 _DISTURBANCE_MS = 60.0
+# The payload of a job whose tasks crash each worker that starts them, and how
+# long that takes; at times the worker is gone before it has answered.
+CRASHING = "crash"
+_CRASH_S = 0.01
+_UNANSWERED_SHARE = 0.3
 # The figure is one for the last half second; a step of time is 20 ms.
 _TAIL_SHARE = 0.08
 
@@ -37,6 +42,7 @@
     how: orders.How = orders.How.DONE
     lasting: bool = False
     pace: int = 100
+    crashes: bool = False
 
 
 class Gangs:
@@ -75,6 +81,7 @@
         self.random = random.Random(seed)
         self.alive = True
         self.reborn = False
+        self.refuses = False
         self.missed_starts = 0
         self.begun = 0
         self.drains_since: float | None = None
@@ -117,6 +124,9 @@
                 if now > task.began_at + _GANG_S:
                     self._end(task, orders.How.ALONE, now)
             elif task.ends_at is not None and now >= task.ends_at:
+                if task.crashes:
+                    self._crash_under(task, now)
+                    return
                 self._end(task, task.how, now)
 
     def _end(self, task: Task, how: orders.How, now: float) -> None:
@@ -141,6 +151,25 @@
                 if other.run == task.run and other.key[:3] == task.key[:3]:
                     worker._end(other, orders.How.BROKEN, now)
 
+    def crash_unanswered(self, key: work.TaskKey) -> bool:
+        """Crash before the start of a task is answered, for some of those
+        that crash their workers; True if so.
+        """
+        task = self.tasks.get(key)
+        if task is None or not task.crashes:
+            return False
+        if self.random.random() >= _UNANSWERED_SHARE:
+            return False
+        self._crash_under(task, trio.current_time())
+        return True
+
+    def _crash_under(self, task: Task, now: float) -> None:
+        """Crash because of a task; the VM stays up and refuses connections."""
+        self.oracle.note_crash(task.key, now)
+        self.refuses = True
+        self.crash()
+        self._news.set()
+
     def crash(self) -> None:
         """Lose everything that runs or is listed here."""
         self.alive = False
@@ -223,6 +252,9 @@
         if poisoned or self.fails_all:
             task.how = orders.How.FAILED
             task.ends_at = now + 0.2
+        if job.payload == CRASHING:
+            task.crashes = True
+            task.ends_at = now + _CRASH_S
         self.tasks[order.key] = task
         self.begun += 1
         self.oracle.note_start(self.entry.id, order.key, order.run, now)
@@ -336,6 +368,16 @@
     def _is_reachable(self) -> bool:
         return self._worker.alive and self._entry not in self._worker.cut_from
 
+    async def _wait_in_vain(
+        self, timeout_s: float, *, sent: bool = False
+    ) -> orders.Silent:
+        """Get no answer: at once where connections are refused or break."""
+        if self._worker.refuses and self._entry not in self._worker.cut_from:
+            await trio.sleep(_ORDER_S)
+            return orders.Silent("refused", maybe_done=sent)
+        await trio.sleep(timeout_s)
+        return orders.Silent("cut")
+
     async def hold(
         self, epoch: int, seen: int, until_ms: int | None, wait_s: float
     ) -> orders.Report | orders.Rejected | orders.Silent:
@@ -344,14 +386,12 @@
         if self._worker.reborn:
             return orders.Rejected(orders.Why.OTHER_INCARNATION)
         if not self._is_reachable():
-            await trio.sleep(wait_s + 0.6)
-            return orders.Silent("cut")
+            return await self._wait_in_vain(wait_s + 0.6)
         report = self._worker.look(epoch, seen, until_ms)
         if isinstance(report, orders.Report) and not report.ended and wait_s:
             await self._worker.wait_for_news(wait_s)
             if not self._is_reachable():
-                await trio.sleep(0.6)
-                return orders.Silent("cut")
+                return await self._wait_in_vain(0.6, sent=True)
             report = self._worker.look(epoch, seen, None)
         await trio.sleep(_ORDER_S)
         return report
@@ -365,8 +405,7 @@
             self._worker.missed_starts += 1
             return orders.Rejected(orders.Why.OTHER_INCARNATION)
         if not self._is_reachable():
-            await trio.sleep(timeout_s)
-            return orders.Silent("cut")
+            return await self._wait_in_vain(timeout_s)
         if self._worker.random.random() < self._worker.late_share:
             trio.lowlevel.spawn_system_task(
                 self._begin_late, epoch, order, until_ms
@@ -374,6 +413,8 @@
             await trio.sleep(timeout_s)
             return orders.Silent("late")
         outcome = self._worker.begin(epoch, order, until_ms)
+        if self._worker.crash_unanswered(order.key):
+            return await self._wait_in_vain(timeout_s, sent=True)
         await trio.sleep(_ORDER_S)
         return outcome
 
@@ -392,8 +433,7 @@
         if self._worker.reborn:
             return orders.Rejected(orders.Why.OTHER_INCARNATION)
         if not self._is_reachable():
-            await trio.sleep(timeout_s)
-            return orders.Silent("cut")
+            return await self._wait_in_vain(timeout_s)
         outcome = self._worker.halt(epoch, order)
         await trio.sleep(_ORDER_S)
         return outcome
@@ -404,8 +444,7 @@
         """Set a run's pace."""
         await trio.sleep(_ORDER_S)
         if not self._is_reachable():
-            await trio.sleep(timeout_s)
-            return orders.Silent("cut")
+            return await self._wait_in_vain(timeout_s)
         return self._worker.set_pace(epoch, order)
 
     async def aclose(self) -> None:
