--- a/crocusrouter/requests/chain.py
+++ b/crocusrouter/requests/chain.py
@@ -28,6 +28,9 @@
 _FIRST_PAUSE_S = 0.01
 _LONGEST_PAUSE_S = 0.5
 _LIMIT_RETRY_S = 0.2
+# Endpoints that may break off under one request. It may be what ends them, and
+# each further try would take along whatever runs on one more.
+_MOST_LOST = 3
 
 # A retry of one of these can't run the request a second time.
 _SURELY_NOT_RUN = frozenset(
@@ -119,11 +122,13 @@
         self._earn(call)
         avoided: frozenset[str] = frozenset()
         pause_s = _FIRST_PAUSE_S
+        lost = 0
         while True:
             tried = await self._dispatcher.dispatch(call, avoided)
             if tried.retry is None or isinstance(tried.answer, Done):
                 return tried.answer
-            if not _may_retry(call, tried.retry):
+            lost += tried.retry is RetryReason.ANSWER_LOST
+            if lost >= _MOST_LOST or not _may_retry(call, tried.retry):
                 return tried.answer
             pause_s = min(_LONGEST_PAUSE_S, pause_s * 2)
             delay_s = self._rng.uniform(0.0, pause_s)
