--- a/crocusrouter/pools/links.py
+++ b/crocusrouter/pools/links.py
@@ -86,7 +86,8 @@
                 held = self._book.workers.get(self.worker)
                 if held is None:
                     return
-                if not held.runs and held.silent_since is None:
+                idle = not held.runs and not held.strays
+                if idle and held.silent_since is None:
                     if not held.listed:
                         return
                     await self._wake.wait()
@@ -203,8 +204,9 @@
     def _is_wanted(self, order: orders.Start) -> bool:
         """Tell whether an order may be sent, or sent again.
 
-        Not to a worker that drains meanwhile: a start that was repeated until
-        2 s after the decision came later than it may get anything new.
+        Not to a worker that drains or shrinks meanwhile: a start that was
+        repeated until 2 s after the decision came later than it may get
+        anything new.
         """
         run = self._book.runs.get(order.key)
         held = self._book.workers.get(self.worker)
@@ -214,6 +216,8 @@
             and run.phase is runs.Phase.ORDERED
             and held is not None
             and not held.sealed
+            and run.work is not None
+            and not held.is_over(run.work.step.charge)
             and self._may_start(self._times.steady())
         )
 
--- a/crocusrouter/work/reports.py
+++ b/crocusrouter/work/reports.py
@@ -42,6 +42,7 @@
             held.noted = ended.number
             _note_end(book, worker, ended, now)
     listed = {row.key: row for row in report.running}
+    held.strays.clear()
     ended_keys = {(row.key, row.run) for row in report.ended}
     for row in report.running:
         if (row.key, row.run) not in ended_keys:
@@ -72,6 +73,7 @@
         book.note_taken(row.key, row.run, now)
         book.note("run:adopted", task=row.key, run=row.run, worker=worker)
         return
+    held.strays.add((row.key, row.run))
     book.outbox.append((worker, orders.Stop(row.key, row.run)))
     book.note("run:stray", task=row.key, run=row.run, worker=worker)
 
--- a/crocusrouter/work/runs.py
+++ b/crocusrouter/work/runs.py
@@ -79,6 +79,7 @@
         runs: Runs there by task, in the order of their starts. Sets of keys
             would be walked in another order in each process, and equal books
             would lead to different plans.
+        strays: Runs there that no book counts, and that are being stopped.
         failures: Jobs whose tasks failed here since a task last ended well.
         suspect_until: Until when nothing new goes there.
         noted: Number of the last end that the book has taken in.
@@ -101,6 +102,9 @@
     gone: bool = False
     used: model.Room = model.Room()
     runs: dict[model.TaskKey, Run] = dataclasses.field(default_factory=dict)
+    strays: set[tuple[model.TaskKey, int]] = dataclasses.field(
+        default_factory=set
+    )
     failures: set[str] = dataclasses.field(default_factory=set)
     suspect_until: float = 0.0
     noted: int = 0
@@ -118,9 +122,16 @@
 
     @property
     def free(self) -> model.Room:
-        """Room that no run takes."""
+        """Room that no run takes; less than none if the worker has shrunk."""
         return self.entry.room.minus(self.used)
 
+    def is_over(self, charge: model.Room) -> bool:
+        """Tell whether its runs take more than it has of what a run needs."""
+        return any(
+            needed and left < 0
+            for needed, left in zip(charge, self.free, strict=True)
+        )
+
     def may_take(self, now: float) -> bool:
         """Tell whether new work may go there."""
         return (
@@ -129,6 +140,9 @@
             and not self.sealed
             and not self.resting
             and not self.gone
+            # The room of a stray is taken until it has ended, and a worker
+            # that does not check would start more than it has room for.
+            and not self.strays
             and self.silent_since is None
             and now >= self.suspect_until
             and now >= self.trial_until
--- a/crocusrouter/work/tests/test_book.py
+++ b/crocusrouter/work/tests/test_book.py
@@ -242,3 +242,31 @@
     lost = [facts for what, facts in book.events if what == "run:lost"]
     assert [facts["task"] for facts in lost] == [_key("j"), _key("j", 1)]
     assert {facts["ran_s"] for facts in lost} == {0.25}
+
+
+def test_worker_with_a_stray_gets_nothing_until_it_has_ended():
+    """A worker that does not check its room starts more than fits there: a
+    run of a cancelled job, found after a takeover, still takes its part.
+    """
+    cancelled = build.make_job("c", build.make_step(), cancelled=True)
+    book = build.make_book(cancelled, workers=("w0",))
+    build.put(book, build.make_job("j", build.make_step(gpu=8)))
+    running = orders.Running(_key("c"), 7)
+    build.report(book, "w0", running=(running,))
+    assert [order for _, order in book.outbox] == [orders.Stop(_key("c"), 7)]
+    assert build.start_planned(book, 1.0).placements == []
+    build.report(book, "w0", running=(), now=1.2)
+    assert build.start_planned(book, 1.2).placements
+
+
+@pytest.mark.parametrize(
+    ("gpu", "over"), [(8, False), (4, True)], ids=["whole", "shrunk"]
+)
+def test_room_that_has_shrunk_below_its_runs(gpu, over):
+    book = build.make_book(
+        build.make_job("j", build.make_step(gpu=6)), workers=("w0",)
+    )
+    build.start_planned(book)
+    book.set_worker(build.make_entry("w0", gpu=gpu), 1.0)
+    assert book.workers["w0"].is_over(build.make_step(gpu=6).charge) is over
+    assert not book.workers["w0"].is_over(build.make_step(gpu=0).charge)
--- a/standins/emulator/cluster.py
+++ b/standins/emulator/cluster.py
@@ -25,6 +25,7 @@
 POOL = "match"
 WORKERS = "listed/"
 CONFIG = "op/config"
+ROOM = work.Room(32_000, 131_072, 8)
 _STEP_S = 0.02
 _PEER_S = 0.001
 # A worker that drains must get nothing new from here on.
@@ -98,8 +99,15 @@
 class Cluster:
     """The whole system on a controlled clock."""
 
-    def __init__(self, seed: int, entries: int = 4, hosts: int = 6) -> None:
+    def __init__(
+        self,
+        seed: int,
+        entries: int = 4,
+        hosts: int = 6,
+        guards: bool = True,
+    ) -> None:
         self.random = random.Random(seed)
+        self._guards = guards
         self.store = stores.Store(seed)
         self.oracle = oracles.Oracle()
         self.gangs = workers.Gangs()
@@ -135,11 +143,12 @@
             f"{name}:1",
             "liege",
             False,
-            work.Room(32_000, 131_072, 8),
+            ROOM,
             frozenset({"a", rack}),
         )
         seed = self.random.getrandbits(32)
         held = workers.Worker(entry, self.oracle, self.gangs, self.policy, seed)
+        held.guards = self._guards
         self.workers[name] = held
         self.list_worker(name)
 
--- a/standins/emulator/faults.py
+++ b/standins/emulator/faults.py
@@ -18,7 +18,8 @@
 _END_LIMIT_S = 30.0
 _FINAL = frozenset({"done", "failed", "cancelled"})
 # Three heartbeats of 1.5 s, after which a silent worker is listed no more.
-_UNLISTED_S = 4.5
+_HEARTBEAT_S = 1.5
+_UNLISTED_S = 3 * _HEARTBEAT_S
 _RESTART_S = 1.5
 FOREIGN = (
     b"",
@@ -53,6 +54,7 @@
     LATE_ORDERS = "late-orders"
     FAIL_ALL = "fail-all"
     CANCEL_MANY = "cancel-many"
+    SHRINK_WORKER = "shrink-worker"
 
 
 _STORE = {
@@ -70,7 +72,12 @@
     fault
     for fault in Fault
     if fault
-    not in (Fault.COMPACT_LATE, Fault.FOREIGN_ENTRY, Fault.FREEZE_OWNER)
+    not in (
+        Fault.COMPACT_LATE,
+        Fault.FOREIGN_ENTRY,
+        Fault.FREEZE_OWNER,
+        Fault.SHRINK_WORKER,
+    )
 )
 
 
@@ -110,6 +117,7 @@
     lapses: bool = True,
     entries: int = 4,
     hosts: int = 6,
+    guards: bool = True,
 ) -> clusters.Cluster:
     """Play a day and check its end.
 
@@ -120,11 +128,12 @@
         lapses: Whether leases run out while the store is away.
         entries: How many entries.
         hosts: How many workers.
+        guards: Whether workers refuse what they have no room for.
 
     Returns:
         The cluster; its oracle lists what was broken.
     """
-    held = clusters.Cluster(seed, entries, hosts)
+    held = clusters.Cluster(seed, entries, hosts, guards)
     held.store.lapses = lapses
     async with trio.open_nursery() as nursery:
         await nursery.start(held.run)
@@ -234,6 +243,8 @@
             worker.fails_all = True
             await trio.sleep(event.for_s)
             worker.fails_all = False
+        case Fault.SHRINK_WORKER:
+            await _shrink(held, name, event.for_s)
         case Fault.CRASH_WORKER:
             await _replace(held, name, event.for_s)
         case Fault.FOREIGN_ENTRY:
@@ -246,6 +257,24 @@
             await _replace(held, name, event.for_s)
 
 
+async def _shrink(held: clusters.Cluster, name: str, for_s: float) -> None:
+    """Take a part of a worker's room away; its next heartbeat tells."""
+    worker = held.workers[name]
+    whole = clusters.ROOM
+    if worker.entry.room != whole:
+        return
+    part = work.Room(
+        whole.cpu // 4, whole.memory_mb // 2, whole.accelerators // 4
+    )
+    for room, wait_s in ((part, for_s), (whole, 0.0)):
+        worker.set_room(room, trio.current_time())
+        beat_s = held.random.uniform(0.0, _HEARTBEAT_S)
+        await trio.sleep(beat_s)
+        if worker.alive:
+            held.list_worker(name)
+        await trio.sleep(wait_s)
+
+
 async def _bear_again(held: clusters.Cluster, name: str) -> None:
     """End a worker; another one answers at its address at once.
 
--- a/standins/emulator/worker.py
+++ b/standins/emulator/worker.py
@@ -25,6 +25,8 @@
 CRASHING = "crash"
 _CRASH_S = 0.01
 _UNANSWERED_SHARE = 0.3
+# A room that has shrunk counts from then on: nobody can know of it at once.
+_SHRUNK_AFTER_S = 4.5
 # The figure is one for the last half second; a step of time is 20 ms.
 _TAIL_SHARE = 0.08
 
@@ -79,6 +81,8 @@
         self.oracle = oracle
         self.gangs = gangs
         self.random = random.Random(seed)
+        self.guards = True
+        self._rooms: list[tuple[float, work.Room]] = []
         self.alive = True
         self.reborn = False
         self.refuses = False
@@ -223,7 +227,7 @@
             return orders.Rejected(orders.Why.OLD, int(clock))
         job = self.oracle.jobs[order.key.job]
         step = job.steps[order.key.step]
-        if not self._find_free().holds(step.charge):
+        if self.guards and not self._find_free().holds(step.charge):
             return orders.Rejected(orders.Why.NO_ROOM, int(clock))
         asked = work.StepKey(*order.key[:3])
         if job.advised and not self.policy.is_valid(
@@ -231,11 +235,37 @@
         ):
             self.refused_tickets += 1
             return orders.Rejected(orders.Why.NO_TICKET, int(clock))
+        if not self.guards and not late:
+            self._check_limit(order.key, step.charge)
         self._add(order, job, step)
         if self.drains_since is not None and not late:
             self.started_draining.append((order.key, trio.current_time()))
         return orders.Taken(int(clock))
 
+    def set_room(self, room: work.Room, now: float) -> None:
+        """Change what is there; what runs goes on."""
+        self._rooms.append((now, self.entry.room))
+        self.entry = dataclasses.replace(self.entry, room=room)
+
+    def _check_limit(self, key: work.TaskKey, charge: work.Room) -> None:
+        """Note a start that brings the worker over its room."""
+        now = trio.current_time()
+        recent = [
+            room for until, room in self._rooms if until + _SHRUNK_AFTER_S > now
+        ]
+        limits = [self.entry.room, *recent]
+        room = work.Room(*map(max, zip(*limits, strict=True)))
+        free = room.minus(self.entry.room).plus(self._find_free())
+        if any(
+            asked > left
+            for asked, left in zip(charge, free, strict=True)
+            if asked
+        ):
+            self.oracle.broken.append(
+                f"{now:.3f} limit: {key} on {self.entry.id}, "
+                f"{charge} where {free} is free"
+            )
+
     def _find_free(self) -> work.Room:
         free = self.entry.room
         for key in self.tasks:
