--- a/crocusrouter/work/crashes.py
+++ b/crocusrouter/work/crashes.py
@@ -19,6 +19,8 @@
 # without other suspects, so an innocent task would have to meet two workers
 # that crash by themselves within seconds of its start.
 _EARLY_CRASHES = 2
+# The same if the last worker fell silent for good: that may be a cut.
+_EARLY_SILENCES = 3
 # Crashes at any time that give a task up. Workers also crash by themselves,
 # in numbers at once; long tasks meet that more often.
 _CRASHES = 4
@@ -51,6 +53,8 @@
 def note_lapsed(book: books.Book, name: str, why: str, now: float) -> None:
     """Note that a worker's leases have ended in silence.
 
+    It may have crashed and stay away for longer than a lease, or be cut off.
+
     Args:
         book: The pool's book.
         name: The worker.
@@ -60,9 +64,11 @@
     worker = book.workers.get(name)
     if worker is None:
         return
-    lost = book.note_lapsed(name, why, now)
-    for run in _list_blamed(book, worker, lost):
+    blamed = _list_blamed(book, worker, book.note_lapsed(name, why, now))
+    for run in blamed:
         _keep(book, run, worker)
+    for culprit in _find_culprits(blamed, worker, _EARLY_SILENCES):
+        _give_up(book, culprit, now)
 
 
 def note_replaced(book: books.Book, name: str, now: float) -> None:
@@ -87,7 +93,7 @@
         suspects=[str(run.key) for run in blamed if _is_early(run, worker)],
         others=[str(run.key) for run in blamed if not _is_early(run, worker)],
     )
-    for culprit in _find_culprits(blamed, worker):
+    for culprit in _find_culprits(blamed, worker, _EARLY_CRASHES):
         _give_up(book, culprit, now)
 
 
@@ -197,12 +203,12 @@
 
 
 def _find_culprits(
-    blamed: list[runs.Run], worker: runs.Worker
+    blamed: list[runs.Run], worker: runs.Worker, most_early: int
 ) -> list[runs.Run]:
     """Return the runs that are to blame beyond doubt; of one job at most."""
     early = [run for run in blamed if _is_early(run, worker)]
     if _are_of_one_job(early):
-        again = [run for run in early if _count_early(run) >= _EARLY_CRASHES]
+        again = [run for run in early if _count_early(run) >= most_early]
         if again:
             return again
     worst = max(map(_count, blamed), default=0)
--- a/crocusrouter/work/tests/test_crashes.py
+++ b/crocusrouter/work/tests/test_crashes.py
@@ -23,6 +23,13 @@
     return at + back_after_s
 
 
+def _lose(book, worker, at):
+    """Lose a worker for good; its leases end."""
+    work.note_silent(book, worker, at)
+    work.note_lapsed(book, worker, "its lease has ended", at + 6.1)
+    return at + 6.1
+
+
 def _list_kept(book, key):
     return book.find_work(key).kept.crashes.get(key.position, [])
 
@@ -36,6 +43,9 @@
     build.report(book, worker, now=now, sent_at=now - 0.001)
 
 
+@pytest.mark.parametrize(
+    ("end", "bound"), [(_crash, 2), (_lose, 3)], ids=["back", "lost"]
+)
 @pytest.mark.parametrize(
     "step",
     [
@@ -47,20 +57,24 @@
     ],
     ids=["single", "wide", "gang", "lasting", "copies"],
 )
-def test_task_under_which_two_workers_crash_at_its_start_is_given_up(step):
+def test_task_under_which_workers_crash_at_its_start_is_given_up(
+    step, end, bound
+):
     """A caller reads "running" for ever while one worker after the other is
-    lost under its job, 13 starts in a row and no end in sight.
+    lost under its job, 13 starts in a row and no end in sight. A worker that
+    stays away for longer than a lease may have been cut off, so it takes one
+    more of these.
     """
     book = build.make_book(build.make_job("j", step), workers=_WORKERS)
     now, crashed = 0.0, 0
     while not book.jobs["j"].is_final and crashed < len(_WORKERS):
         build.start_planned(book, now)
         worker = next(iter(book.runs.values())).worker
-        now = _crash(book, worker, now + 0.01)
+        now = end(book, worker, now + 0.01)
         crashed += 1
         _save(book)
     assert book.jobs["j"].progress.final is work.State.FAILED
-    assert crashed == 2
+    assert crashed == bound
 
 
 def test_start_without_an_answer_counts():
