--- a/standins/emulator/tests/test_oracle.py
+++ b/standins/emulator/tests/test_oracle.py
@@ -31,6 +31,9 @@
                 held.note_lost(*facts)
             case "again":
                 held.allow_again(*facts)
+            case "crash":
+                held.note_lost(*facts)
+                held.note_crash(facts[1], [facts[1]], float(at))
             case "forget":
                 held.forget_failure(*facts)
 
@@ -138,3 +141,29 @@
         held.note_end("w1", key, 3, "done", 2.0)
     held.check_over({"j": state})
     assert bool(held.broken) is (state == "running")
+
+
+def _crash(run):
+    return [("start", "w0", _FIRST, run), ("crash", "w0", _FIRST, run)]
+
+
+@pytest.mark.parametrize(
+    ("crashes", "broken"), [(3, 0), (5, 0), (6, 1), (7, 1)]
+)
+def test_starts_after_crashes_are_counted(crashes, broken):
+    held = _make_oracle()
+    for run in range(1, crashes + 1):
+        _apply(held, _crash(run))
+    assert len(held.broken) == broken
+
+
+@pytest.mark.parametrize(
+    ("crashes", "lost"), [(0, True), (1, True), (2, False)]
+)
+def test_job_is_given_up_only_after_two_crashes(crashes, lost):
+    held = _make_oracle()
+    held.accepted.add("j")
+    for run in range(1, crashes + 1):
+        _apply(held, _crash(run))
+    held.check_over({"j": "failed"})
+    assert bool(held.broken) is lost
--- a/standins/emulator/tests/test_rooms.py
+++ b/standins/emulator/tests/test_rooms.py
@@ -1,8 +1,12 @@
 """Workers whose room changes, and that start whatever they are told to."""
 
 import pytest
+import trio
 
+from crocusrouter import work
+from crocusrouter.work import orders
 from standins import emulator
+from standins.emulator import cluster as clusters
 from standins.emulator import faults
 
 _FAULT = faults.Fault
@@ -34,3 +38,26 @@
     drawn = emulator.choose_faults(seed, 10, load.length_s, _SHRINKING)
     held = await emulator.play(seed, load, drawn, guards=False)
     assert held.oracle.broken == []
+
+
+@pytest.mark.parametrize(
+    ("shrunk_for_s", "gpu", "broken"),
+    [(5.0, 4, 1), (4.0, 4, 0), (5.0, 2, 0)],
+    ids=["over", "not-known-yet", "fits"],
+)
+async def test_start_over_a_room_that_has_shrunk_is_seen(
+    shrunk_for_s, gpu, broken, autojump_clock
+):
+    held = clusters.Cluster(1, guards=False)
+    step = work.Step(1, work.Room(1000, 1000, gpu))
+    held.oracle.jobs["j"] = work.Job(
+        "j", "q", clusters.POOL, "a", 1, 2, 1.0, 1.0, "", (step,), 0.0
+    )
+    worker = held.workers["w0"]
+    room = work.Room(8000, 65_536, 2)
+    worker.set_room(room, 0.0)
+    await trio.sleep(shrunk_for_s - trio.current_time())
+    until_ms = int(worker.read_clock()) + 5000
+    order = orders.Start(work.TaskKey("j", 0, 0, 0), 1, "")
+    assert isinstance(worker.begin(1, order, until_ms), orders.Taken)
+    assert len(held.oracle.broken) == broken
--- a/standins/soak/__main__.py
+++ b/standins/soak/__main__.py
@@ -24,7 +24,8 @@
         folder = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
         result = trio.run(soak.soak, seed, shape, folder)
         verdict = "broken" if result.broken else "kept"
-        print(f"seed {seed}: {verdict}, {result.accepted} jobs, {folder}")
+        counts = f"{result.accepted} jobs, {result.crashes} crashes"
+        print(f"seed {seed}: {verdict}, {counts}, {folder}")
         print("  " + "; ".join(result.faults), flush=True)
         for line in result.broken:
             print(f"  {line}", flush=True)
--- a/standins/soak/run.py
+++ b/standins/soak/run.py
@@ -14,6 +14,7 @@
 from crocusrouter import platform
 from crocusrouter import queues
 from standins.emulator import store as stores
+from standins.emulator import worker as workers
 from standins.soak import proxy as proxies
 from standins.soak import world as worlds
 
@@ -52,6 +53,8 @@
         per_s: Jobs a second.
         length_s: Seconds in which jobs and faults come.
         faults: How many faults.
+        crashing: The tasks of one job in so many crash each worker they
+            start on; 0 for none.
     """
 
     entries: int = 4
@@ -59,6 +62,7 @@
     per_s: float = 2.0
     length_s: float = 15.0
     faults: int = 5
+    crashing: int = 20
 
 
 @dataclasses.dataclass
@@ -68,11 +72,13 @@
     Attributes:
         broken: Broken promises, a line each.
         accepted: Jobs whose hand-in was confirmed.
+        crashes: How often a task has crashed its worker.
         faults: What was done, in order.
     """
 
     broken: list[str]
     accepted: int
+    crashes: int
     faults: list[str]
 
 
@@ -94,7 +100,10 @@
     finally:
         world.processes.stop_all()
     return Result(
-        world.oracle.broken, len(world.oracle.accepted), played.faults
+        world.oracle.broken,
+        len(world.oracle.accepted),
+        len(world.oracle.crashed_at),
+        played.faults,
     )
 
 
@@ -106,6 +115,7 @@
         self.shape = shape
         self.rng = rng
         self.faults: list[str] = []
+        self._drawn = 0
         self._pool = httpcore.AsyncConnectionPool(max_connections=100)
 
     async def run(self) -> None:
@@ -173,7 +183,13 @@
         steps = [step]
         if self.rng.random() < 0.3:
             steps.append(step | {"gang": False, "after": [0]})
-        return orjson.dumps({"spec": "soak", "steps": steps})
+        return orjson.dumps({"spec": self._choose_spec(), "steps": steps})
+
+    def _choose_spec(self) -> str:
+        self._drawn += 1
+        every = self.shape.crashing
+        crashes = every > 0 and self._drawn % every == 0
+        return workers.CRASHING if crashes else "soak"
 
     async def _ask(
         self, method: str, job_id: str, body: bytes | None
--- a/standins/soak/tests/test_soak.py
+++ b/standins/soak/tests/test_soak.py
@@ -5,6 +5,9 @@
 from standins import soak
 
 _SHAPE = soak.Shape(entries=3, hosts=4, per_s=2.0, length_s=6.0, faults=3)
+_CRASHING = soak.Shape(
+    entries=3, hosts=6, per_s=2.0, length_s=6.0, faults=1, crashing=5
+)
 
 
 # Callers see a job lost, run twice, or refused though it ran. Entries are
@@ -15,3 +18,13 @@
     result = await soak.soak(seed, _SHAPE, tmp_path)
     assert result.broken == []
     assert result.accepted > 3
+
+
+# Callers see a job "running" for ever whose tasks end each worker that starts
+# them, and others that start again with each lost worker. Owner processes end
+# meanwhile, so the count of crashes has to outlive them.
+async def test_jobs_that_crash_workers_are_given_up(tmp_path):
+    result = await soak.soak(2, _CRASHING, tmp_path)
+    assert result.broken == []
+    assert result.accepted > 3
+    assert result.crashes > 1
--- a/standins/soak/world.py
+++ b/standins/soak/world.py
@@ -25,6 +25,8 @@
 KEY = "key-of-a"
 _STEP_S = 0.02
 _HEARTBEAT_S = 1.5
+# A crashed worker is back after this, under another name at its address.
+_RETURN_S = 3.2
 _ROOM = work.Room(32_000, 131_072, 8)
 
 
@@ -53,15 +55,20 @@
         self._platform = wire.Platform()
         self._ports = ports.Ports()
         self._settings: dict[str, dict[str, str]] = {}
-        gangs, policy = workers.Gangs(), policies.Policy()
+        self._seed = seed
+        self._gangs = workers.Gangs()
+        self._policy = policies.Policy()
+        self._numbers: dict[str, int] = {}
         for number in range(hosts):
             labels = frozenset({"a", f"r0-{number // 3}"})
-            entry = orders.WorkerEntry(
-                f"w{number}", POOL, "", "dc", False, _ROOM, labels
-            )
-            self.workers[entry.id] = workers.Worker(
-                entry, self.oracle, gangs, policy, seed + number
-            )
+            self._add_worker(f"w{number}", labels)
+
+    def _add_worker(self, name: str, labels: frozenset[str]) -> None:
+        entry = orders.WorkerEntry(name, POOL, "", "dc", False, _ROOM, labels)
+        self._seed += 1
+        self.workers[name] = workers.Worker(
+            entry, self.oracle, self._gangs, self._policy, self._seed
+        )
 
     async def run(
         self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
@@ -71,7 +78,7 @@
             await self._serve_platform(nursery)
             self.store.put("op/config", _build_config())
             nursery.start_soon(self._beat)
-            nursery.start_soon(self._let_time_pass)
+            nursery.start_soon(self._let_time_pass, nursery)
             for name in self.entries:
                 self.start_entry(name)
             task_status.started()
@@ -91,6 +98,7 @@
             self._settings[name] = self._build_settings(name)
         for name, worker in self.workers.items():
             number = listed.pop()
+            self._numbers[name] = number
             self._platform.workers[number] = workers.WorkerView(worker, "")
             self._platform.lives[number] = name
             self.worker_proxies[name] = proxies.Proxy(number)
@@ -139,14 +147,37 @@
             }
         )
 
-    async def _let_time_pass(self) -> None:
+    async def _let_time_pass(self, nursery: trio.Nursery) -> None:
         while True:
             now = trio.current_time()
-            for worker in self.workers.values():
+            for name, worker in list(self.workers.items()):
                 worker.step(now)
+                if worker.refuses:
+                    del self.workers[name]
+                    nursery.start_soon(self._return_crashed, name, worker)
             self.store.expire(now)
             await trio.sleep(_STEP_S)
 
+    async def _return_crashed(self, name: str, worker: workers.Worker) -> None:
+        """Bring a crashed worker back under another name.
+
+        Its earlier life stays listed until three heartbeats are missed.
+        """
+        proxy = self.worker_proxies[name]
+        proxy.harm = proxies.Harm.RESET
+        await trio.sleep(_RETURN_S)
+        proxy.harm = proxies.Harm.NONE
+        again = f"{name}+"
+        number = self._numbers[name]
+        self._numbers[again] = number
+        self.worker_proxies[again] = proxy
+        self._add_worker(again, worker.entry.labels)
+        view = workers.WorkerView(self.workers[again], "")
+        self._platform.workers[number] = view
+        self._platform.lives[number] = again
+        await trio.sleep(3 * _HEARTBEAT_S - _RETURN_S)
+        self.store.remove(f"servers/{name}")
+
     # Entry processes.
 
     def start_entry(self, name: str) -> None:
