--- a/crocusrouter/work/book.py
+++ b/crocusrouter/work/book.py
@@ -351,8 +351,17 @@
         run.phase = runs.Phase.STOPPING
         run.why = why
         run.stopped_at = now
+        held = self.workers.get(run.worker)
+        leaves_at = held.leaves_at if held is not None else None
         self.note(
-            "run:stop", task=run.key, run=run.number, worker=run.worker, why=why
+            "run:stop",
+            task=run.key,
+            run=run.number,
+            worker=run.worker,
+            why=why,
+            percent=run.percent,
+            ran_s=round(now - run.since, 3),
+            left_s=round(leaves_at - now, 3) if leaves_at is not None else None,
         )
         self.outbox.append((run.worker, orders.Stop(run.key, run.number)))
 
