--- a/crocusrouter/work/advice.py
+++ b/crocusrouter/work/advice.py
@@ -11,7 +11,7 @@
 
 from crocusrouter.work import book as books
 from crocusrouter.work import model
-from crocusrouter.work import planner
+from crocusrouter.work import turns
 
 # Workers that one question names. The service needs time for each of them,
 # and a job's objective allows for one question about thirty.
@@ -47,7 +47,7 @@
         now: Steady time in seconds.
         wall: Unix time in seconds.
     """
-    for waiting in planner.list_waiting(book, now, wall):
+    for waiting in turns.list_waiting(book, now, wall):
         if not waiting.held.job.advised:
             continue
         asked = _choose_workers(book, waiting, now)
@@ -57,7 +57,7 @@
 
 
 def _choose_workers(
-    book: books.Book, waiting: planner.Waiting, now: float
+    book: books.Book, waiting: turns.Waiting, now: float
 ) -> tuple[str, ...]:
     step = waiting.work.step
     permits = waiting.work.permits
--- a/crocusrouter/work/planner.py
+++ b/crocusrouter/work/planner.py
@@ -17,6 +17,7 @@
 from crocusrouter.work import rescue
 from crocusrouter.work import runs
 from crocusrouter.work import trials
+from crocusrouter.work import turns
 from crocusrouter.work import victims
 
 _DEFAULT = policies.Policy()
@@ -52,80 +53,6 @@
     contended: bool = False
 
 
-@dataclasses.dataclass(frozen=True)
-class Waiting:
-    """A step in turn, with what decides its place in the order."""
-
-    held: runs.JobWork
-    work: runs.StepWork
-    latest_start: float
-    late: bool
-    hopeless: bool
-
-    @property
-    def rank(self) -> tuple[bool, int, bool, float]:
-        """Steps of lower rank go first.
-
-        What can't meet its objective any more goes behind what still can:
-        under load, taking the latest first makes all of them late.
-        """
-        return (
-            self.hopeless,
-            self.held.job.priority,
-            self.late,
-            self.latest_start,
-        )
-
-
-def list_waiting(
-    book: books.Book,
-    now: float,
-    wall: float,
-    policy: policies.Policy = _DEFAULT,
-) -> list[Waiting]:
-    """Return the steps with tasks in turn, in order.
-
-    Args:
-        book: The pool's book.
-        now: Steady time in seconds.
-        wall: Unix time in seconds.
-        policy: Weights and limits.
-    """
-    found = []
-    blocked = book.list_blocked()
-    for held in book.live.values():
-        if held.is_final or book.may_run_unseen(held, blocked):
-            continue
-        if held.unsaved_crash:
-            continue
-        for work in held.steps.values():
-            if not work.waiting or work.not_before > now:
-                continue
-            if work.step.gang and len(work.waiting) < work.step.count:
-                continue
-            if book.is_ready(held, work):
-                found.append(_rank(held, work, wall, policy))
-    return sorted(found, key=lambda waiting: waiting.rank)
-
-
-def _rank(
-    held: runs.JobWork,
-    work: runs.StepWork,
-    wall: float,
-    policy: policies.Policy,
-) -> Waiting:
-    job = held.job
-    due = job.find_due(work.key.occurrence)
-    objective = job.objective_s
-    rest = job.tails[work.key.step]
-    hopeless = (
-        wall > due + policy.late_factor * objective and not work.step.lasting
-    )
-    latest_start = due + objective - rest
-    late = wall > latest_start
-    return Waiting(held, work, latest_start, late, hopeless)
-
-
 class _Full:
     """Which rooms no worker has any more.
 
@@ -136,7 +63,7 @@
     def __init__(self) -> None:
         self._known: set[tuple[model.Room, str]] = set()
 
-    def note(self, waiting: Waiting) -> None:
+    def note(self, waiting: turns.Waiting) -> None:
         """Note that no worker has room for one task of a step.
 
         Only what stands in the way of any other step as well is noted.
@@ -145,7 +72,7 @@
             step = waiting.work.step
             self._known.add((step.charge, step.label))
 
-    def is_known(self, waiting: Waiting) -> bool:
+    def is_known(self, waiting: turns.Waiting) -> bool:
         """Tell whether no worker can have room for one task of a step."""
         step = waiting.work.step
         return (step.charge, step.label) in self._known
@@ -203,7 +130,9 @@
         whole = rescue.list_whole(self._book, rescues)
         self._plan.stops += list(whole.values())
         holding = 0
-        in_turn = list_waiting(self._book, self._now, self._wall, self._policy)
+        in_turn = turns.list_waiting(
+            self._book, self._now, self._wall, self._policy
+        )
         for waiting in in_turn:
             if waiting.work.key in self._reserved:
                 continue
@@ -216,7 +145,7 @@
             holding += 1
         return self._plan
 
-    def _is_held_back(self, waiting: Waiting) -> bool:
+    def _is_held_back(self, waiting: turns.Waiting) -> bool:
         """Tell whether a step leaves free room to urgent work to come.
 
         Where the first priority had to stop others a moment ago, more of it
@@ -231,7 +160,7 @@
             return False
         return self._now < contended_at + self._policy.hold_back_s
 
-    def _place(self, waiting: Waiting) -> bool:
+    def _place(self, waiting: turns.Waiting) -> bool:
         """Place what can be placed; True if nothing is left waiting."""
         if waiting.work.kept.is_suspect:
             self._place_suspect(waiting)
@@ -253,7 +182,7 @@
             return True
         return self._reclaim(waiting, set(waiting.work.waiting) - set(spots))
 
-    def _place_suspect(self, waiting: Waiting) -> None:
+    def _place_suspect(self, waiting: turns.Waiting) -> None:
         """Start a task, or a gang, that may crash its workers, alone there.
 
         It stops nothing of others, and holds no room while it waits.
@@ -269,7 +198,7 @@
         spots = {index: space.worker for index, space in trial.items()}
         self._plan.placements.append(Placement(waiting.work.key, spots))
 
-    def _list_open(self, waiting: Waiting) -> list[packing.Space]:
+    def _list_open(self, waiting: turns.Waiting) -> list[packing.Space]:
         work = waiting.work
         usable = [
             space
@@ -281,7 +210,7 @@
         fresh = [s for s in usable if s.worker not in work.avoid]
         return fresh or usable
 
-    def _list_fitting(self, waiting: Waiting) -> list[packing.Space]:
+    def _list_fitting(self, waiting: turns.Waiting) -> list[packing.Space]:
         """Return the open spaces with room for one task at least."""
         charge = waiting.work.step.charge
         if self._full.is_known(waiting):
@@ -298,12 +227,12 @@
     def _has_label(self, worker: str, label: str) -> bool:
         return not label or label in self._book.workers[worker].entry.labels
 
-    def _is_permitted(self, waiting: Waiting, worker: str) -> bool:
+    def _is_permitted(self, waiting: turns.Waiting, worker: str) -> bool:
         if not waiting.held.job.advised:
             return True
         return bool(waiting.work.permits.find_ticket(worker, self._now))
 
-    def _count_bound(self, waiting: Waiting, space: packing.Space) -> int:
+    def _count_bound(self, waiting: turns.Waiting, space: packing.Space) -> int:
         """Return how many more tasks of the step a worker may take."""
         bound = waiting.work.step.per_worker
         if not bound:
@@ -316,7 +245,7 @@
         return max(0, bound - here - space.count_task(waiting.work.key))
 
     def _choose_spaces(
-        self, waiting: Waiting, count: int
+        self, waiting: turns.Waiting, count: int
     ) -> list[packing.Space]:
         """Return a space for each task that finds one, the tightest first."""
         step = waiting.work.step
@@ -335,7 +264,7 @@
             chosen += packing.fill_some(far, step.charge, rest, bound)
         return chosen
 
-    def _may_spread(self, waiting: Waiting) -> bool:
+    def _may_spread(self, waiting: turns.Waiting) -> bool:
         """Tell whether a step has waited long enough for its rack."""
         since = waiting.work.waiting_since
         waited = self._now - since if since is not None else 0.0
@@ -348,7 +277,7 @@
             patience = min(patience, self._policy.guaranteed_rack_patience_s)
         return waited >= patience
 
-    def _place_gang(self, waiting: Waiting) -> bool:
+    def _place_gang(self, waiting: turns.Waiting) -> bool:
         spots = self._choose_gang(waiting, self._list_fitting(waiting))
         if spots is None:
             return self._reclaim(waiting, set(waiting.work.waiting))
@@ -367,7 +296,7 @@
         return True
 
     def _choose_gang(
-        self, waiting: Waiting, spaces: list[packing.Space]
+        self, waiting: turns.Waiting, spaces: list[packing.Space]
     ) -> list[packing.Space] | None:
         step = waiting.work.step
 
@@ -389,7 +318,7 @@
 
     # Guarantees.
 
-    def _is_guaranteed(self, waiting: Waiting) -> bool:
+    def _is_guaranteed(self, waiting: turns.Waiting) -> bool:
         """Tell whether a step is covered by its customer's guarantee."""
         job = waiting.held.job
         if job.priority != 0:
@@ -400,7 +329,7 @@
         used = self._guaranteed_used.get(job.customer, 0)
         return used + wanted <= self._book.guaranteed.get(job.customer, 0)
 
-    def _reclaim(self, waiting: Waiting, missing: set[int]) -> bool:
+    def _reclaim(self, waiting: turns.Waiting, missing: set[int]) -> bool:
         """Stop work of lower priority that is in the way.
 
         Under its guarantee a step may stop whatever is needed. Beyond that
@@ -441,7 +370,7 @@
             self._spaces[worker].take(step.charge)
         return True
 
-    def _hold_workers(self, waiting: Waiting) -> None:
+    def _hold_workers(self, waiting: turns.Waiting) -> None:
         """Keep later steps off the workers that will fit this one first."""
         step = waiting.work.step
         missing = len(waiting.work.waiting)
