--- a/crocusrouter/pools/owner.py
+++ b/crocusrouter/pools/owner.py
@@ -338,7 +338,9 @@
         for index, worker in placement.spots.items():
             number = shared if found.step.gang else self._take_number()
             key = work.TaskKey(*placement.step, index)
-            run = self.book.add_run(key, number, worker, now)
+            run = self.book.add_run(
+                key, number, worker, now, alone=placement.alone
+            )
             ticket = found.permits.find_ticket(worker, now)
             order = orders.Start(
                 key, number, held.job.payload, run.saved, ticket
--- a/crocusrouter/work/book.py
+++ b/crocusrouter/work/book.py
@@ -64,8 +64,11 @@
             self.jobs[job.id] = held
             if held.is_final:
                 held.over_since = now
-            else:
-                self.live[job.id] = held
+                return
+            self.live[job.id] = held
+            if progress.is_given_up:
+                # Its earlier owner was lost before it could write that down.
+                self.finish(held, model.State.FAILED, now)
             return
         if job.cancelled and not held.job.cancelled:
             held.job = job
@@ -308,9 +311,23 @@
     # Runs.
 
     def add_run(
-        self, key: model.TaskKey, number: int, worker: str, now: float
+        self,
+        key: model.TaskKey,
+        number: int,
+        worker: str,
+        now: float,
+        *,
+        alone: bool = False,
     ) -> runs.Run:
-        """Note that a start is about to be ordered."""
+        """Note that a start is about to be ordered.
+
+        Args:
+            key: The task.
+            number: Of the start.
+            worker: Where.
+            now: Steady time in seconds.
+            alone: Whether the worker takes nothing else for a while.
+        """
         run = runs.Run(key, number, worker, now, moved_at=now)
         work = self.find_work(key)
         if work is not None:
@@ -319,7 +336,7 @@
             run.work = work
             run.saved = work.find_saved(key.position)
             self._charge(run, work, worker)
-            if work.kept.is_suspect:
+            if alone:
                 self.workers[worker].trial_until = now + runs.TRIAL_S
         self.runs[key] = run
         return run
--- a/crocusrouter/work/crashes.py
+++ b/crocusrouter/work/crashes.py
@@ -7,7 +7,8 @@
 that takes nothing else until the suspect has shown that it works.
 
 An innocent task may be on a crashing worker as well, so one crash gives up
-nothing. A cut that makes a worker silent is no crash.
+nothing. A worker that falls silent may be cut off; then it tells of its runs
+when it is back, and the crash is taken back.
 """
 
 from crocusrouter.work import book as books
@@ -15,15 +16,6 @@
 from crocusrouter.work import progress as progresses
 from crocusrouter.work import runs
 
-# Crashes right after a start that give a task up. The second one was a trial
-# without other suspects, so an innocent task would have to meet two workers
-# that crash by themselves within seconds of its start.
-_EARLY_CRASHES = 2
-# The same if the last worker fell silent for good: that may be a cut.
-_EARLY_SILENCES = 3
-# Crashes at any time that give a task up. Workers also crash by themselves,
-# in numbers at once; long tasks meet that more often.
-_CRASHES = 4
 # A run that worked for this long did not crash its worker by what it is.
 _PROVEN_S = 60.0
 
@@ -64,11 +56,8 @@
     worker = book.workers.get(name)
     if worker is None:
         return
-    blamed = _list_blamed(book, worker, book.note_lapsed(name, why, now))
-    for run in blamed:
-        _keep(book, run, worker)
-    for culprit in _find_culprits(blamed, worker, _EARLY_SILENCES):
-        _give_up(book, culprit, now)
+    lost = book.note_lapsed(name, why, now)
+    _judge(book, _list_blamed(book, worker, lost), worker, now)
 
 
 def note_replaced(book: books.Book, name: str, now: float) -> None:
@@ -85,16 +74,14 @@
     blamed = _list_blamed(book, worker, book.note_gone(name, now))
     if not blamed:
         return
-    for run in blamed:
-        _keep(book, run, worker)
+    early = [run for run in blamed if _is_early(run, worker)]
     book.note(
         "worker:crashed",
         worker=name,
-        suspects=[str(run.key) for run in blamed if _is_early(run, worker)],
-        others=[str(run.key) for run in blamed if not _is_early(run, worker)],
+        suspects=[str(run.key) for run in early],
+        others=[str(run.key) for run in blamed if run not in early],
     )
-    for culprit in _find_culprits(blamed, worker, _EARLY_CRASHES):
-        _give_up(book, culprit, now)
+    _judge(book, blamed, worker, now)
 
 
 def clear_told(book: books.Book, key: model.TaskKey, number: int) -> None:
@@ -124,7 +111,10 @@
     crashes stay kept: one of them may differ after all.
     """
     work = run.work
-    if work is None or not work.kept.crashes or not is_proven(run, worker):
+    if work is None or not work.kept.crashes or _is_early(run, worker):
+        return
+    if work.step.gang and not run.percent:
+        # It waits for the other members, and works only after that.
         return
     survived = _measure_survival(run, worker)
     if survived >= _PROVEN_S and run.key.position in work.kept.crashes:
@@ -148,11 +138,6 @@
             book.dirty.add(work.key.job)
 
 
-def is_proven(run: runs.Run, worker: runs.Worker) -> bool:
-    """Tell whether a run was seen to work for longer than a trial takes."""
-    return run.confirmed_at is not None and not _is_early(run, worker)
-
-
 def _measure_survival(run: runs.Run, worker: runs.Worker) -> float:
     """Return the seconds for which a run was certainly seen to work."""
     if run.confirmed_at is None or worker.heard_at is None:
@@ -173,11 +158,7 @@
     """
     if worker.sealed or worker.rested:
         return []
-    return [
-        run
-        for run in lost
-        if run.key.job in book.live and _may_blame(run, worker)
-    ]
+    return [run for run in lost if _may_blame(run, worker)]
 
 
 def _may_blame(run: runs.Run, worker: runs.Worker) -> bool:
@@ -190,8 +171,21 @@
     )
 
 
+def _judge(
+    book: books.Book, blamed: list[runs.Run], worker: runs.Worker, now: float
+) -> None:
+    """Keep a crash with the runs that it ended; give up what has too many."""
+    for run in blamed:
+        _keep(book, run, worker)
+    for run in blamed:
+        assert run.work is not None
+        if run.work.kept.is_given_up(run.key.position):
+            _give_up(book, run, now)
+
+
 def _keep(book: books.Book, run: runs.Run, worker: runs.Worker) -> None:
-    assert run.work is not None
+    if run.work is None or run.key.job not in book.live:
+        return
     found = run.work.kept.crashes.setdefault(run.key.position, [])
     if any(crash.run == run.number for crash in found):
         return
@@ -202,39 +196,11 @@
         book.jobs[run.key.job].unsaved_crash = True
 
 
-def _find_culprits(
-    blamed: list[runs.Run], worker: runs.Worker, most_early: int
-) -> list[runs.Run]:
-    """Return the runs that are to blame beyond doubt; of one job at most."""
-    early = [run for run in blamed if _is_early(run, worker)]
-    if _are_of_one_job(early):
-        again = [run for run in early if _count_early(run) >= most_early]
-        if again:
-            return again
-    worst = max(map(_count, blamed), default=0)
-    often = [run for run in blamed if _count(run) == worst]
-    if worst >= _CRASHES and _are_of_one_job(often):
-        return often
-    return []
-
-
 def _list_crashes(run: runs.Run) -> list[progresses.Crash]:
     assert run.work is not None
     return run.work.kept.crashes.get(run.key.position, [])
 
 
-def _count(run: runs.Run) -> int:
-    return len(_list_crashes(run))
-
-
-def _count_early(run: runs.Run) -> int:
-    return sum(crash.early for crash in _list_crashes(run))
-
-
-def _are_of_one_job(found: list[runs.Run]) -> bool:
-    return len({run.key.job for run in found}) == 1
-
-
 def _give_up(book: books.Book, run: runs.Run, now: float) -> None:
     held = book.jobs.get(run.key.job)
     if held is None or held.is_final:
--- a/crocusrouter/work/planner.py
+++ b/crocusrouter/work/planner.py
@@ -30,10 +30,12 @@
     Attributes:
         step: The step.
         spots: Worker by index of the task.
+        alone: Whether their workers take nothing else for a while.
     """
 
     step: model.StepKey
     spots: dict[int, str]
+    alone: bool = False
 
 
 @dataclasses.dataclass
@@ -105,6 +107,7 @@
         }
         self._racks = racks.Racks(book)
         self._held: set[str] = set()
+        self._closed = trials.list_closed(book, now)
         self._full = _Full()
         self._free_times = victims.FreeTimes(book, now)
         self._losses = victims.Losses(book, now)
@@ -162,8 +165,7 @@
 
     def _place(self, waiting: turns.Waiting) -> bool:
         """Place what can be placed; True if nothing is left waiting."""
-        if waiting.work.kept.is_suspect:
-            self._place_suspect(waiting)
+        if waiting.work.kept.is_suspect and self._place_suspect(waiting):
             return True
         if waiting.work.step.gang:
             return self._place_gang(waiting)
@@ -182,21 +184,29 @@
             return True
         return self._reclaim(waiting, set(waiting.work.waiting) - set(spots))
 
-    def _place_suspect(self, waiting: turns.Waiting) -> None:
+    def _place_suspect(self, waiting: turns.Waiting) -> bool:
         """Start a task, or a gang, that may crash its workers, alone there.
 
         It stops nothing of others, and holds no room while it waits.
+
+        Returns:
+            Whether it has been placed or must wait; otherwise it is placed
+            like any other.
         """
+        spaces = self._list_fitting(waiting)
         trial = trials.choose_trial(
-            self._book, waiting.work, self._list_fitting(waiting), self._now
+            self._book, waiting.work, spaces, self._closed, self._now
         )
         if trial is None:
-            return
+            return not trials.may_pass(waiting.work, self._now)
         for space in trial.values():
             space.take(waiting.work.step.charge)
             self._held.add(space.worker)
+            self._closed.add(space.worker)
         spots = {index: space.worker for index, space in trial.items()}
-        self._plan.placements.append(Placement(waiting.work.key, spots))
+        placement = Placement(waiting.work.key, spots, alone=True)
+        self._plan.placements.append(placement)
+        return True
 
     def _list_open(self, waiting: turns.Waiting) -> list[packing.Space]:
         work = waiting.work
--- a/crocusrouter/work/progress.py
+++ b/crocusrouter/work/progress.py
@@ -13,6 +13,12 @@
 
 # Crashes of workers at any time after which a task starts alone.
 _CRASHES_TO_SUSPECT = 3
+# Crashes that give a task up: right after its start, and at any time. One may
+# come beside a task that crashes its worker, be a cut, or be the worker's own;
+# the next two are trials, in which an innocent task would have to meet two more
+# within seconds of its start.
+_MOST_EARLY_CRASHES = 3
+_MOST_CRASHES = 4
 
 
 class Crash(NamedTuple):
@@ -59,6 +65,12 @@
             for found in self.crashes.values()
         )
 
+    def is_given_up(self, index: int) -> bool:
+        """Tell whether a task must not start again after so many crashes."""
+        found = self.crashes.get(index, [])
+        early = sum(crash.early for crash in found)
+        return early >= _MOST_EARLY_CRASHES or len(found) >= _MOST_CRASHES
+
 
 @dataclasses.dataclass
 class Progress:
@@ -76,6 +88,15 @@
     final: model.State | None = None
     finished_at: float = 0.0
 
+    @property
+    def is_given_up(self) -> bool:
+        """Whether workers have crashed under one of its tasks too often."""
+        return any(
+            kept.is_given_up(index)
+            for kept in self.steps.values()
+            for index in kept.crashes
+        )
+
     def get(self, occurrence: int, step: int) -> StepProgress:
         """Return one step's progress, opening it if need be."""
         return self.steps.setdefault((occurrence, step), StepProgress())
--- a/crocusrouter/work/trials.py
+++ b/crocusrouter/work/trials.py
@@ -13,12 +13,23 @@
 # Under load there may be no quiet worker for long; an innocent task would
 # wait for one while others pass it by.
 _PATIENCE_S = 4.0
+# Where many workers crash by themselves at once, each with something that has
+# just begun, trials for all of that would close the whole pool.
+_MOST_CLOSED_SHARE = 0.25
+
+
+def list_closed(book: books.Book, now: float) -> set[str]:
+    """Return the workers that a suspect has to itself now."""
+    return {
+        name for name, held in book.workers.items() if now < held.trial_until
+    }
 
 
 def choose_trial(
     book: books.Book,
     work: runs.StepWork,
     spaces: list[packing.Space],
+    closed: set[str],
     now: float,
 ) -> dict[int, packing.Space] | None:
     """Return where to try a suspected step.
@@ -27,6 +38,7 @@
         book: The pool's book; not changed.
         work: The step. One task of it at a time is tried; a gang whole.
         spaces: Workers with room for a task.
+        closed: Workers that other suspects have to themselves.
         now: Steady time in seconds.
 
     Returns:
@@ -39,10 +51,38 @@
         quiet = [space for space in spaces if not _is_touched(book, space)]
     quiet.sort(key=lambda space: book.workers[space.worker].used.cores)
     if work.step.gang:
-        return _spread_gang(work, quiet)
-    if not quiet:
+        trial = _spread_gang(work, quiet)
+    elif quiet:
+        trial = {_choose_index(work): quiet[0]}
+    else:
+        trial = None
+    if trial is None or _closes_too_many(book, trial, closed):
         return None
-    return {_choose_index(work): quiet[0]}
+    return trial
+
+
+def may_pass(work: runs.StepWork, now: float) -> bool:
+    """Tell whether a suspected step may start without a trial.
+
+    After one crash it is innocent more often than not, and must not wait for
+    a trial for long.
+    """
+    if any(len(found) > 1 for found in work.kept.crashes.values()):
+        return False
+    return _has_waited(work, now)
+
+
+def _closes_too_many(
+    book: books.Book, trial: dict[int, packing.Space], closed: set[str]
+) -> bool:
+    """Tell whether too few workers would be left to others.
+
+    A gang larger than that is tried while no other trial is under way.
+    """
+    wanted = {space.worker for space in trial.values()}
+    usable = sum(held.listed for held in book.workers.values())
+    most = _MOST_CLOSED_SHARE * usable
+    return bool(closed) and len(closed | wanted) > most
 
 
 def _is_on_trial(run: runs.Run, now: float) -> bool:
--- a/standins/emulator/oracle.py
+++ b/standins/emulator/oracle.py
@@ -123,9 +123,13 @@
         """Allow another run after an end that may have been lost.
 
         Its worker is gone and was never told that the end was noted. It has
-        ended well all the same: steps after it may have begun.
+        ended well all the same: steps after it may have begun. One end stands
+        for all members of a gang, whose own ends may come after the loss.
         """
-        self._again.add(key)
+        step = self.jobs[key.job].steps[key.step]
+        indices = range(step.count) if step.gang else (key.position,)
+        for index in indices:
+            self._again.add(key._replace(position=index))
 
     def forget_failure(self, key: work.TaskKey) -> None:
         """Allow a failure not to be counted: its worker is gone.
--- a/standins/emulator/tests/test_oracle.py
+++ b/standins/emulator/tests/test_oracle.py
@@ -167,3 +167,23 @@
         _apply(held, _crash(run))
     held.check_over({"j": "failed"})
     assert bool(held.broken) is lost
+
+
+def test_gang_runs_again_if_its_only_end_was_lost():
+    """A gang's first member has ended when its worker crashes with the others.
+    Nobody was told of that end, and the next run of the others was taken for
+    one after it.
+    """
+    held = _make_oracle()
+    step = work.Step(2, work.Room(), gang=True)
+    job = work.Job("g", "q", "p", "a", 1, 2, 1.0, 1.0, "", (step,), 0.0)
+    held.jobs["g"] = job
+    keys = [work.TaskKey("g", 0, 0, index) for index in (0, 1)]
+    for key in keys:
+        held.note_start("w0", key, 1, 0.0)
+    held.note_end("w0", keys[0], 1, "done", 1.0)
+    held.note_lost("w0", keys[1], 1)
+    held.allow_again(keys[0])
+    for key in keys:
+        held.note_start("w1", key, 2, 2.0)
+    assert held.broken == []
