--- a/crocusrouter/work/planner.py
+++ b/crocusrouter/work/planner.py
@@ -193,7 +193,11 @@
             Whether it has been placed or must wait; otherwise it is placed
             like any other.
         """
-        spaces = self._list_fitting(waiting)
+        spaces = [
+            space
+            for space in self._list_fitting(waiting)
+            if self._count_bound(waiting, space) > 0
+        ]
         trial = trials.choose_trial(
             self._book, waiting.work, spaces, self._closed, self._now
         )
--- a/crocusrouter/work/tests/test_crashes.py
+++ b/crocusrouter/work/tests/test_crashes.py
@@ -319,3 +319,20 @@
     book.put_job(job, progress, 2, 0.0)
     assert book.jobs["j"].progress.final is state
     assert ("j" in book.dirty) is (state is not None)
+
+
+def test_trial_heeds_the_bound_on_tasks_of_a_worker():
+    """Two tasks of a step ran on a worker that its caller wanted to have one
+    at most: the emptiest worker was the one on which the first still ran.
+    """
+    step = build.make_step(2, per_worker=1)
+    book = build.make_book(build.make_job("j", step), workers=("w0",))
+    found = book.find_work(_key("j"))
+    build.start_planned(book)
+    found.kept.crashes[1] = [progresses.Crash(0, True)]
+    book.runs[_key("j")].moved_at = 2.5
+    assert build.start_planned(book, 2.5).placements == []
+    book.set_worker(build.make_entry("w1"), 2.5)
+    book.workers["w1"].reached = True
+    build.start_planned(book, 2.5)
+    assert book.runs[_key("j", 1)].worker == "w1"
