--- a/crocusrouter/work/book.py
+++ b/crocusrouter/work/book.py
@@ -96,12 +96,17 @@
             wall: Unix time in seconds.
             now: Steady time in seconds.
         """
-        for held in self.live.values():
+        for held in list(self.live.values()):
+            opened = held.opened
             while held.opened < held.job.occurrences:
                 if held.job.find_due(held.opened) > wall:
                     break
                 self._open(held, held.opened, now)
                 held.opened += 1
+            if held.opened > opened:
+                # An earlier owner may have seen the end of what opens last,
+                # and no other end would come that finishes the job.
+                self.finish_if_done(held, now)
 
     def find_next_due(self) -> float | None:
         """Return the Unix time of the next occurrence."""
@@ -490,6 +495,13 @@
         self.note("job:final", job=held.job.id, state=str(state))
         self._close(held, f"job {state}", now)
 
+    def finish_if_done(self, held: runs.JobWork, now: float) -> None:
+        """Give a job its final state if all of its tasks have ended well."""
+        if held.opened < held.job.occurrences:
+            return
+        if all(work.is_done for work in held.steps.values()):
+            self.finish(held, model.State.DONE, now)
+
     def check_gangs(self, now: float) -> None:
         """Stop gangs of which an earlier owner had started only a part."""
         for held in self.live.values():
--- a/crocusrouter/work/reports.py
+++ b/crocusrouter/work/reports.py
@@ -173,7 +173,7 @@
         if other is not None and not work.step.gang:
             book.stop_run(other, "its task has ended elsewhere", now)
     book.dirty.add(held.job.id)
-    _check_done(book, held, now)
+    book.finish_if_done(held, now)
 
 
 def _note_failed(
@@ -197,10 +197,3 @@
     book.dirty.add(held.job.id)
     if len(failed) >= held.job.max_attempts and not work.step.lasting:
         book.finish(held, model.State.FAILED, now)
-
-
-def _check_done(book: books.Book, held: runs.JobWork, now: float) -> None:
-    if held.opened < held.job.occurrences:
-        return
-    if all(work.is_done for work in held.steps.values()):
-        book.finish(held, model.State.DONE, now)
--- a/crocusrouter/work/tests/test_book.py
+++ b/crocusrouter/work/tests/test_book.py
@@ -270,3 +270,24 @@
     book.set_worker(build.make_entry("w0", gpu=gpu), 1.0)
     assert book.workers["w0"].is_over(build.make_step(gpu=6).charge) is over
     assert not book.workers["w0"].is_over(build.make_step(gpu=0).charge)
+
+
+def test_job_ends_whose_last_occurrence_was_done_before_it_was_opened():
+    """A caller reads "running" for ever although everything has ended well.
+
+    An owner is lost after the second occurrence has ended and before the first
+    one has. Its successor hears the first one's end from a worker, before its
+    first decision has opened the second, and nothing ends after that.
+    """
+    job = build.make_job(
+        "j", build.make_step(), repeats=2, first_due=build.WALL, interval_s=1.0
+    )
+    progress = work.Progress()
+    progress.get(1, 0).done.add(0)
+    book = build.make_book(workers=("w0",))
+    book.put_job(job, progress, 2, 0.0)
+    end = orders.Ended(1, _key("j"), 7, HOW.DONE)
+    work.take_report(book, "w0", orders.Report(0, (), (end,)), 1.0, 1.0)
+    assert book.jobs["j"].progress.final is None
+    book.open_due(build.WALL + 5.0, 1.1)
+    assert book.jobs["j"].progress.final is work.State.DONE
--- a/standins/emulator/tests/test_histories.py
+++ b/standins/emulator/tests/test_histories.py
@@ -25,6 +25,7 @@
     length_s=strategies.just(_LENGTH_S),
     gangs=strategies.sampled_from((0.1, 0.4, 0.8)),
     advised=strategies.sampled_from((0.0, 0.3)),
+    crashing=strategies.sampled_from((0.0, 0.0, 0.15)),
 )
 
 
