Tell by which configuration, and how old, a call is decided

call:refused and job:accept name version and age; config:in-force says for how long nobody had vouched for the one before, which bounds how late it came; a histogram of the ages by which calls are decided; loop:stalled and a histogram of how late the loop's timer comes. No decision changes.

--- a/crocusrouter/http/queue_calls.py
+++ b/crocusrouter/http/queue_calls.py
@@ -58,6 +58,7 @@
     now = entry.times.steady()
     if config is None or not entry.configuration.is_fresh(now):
         raise refuse(RefusalReason.NOT_READY, "", entry.choose_retry_after())
+    entry.metrics.note_config_age(entry.configuration.measure_age(now) or 0.0)
     path = request.url.path
     host = request.headers.get("Host", "")
     queue = queues.find_queue(config, host, path)
@@ -96,11 +97,21 @@
         except RefusedError as error:
             reason = error.refusal.reason
             self._entry.metrics.count_refusal(reason)
-            pools.note_refusal(request.method, request.url.path, error.refusal)
+            pools.note_refusal(
+                request.method,
+                request.url.path,
+                error.refusal,
+                self._describe_basis(),
+            )
             rendered = render_refusal(error.refusal)
             status = _STATUS.get(reason, rendered.status)
             return dataclasses.replace(rendered, status=status)
 
+    def _describe_basis(self) -> dict[str, float | int | None]:
+        """Return version and age of the configuration in force."""
+        now = self._entry.times.steady()
+        return self._entry.configuration.describe(now)
+
     def _refuse(self, reason: RefusalReason, detail: str) -> RefusedError:
         """Build a refusal for want of the store, with when to come back."""
         return refuse(reason, detail, self._entry.choose_retry_after())
@@ -119,7 +130,7 @@
             call.customer,
             self._entry.times.wall(),
         )
-        match await self._entry.desk.accept(job):
+        match await self._entry.desk.accept(job, self._describe_basis()):
             case pools.Stored.STORED:
                 return Rendered(200, dict(_JSON), b"{}")
             case pools.Stored.NOT_STORED:
--- a/crocusrouter/pools/configuration.py
+++ b/crocusrouter/pools/configuration.py
@@ -56,6 +56,18 @@
             return None
         return max(0.0, now - self._vouched_at)
 
+    def describe(self, now: float) -> dict[str, float | int | None]:
+        """Return what a line about a decision tells of its configuration."""
+        age = self.measure_age(now)
+        return {
+            "version": self.version,
+            "config_age_s": None if age is None else round(age, 3),
+        }
+
+    def _round_age(self) -> float | None:
+        age = self.measure_age(self._times.steady())
+        return None if age is None else round(age, 3)
+
     def vouch(self, at: float) -> None:
         """Note that at this moment it was the newest one."""
         if self._vouched_at is None or at > self._vouched_at:
@@ -80,6 +92,7 @@
             version=config.version,
             before=self.version,
             source=source,
+            unheard_s=self._round_age(),
             queues=len(config.queues),
             customers=len(config.customers),
         )
--- a/crocusrouter/pools/desk.py
+++ b/crocusrouter/pools/desk.py
@@ -51,8 +51,20 @@
     return Stored.UNKNOWN
 
 
-def note_refusal(method: str, path: str, refusal: Refusal) -> None:
-    """Write the line that explains a refusal, with the job's id in it."""
+def note_refusal(
+    method: str,
+    path: str,
+    refusal: Refusal,
+    basis: dict[str, float | int | None],
+) -> None:
+    """Write the line that explains a refusal, with the job's id in it.
+
+    Args:
+        method: HTTP method.
+        path: Path, with the job's id.
+        refusal: What the caller hears.
+        basis: Version and age of the configuration that decided.
+    """
     log(
         "call:refused",
         method=method,
@@ -60,6 +72,7 @@
         reason=str(refusal.reason),
         detail=refusal.detail,
         retry_after_s=refusal.retry_after_s,
+        **basis,
     )
 
 
@@ -84,12 +97,18 @@
 
     # Acceptance.
 
-    async def accept(self, job: work.Job) -> Stored:
+    async def accept(
+        self, job: work.Job, basis: dict[str, float | int | None] | None = None
+    ) -> Stored:
         """Store a job.
 
         A job is stored under a key that must not exist, so any number of
         tries by any entry make one job. Only if every try was certainly
         without effect may the caller hear that the job never runs.
+
+        Args:
+            job: What was handed in.
+            basis: Version and age of the configuration that allowed it.
         """
         key = keys.build_job_key(job.id)
         outcome = await self._store.write(
@@ -103,6 +122,7 @@
             queue=job.queue,
             customer=job.customer,
             outcome=str(stored),
+            **(basis or {}),
         )
         return stored
 
--- a/crocusrouter/pools/entry.py
+++ b/crocusrouter/pools/entry.py
@@ -30,6 +30,8 @@
 from crocusrouter.telemetry import log
 
 _ELECTION_TICK_S = 0.1
+# A timer that comes this late is worth a line: calls waited as long.
+_STALL_S = 0.25
 _VOUCH_TICK_S = 0.5
 # An owner reads the configuration this often and vouches for it to all who
 # send it heartbeats; the others read only when no peer has vouched.
@@ -323,7 +325,7 @@
     async def _run_elections(self) -> None:
         async with trio.open_nursery() as nursery:
             while True:
-                await trio.sleep(_ELECTION_TICK_S)
+                await self._sleep_watched(_ELECTION_TICK_S)
                 config = self.configuration.current
                 if config is None or not self.is_ready:
                     continue
@@ -334,6 +336,15 @@
                     self._ownership.note_tried(service.name, now)
                     nursery.start_soon(self._own, service.name)
 
+    async def _sleep_watched(self, for_s: float) -> None:
+        """Sleep, and tell of an event loop that stood still meanwhile."""
+        due = self.times.steady() + for_s
+        await trio.sleep(for_s)
+        late_s = self.times.steady() - due
+        self.metrics.note_stall(late_s)
+        if late_s > _STALL_S:
+            log("loop:stalled", late_s=round(late_s, 3))
+
     def _may_take(self, pool: str, now: float) -> bool:
         if pool in self._tenures:
             return False
--- a/crocusrouter/telemetry/metrics.py
+++ b/crocusrouter/telemetry/metrics.py
@@ -17,6 +17,9 @@
 _METER = "crocusrouter"
 # One second after the store's return is the bound; outages last some seconds.
 _BEHIND_S = (0.5, 1.0, 1.5, 2.0, 3.0, 5.0, 10.0, 20.0)
+# Operators are promised seconds; the event loop answers in milliseconds.
+_AGE_S = (0.25, 0.5, 1.0, 1.5, 2.0, 3.0, 5.0)
+_STALL_S = (0.1, 0.25, 0.5, 1.0, 2.0, 5.0)
 
 
 class Metrics:
@@ -64,6 +67,18 @@
             description="Time without an answer to a follower of the store.",
             explicit_bucket_boundaries_advisory=_BEHIND_S,
         )
+        self._config_age = meter.create_histogram(
+            "crocusrouter_configuration_age_seconds",
+            unit="s",
+            description="Age of the configuration by which calls are decided.",
+            explicit_bucket_boundaries_advisory=_AGE_S,
+        )
+        self._stalls = meter.create_histogram(
+            "crocusrouter_loop_stall_seconds",
+            unit="s",
+            description="How late a timer of the event loop came.",
+            explicit_bucket_boundaries_advisory=_STALL_S,
+        )
         self._silences: dict[object, tuple[str, Callable[[], float]]] = {}
         meter.create_observable_gauge(
             "crocusrouter_follower_silent_seconds",
@@ -108,6 +123,14 @@
         """Note how long a follower of a prefix had no answer."""
         self._behind.record(seconds, {"prefix": prefix})
 
+    def note_config_age(self, seconds: float) -> None:
+        """Note how old the configuration was that decided a call."""
+        self._config_age.record(seconds)
+
+    def note_stall(self, seconds: float) -> None:
+        """Note how late a timer of the event loop came."""
+        self._stalls.record(seconds)
+
     @contextlib.contextmanager
     def show_silence(
         self, prefix: str, read: Callable[[], float]
