--- /dev/null
+++ b/standins/emulator/changes.py
@@ -0,0 +1,181 @@
+"""Checks the rules on changes of the configuration from callers' answers."""
+
+import collections
+import dataclasses
+import enum
+
+from standins.emulator import touch as touches
+
+# `config_apply_ms` and `rollback_slack_ms` of the users' sites; the latter is
+# eight times as long for an entry that was impaired.
+APPLY_S = 2.0
+_SLACK_S = 0.25
+_IMPAIRED_SLACK_S = 8 * _SLACK_S
+
+
+class Handling(enum.StrEnum):
+    """How a call was handled, as far as the configuration decides it."""
+
+    SERVED = "served"
+    NO_ROUTE = "no-route"
+    NO_KEY = "no-key"
+    NOT_DECIDED = "not-decided"
+
+
+_HANDLINGS = {
+    200: Handling.SERVED,
+    410: Handling.SERVED,
+    404: Handling.NO_ROUTE,
+    401: Handling.NO_KEY,
+    403: Handling.NO_KEY,
+}
+
+
+def read_status(status: int | None) -> Handling:
+    """Tell what an HTTP status says about the configuration.
+
+    >>> read_status(404)
+    <Handling.NO_ROUTE: 'no-route'>
+    """
+    if status is None:
+        return Handling.NOT_DECIDED
+    return _HANDLINGS.get(status, Handling.NOT_DECIDED)
+
+
+@dataclasses.dataclass(frozen=True)
+class Edition:
+    """One document that the operators wrote.
+
+    Attributes:
+        version: Its number.
+        routes: Prefixes that it routes.
+        keys: Keys that it knows.
+        valid: Whether it may be put in force.
+    """
+
+    version: int
+    routes: frozenset[str]
+    keys: frozenset[str]
+    valid: bool = True
+
+    def handle(self, route: str, key: str) -> Handling:
+        """Return how a call is handled by this document."""
+        if route not in self.routes:
+            return Handling.NO_ROUTE
+        return Handling.SERVED if key in self.keys else Handling.NO_KEY
+
+
+@dataclasses.dataclass(frozen=True)
+class Call:
+    """A call and its answer, as its caller sees them.
+
+    Attributes:
+        entry: Name of the entry that was asked.
+        life: Tells the incarnations of its process apart.
+        route: Prefix of the path.
+        key: The key that it carried.
+        sent_at: Seconds.
+        answered_at: Seconds.
+        handling: What the answer says.
+    """
+
+    entry: str
+    life: int
+    route: str
+    key: str
+    sent_at: float
+    answered_at: float
+    handling: Handling
+
+
+class Changes:
+    """Collects broken rules on the configuration, each as one line.
+
+    Attributes:
+        broken: What was broken by entries in touch.
+        judged: How many calls were judged.
+        excused: How many calls were handled too late by entries that were not
+            in touch, by why they were not.
+        undecided: How many answers said nothing about the configuration.
+        unready: How many of these came from entries in touch.
+        latest_s: Longest time after a confirmation at which an entry in touch
+            was sent a call that it handled without it.
+    """
+
+    def __init__(self, touch: touches.Touch) -> None:
+        """Begin without any version."""
+        self.broken: list[str] = []
+        self.judged = 0
+        self.excused: collections.Counter[str] = collections.Counter()
+        self.undecided = 0
+        self.unready = 0
+        self.latest_s = 0.0
+        self._touch = touch
+        self._editions: list[tuple[float, Edition]] = []
+        self._seen: dict[tuple[str, int], list[tuple[float, int]]] = (
+            collections.defaultdict(list)
+        )
+
+    def note_confirmed(self, edition: Edition, now: float) -> None:
+        """Take note of a document that the service has confirmed."""
+        self._editions.append((now, edition))
+
+    def note_call(self, call: Call) -> None:
+        """Judge one call."""
+        if call.handling is Handling.NOT_DECIDED:
+            self.undecided += 1
+            if not self._touch.explain(call.entry, call.sent_at):
+                self.unready += 1
+            return
+        self.judged += 1
+        fitting = self._find_fitting(call)
+        if not fitting:
+            self._report(call, "handled as no valid version allows")
+            return
+        self._check_late(call, fitting)
+        self._check_regress(call, fitting)
+
+    def _find_fitting(self, call: Call) -> list[int]:
+        """Return the versions by which the call may have been handled."""
+        return [
+            edition.version
+            for at, edition in self._editions
+            if edition.valid
+            and at <= call.answered_at
+            and edition.handle(call.route, call.key) is call.handling
+        ]
+
+    def _check_late(self, call: Call, fitting: list[int]) -> None:
+        unheard = [
+            at
+            for at, edition in self._editions
+            if edition.valid and edition.version > max(fitting)
+        ]
+        if not unheard:
+            return
+        late_s = call.sent_at - min(unheard)
+        why = self._touch.explain(call.entry, call.sent_at)
+        if not why:
+            self.latest_s = max(self.latest_s, late_s)
+        if late_s <= APPLY_S:
+            return
+        if why:
+            self.excused[why] += 1
+        else:
+            self._report(call, f"sent {late_s:.2f} s after a confirmation")
+
+    def _check_regress(self, call: Call, fitting: list[int]) -> None:
+        why = self._touch.explain(call.entry, call.sent_at)
+        before = call.sent_at - (_IMPAIRED_SLACK_S if why else _SLACK_S)
+        seen = self._seen[call.entry, call.life]
+        floor = max((v for at, v in seen if at < before), default=0)
+        if max(fitting) < floor:
+            self._report(call, f"version {floor} was in force there before")
+        if not seen or min(fitting) > seen[-1][1]:
+            seen.append((call.answered_at, min(fitting)))
+
+    def _report(self, call: Call, what: str) -> None:
+        self.broken.append(
+            f"{call.sent_at:.3f} config: {call.entry} {call.handling} "
+            f"{call.route} with {call.key}: {what}"
+        )
--- a/standins/emulator/cluster.py
+++ b/standins/emulator/cluster.py
@@ -1,30 +1,40 @@
 """Entries, workers, store and callers, joined in one process."""
 
+import collections
 from collections.abc import Callable
 import dataclasses
 import random
+from typing import Any
 from typing import cast
 
 import orjson
+from starlette import requests as starlette_requests
 import trio
 
 from crocusrouter import mesh
+from crocusrouter import platform
 from crocusrouter import pools
-from crocusrouter import queues
 from crocusrouter import work
+from crocusrouter.http import queue_calls
 from crocusrouter.store import port
 from crocusrouter.telemetry import Metrics
 from crocusrouter.work import orders
+from standins.emulator import changes as rules
+from standins.emulator import operators
 from standins.emulator import oracle as oracles
 from standins.emulator import policy as policies
 from standins.emulator import store as stores
 from standins.emulator import suspension
+from standins.emulator import touch as touches
 from standins.emulator import vms as vm_control
 from standins.emulator import worker as workers
 
 POOL = "match"
 WORKERS = "listed/"
-CONFIG = "op/config"
+OPERATORS = "op/"
+CONFIG = OPERATORS + "config"
+HOST = "h"
+PREFIX = "/q/"
 ROOM = work.Room(32_000, 131_072, 8)
 _STEP_S = 0.02
 _PEER_S = 0.001
@@ -54,15 +64,38 @@
         return None
 
 
-def _parse_config(value: bytes) -> queues.Config:
-    version, guaranteed = orjson.loads(value)
-    customers = {
-        name: queues.Customer(name, frozenset({name}), count)
+def _build_config(guaranteed: dict[str, int]) -> dict[str, Any]:
+    """Return a configuration of one queue without its version."""
+    route = {"name": "q", "host": HOST, "prefix": PREFIX, "service": POOL}
+    tenants = [
+        {"name": name, "api_keys": [name], "guaranteed": {"gpu": count}}
         for name, count in guaranteed.items()
-    }
-    queue = queues.Queue("q", "h", "/q/", POOL)
-    services = {POOL: queues.Service(POOL)}
-    return queues.Config(version, (queue,), services, customers)
+    ]
+    services = [{"name": POOL}]
+    return {"routes": [route], "services": services, "tenants": tenants}
+
+
+def _build_request(route: str, key: str) -> starlette_requests.Request:
+    """Return a call that only route and key decide.
+
+    No job can have its id, so nothing but the configuration is asked.
+    """
+    return starlette_requests.Request(
+        {
+            "type": "http",
+            "method": "GET",
+            "path": f"{route}none",
+            "raw_path": f"{route}none".encode(),
+            "query_string": b"",
+            "headers": [
+                (b"host", HOST.encode()),
+                (b"x-api-key", key.encode()),
+            ],
+            "server": ("127.0.0.1", 80),
+            "scheme": "http",
+            "http_version": "1.1",
+        }
+    )
 
 
 class _Link:
@@ -121,17 +154,22 @@
         self._scopes: dict[str, trio.CancelScope] = {}
         self._nursery: trio.Nursery | None = None
         self._returning: set[str] = set()
-        self._version = 1
+        self.touch = touches.Touch()
+        self.changes = rules.Changes(self.touch)
+        guaranteed = {"a": 16, "b": 8}
+        self.operators = operators.Operators(
+            self.store, CONFIG, self.changes, _build_config(guaranteed)
+        )
+        self._started: collections.Counter[str] = collections.Counter()
         self._troubled_at = 0.0
         for number in range(hosts):
             self.add_worker(f"w{number}", f"r0-{number // 3}")
-        self.put_config({"a": 16, "b": 8})
+        self.operators.write(0.0)
 
     def put_config(self, guaranteed: dict[str, int]) -> None:
         """Write a configuration as the operators do."""
-        self._version += 1
-        value = orjson.dumps([self._version, guaranteed])
-        self.store.put(CONFIG, value)
+        now = trio.current_time()
+        self.operators.set_base(_build_config(guaranteed), now)
 
     # Workers.
 
@@ -203,7 +241,7 @@
         entry = pools.PoolEntry(
             pools.Identity(name, f"{name}:7000"),
             self._find_store_view(name),
-            pools.ConfigSource("op/", CONFIG, _parse_config),
+            pools.ConfigSource(OPERATORS, CONFIG, platform.parse_config),
             pools.Platform(
                 WORKERS,
                 _parse_worker,
@@ -221,6 +259,8 @@
             make_link=lambda peer, _: _Link(self, name, peer),
         )
         self.entries[name] = entry
+        self._started[name] += 1
+        self.touch.note_impaired(name, trio.current_time())
         scope = trio.CancelScope()
         self._scopes[name] = scope
         self._nursery.start_soon(self._run_entry, entry, scope)
@@ -314,8 +354,41 @@
             states[job_id] = str(state) if state is not None else None
         return states
 
+    async def ask_for(self, name: str, route: str, key: str) -> None:
+        """Call an entry on a route with a key; the answer is judged."""
+        entry = self.entries.get(name)
+        if entry is None:
+            return
+        sent_at, life = trio.current_time(), self._started[name]
+        await self.suspensions.wait_awake(name)
+        calls = queue_calls.QueueCalls(entry)
+        rendered = await calls.handle(_build_request(route, key))
+        if self._started[name] != life or name not in self.entries:
+            return
+        self.changes.note_call(
+            rules.Call(
+                name,
+                life,
+                route,
+                key,
+                sent_at,
+                trio.current_time(),
+                rules.read_status(rendered.status),
+            )
+        )
+
     # Time.
 
+    def _note_impairments(self, now: float) -> None:
+        """Take note of who is not in touch."""
+        if self.store.is_impaired(now):
+            self.touch.note_store_impaired(now)
+        for name in self.names:
+            impaired = name in self.store.turned_away
+            impaired |= name not in self.entries
+            if impaired or self.suspensions.is_suspended(name):
+                self.touch.note_impaired(name, now)
+
     def _check_drains(self, now: float) -> None:
         """Note starts on workers that had long said that they leave.
 
@@ -350,6 +423,7 @@
                 now = trio.current_time()
                 for name in list(self.workers):
                     self._step_worker(name, now)
+                self._note_impairments(now)
                 self.store.note_silences(self.names, now)
                 self._check_drains(now)
                 self.store.expire(now)
--- a/standins/emulator/faults.py
+++ b/standins/emulator/faults.py
@@ -10,6 +10,7 @@
 from crocusrouter import work
 from standins.emulator import cluster as clusters
 from standins.emulator import load as loads
+from standins.emulator import operators
 from standins.emulator import store as stores
 
 _CALM_S = 25.0
@@ -21,6 +22,8 @@
 _HEARTBEAT_S = 1.5
 _UNLISTED_S = 3 * _HEARTBEAT_S
 _RESTART_S = 1.5
+# Calls on routes and keys that come and go, each at all entries.
+_ASKING_S = 0.25
 FOREIGN = (
     b"",
     b"\xff\xfe",
@@ -118,6 +121,7 @@
     entries: int = 4,
     hosts: int = 6,
     guards: bool = True,
+    changes_per_s: float = 0.0,
 ) -> clusters.Cluster:
     """Play a day and check its end.
 
@@ -129,6 +133,8 @@
         entries: How many entries.
         hosts: How many workers.
         guards: Whether workers refuse what they have no room for.
+        changes_per_s: How often the configuration changes; calls on what
+            comes and goes are made only if it does.
 
     Returns:
         The cluster; its oracle lists what was broken.
@@ -138,6 +144,9 @@
     async with trio.open_nursery() as nursery:
         await nursery.start(held.run)
         await trio.sleep(2.0)
+        if changes_per_s:
+            nursery.start_soon(_change_configuration, held, seed, changes_per_s)
+            nursery.start_soon(ask_all, held, seed)
         async with trio.open_nursery() as day:
             for at, job in load.draw(seed):
                 day.start_soon(_submit, held, at, job)
@@ -146,6 +155,7 @@
         await _wait_until_idle(held)
         held.oracle.check_over(await held.read_states())
         held.oracle.broken += held.list_failures()
+        held.oracle.broken += held.changes.broken
         nursery.cancel_scope.cancel()
     return held
 
@@ -155,6 +165,27 @@
     await held.submit(job)
 
 
+async def _change_configuration(
+    held: clusters.Cluster, seed: int, per_s: float
+) -> None:
+    rng = random.Random(seed)
+    while True:
+        await trio.sleep(rng.expovariate(per_s))
+        held.operators.draw_change(rng, trio.current_time())
+
+
+async def ask_all(held: clusters.Cluster, seed: int) -> None:
+    """Call every entry on drawn routes and keys until cancelled."""
+    rng = random.Random(seed)
+    async with trio.open_nursery() as nursery:
+        while True:
+            for name in held.names:
+                route = rng.choice((clusters.PREFIX, *operators.ROUTES))
+                key = rng.choice(("a", *operators.KEYS))
+                nursery.start_soon(held.ask_for, name, route, key)
+            await trio.sleep(_ASKING_S)
+
+
 async def _wait_until_idle(held: clusters.Cluster) -> None:
     """Wait until nothing runs and every job has ended, or long enough.
 
--- a/standins/emulator/store.py
+++ b/standins/emulator/store.py
@@ -93,6 +93,10 @@
         """Return what an entry meets now."""
         return self.turned_away.get(entry, self.fault)
 
+    def is_impaired(self, now: float) -> bool:
+        """Tell whether not all entries are served as usual."""
+        return self.fault is not StoreFault.NONE or now < self.deaf_until
+
     def note_silences(self, entries: list[str], now: float) -> None:
         """Take note of who gets no answers now.
 
--- a/standins/emulator/suspension.py
+++ b/standins/emulator/suspension.py
@@ -25,6 +25,10 @@
         self._wakes_at[entry] = max(wakes_at, self._wakes_at.get(entry, 0.0))
         await trio.sleep(for_s)
 
+    def is_suspended(self, entry: str) -> bool:
+        """Tell whether an entry stands still."""
+        return self._wakes_at.get(entry, 0.0) > trio.current_time()
+
     def is_any(self) -> bool:
         """Tell whether some entry stands still."""
         now = trio.current_time()
--- a/standins/emulator/tests/test_histories.py
+++ b/standins/emulator/tests/test_histories.py
@@ -10,7 +10,7 @@
 from standins.emulator import faults
 
 _LENGTH_S = 12.0
-_EVENTS = strategies.lists(
+EVENTS = strategies.lists(
     strategies.builds(
         faults.Event,
         at=strategies.integers(4, 48).map(lambda quarter: quarter / 4),
@@ -84,9 +84,7 @@
     ],
 )
 @fuzzing.build_settings(20)
-@hypothesis.given(
-    seed=strategies.integers(0, 1000), load=_LOADS, events=_EVENTS
-)
+@hypothesis.given(seed=strategies.integers(0, 1000), load=_LOADS, events=EVENTS)
 def test_machine_of_days_keeps_the_rules(seed, load, events):
     played = sorted(events, key=lambda event: event.at)
     held = trio.run(
--- a/standins/soak/__main__.py
+++ b/standins/soak/__main__.py
@@ -24,7 +24,11 @@
         folder = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
         result = trio.run(soak.soak, seed, shape, folder)
         verdict = "broken" if result.broken else "kept"
+        seen = result.changes
         counts = f"{result.accepted} jobs, {result.crashes} crashes"
+        counts += f", {seen.judged} calls on changes"
+        counts += f" (latest {seen.latest_s:.2f} s, excused"
+        counts += f" {dict(seen.excused)}, not ready {seen.unready})"
         print(f"seed {seed}: {verdict}, {counts}, {folder}")
         print("  " + "; ".join(result.faults), flush=True)
         for line in result.broken:
--- a/standins/soak/run.py
+++ b/standins/soak/run.py
@@ -13,14 +13,20 @@
 
 from crocusrouter import platform
 from crocusrouter import queues
+from standins.emulator import changes as rules
 from standins.emulator import store as stores
 from standins.emulator import worker as workers
+from standins.soak import changing
 from standins.soak import proxy as proxies
 from standins.soak import world as worlds
 
 _TRIES = 6
 _TIMEOUT_S = 3.0
 _RESTART_S = 0.8
+# An entry's calls in so short a time are few: its open watches lose their
+# answers, and nothing else tells it.
+_LOST_S = 0.1
+_LONGEST_PAUSE_S = 4.0
 _START_S = 20.0
 # Workers that could not be reached are waited out for 7.6 s, then gangs start
 # anew; twice that is calm enough for everything to end.
@@ -41,6 +47,10 @@
     STORE_AWAY = "store-away"
     STORE_LOSES = "store-loses"
     COMPACT = "compact"
+    LOSE_ANSWERS = "lose-answers"  # of one entry, for a moment
+    REFUSE_WATCHES = "refuse-watches"  # of the operators' keys
+    PAUSE_OTHERS = "pause-others"  # all but one
+    LOSE_PEERS = "lose-peers"  # a lost answer, then the others pause
 
 
 @dataclasses.dataclass(frozen=True)
@@ -74,12 +84,14 @@
         accepted: Jobs whose hand-in was confirmed.
         crashes: How often a task has crashed its worker.
         faults: What was done, in order.
+        changes: What was seen of changes of the configuration.
     """
 
     broken: list[str]
     accepted: int
     crashes: int
     faults: list[str]
+    changes: rules.Changes
 
 
 async def soak(seed: int, shape: Shape, folder: pathlib.Path) -> Result:
@@ -100,10 +112,11 @@
     finally:
         world.processes.stop_all()
     return Result(
-        world.oracle.broken,
+        world.oracle.broken + world.changes.broken,
         len(world.oracle.accepted),
         len(world.oracle.crashed_at),
         played.faults,
+        world.changes,
     )
 
 
@@ -117,10 +130,22 @@
         self.faults: list[str] = []
         self._drawn = 0
         self._pool = httpcore.AsyncConnectionPool(max_connections=100)
+        self._changing = changing.Changing(world, random.Random(rng.random()))
 
     async def run(self) -> None:
         """Load and harm the system, then wait for calm and judge."""
         await self._wait_until_served()
+        async with trio.open_nursery() as calling:
+            calling.start_soon(self._changing.change)
+            calling.start_soon(self._changing.ask_all)
+            await self._play_faults()
+            calling.cancel_scope.cancel()
+        states = await self._wait_for_ends()
+        self.world.oracle.check_over(states)
+        await self._changing.aclose()
+        await self._pool.aclose()
+
+    async def _play_faults(self) -> None:
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._load, nursery)
             for _ in range(self.shape.faults):
@@ -128,9 +153,6 @@
                 fault = self.rng.choice(list(Fault))
                 for_s = self.rng.uniform(0.5, 4.0)
                 nursery.start_soon(self._strike, at, fault, for_s)
-        states = await self._wait_for_ends()
-        self.world.oracle.check_over(states)
-        await self._pool.aclose()
 
     # Callers.
 
@@ -261,6 +283,19 @@
                 await self._stop(name)
             case Fault.HANG_UP:
                 self.world.signal(name, signal.SIGHUP)
+            case _:
+                await self._strike_around(name, worker, harm, fault, for_s)
+
+    async def _strike_around(
+        self,
+        name: str,
+        worker: str,
+        harm: proxies.Harm,
+        fault: Fault,
+        for_s: float,
+    ) -> None:
+        """Harm what an entry depends on: links, store and peers."""
+        match fault:
             case Fault.HARM_STORE_LINK:
                 await self._harm(self.world.store_proxies[name], harm, for_s)
             case Fault.HARM_WORKER_LINK:
@@ -271,6 +306,31 @@
                 await self._harm_store(stores.StoreFault.LOST, for_s)
             case Fault.COMPACT:
                 self.world.store.forget_history()
+            case Fault.LOSE_ANSWERS:
+                await self._lose_answers(name)
+            case Fault.REFUSE_WATCHES:
+                self.world.store.refused_watches.add("op/")
+                await trio.sleep(for_s)
+                self.world.store.refused_watches.clear()
+            case Fault.PAUSE_OTHERS:
+                await self._pause_others(name, for_s)
+            case Fault.LOSE_PEERS:
+                await self._lose_answers(name)
+                await trio.sleep(for_s)
+                await self._pause_others(name, _LONGEST_PAUSE_S)
+
+    async def _lose_answers(self, name: str) -> None:
+        self.world.store.turned_away[name] = stores.StoreFault.SILENT
+        await trio.sleep(_LOST_S)
+        self.world.store.turned_away.pop(name, None)
+
+    async def _pause_others(self, name: str, for_s: float) -> None:
+        others = [other for other in self.world.entries if other != name]
+        for other in others:
+            self.world.signal(other, signal.SIGSTOP)
+        await trio.sleep(for_s)
+        for other in others:
+            self.world.signal(other, signal.SIGCONT)
 
     async def _kill(self, names: list[str]) -> None:
         for name in names:
--- a/standins/soak/world.py
+++ b/standins/soak/world.py
@@ -1,7 +1,9 @@
 """Store, workers, proxies and entry processes of one soak."""
 
+import collections
 import pathlib
 import signal
+from typing import Any
 
 import orjson
 import trio
@@ -12,9 +14,12 @@
 from crocusrouter.work import orders
 from demo import processes
 from standins import ports
+from standins.emulator import changes as rules
+from standins.emulator import operators
 from standins.emulator import oracle as oracles
 from standins.emulator import policy as policies
 from standins.emulator import store as stores
+from standins.emulator import touch as touches
 from standins.emulator import worker as workers
 from standins.soak import proxy as proxies
 from standins.soak import wire
@@ -45,7 +50,15 @@
             folder: Where the processes' logs go.
         """
         self.oracle = oracles.Oracle()
+        self.touch = touches.Touch()
+        self.changes = rules.Changes(self.touch)
         self.store = stores.Store(seed)
+        self.operators = operators.Operators(
+            self.store, "op/config", self.changes, _build_config()
+        )
+        # How often each entry's process was started.
+        self.lives: collections.Counter[str] = collections.Counter()
+        self._paused: set[str] = set()
         self.processes = processes.Processes(folder)
         self.entries = [f"e{number}" for number in range(entries)]
         self.urls: dict[str, str] = {}
@@ -76,7 +89,7 @@
         """Run store, workers and entries until cancelled."""
         async with trio.open_nursery() as nursery:
             await self._serve_platform(nursery)
-            self.store.put("op/config", _build_config())
+            self.operators.write(trio.current_time())
             nursery.start_soon(self._beat)
             nursery.start_soon(self._let_time_pass, nursery)
             for name in self.entries:
@@ -155,9 +168,22 @@
                 if worker.refuses:
                     del self.workers[name]
                     nursery.start_soon(self._return_crashed, name, worker)
+            self._note_impairments(now)
+            self.store.note_silences(self.entries, now)
             self.store.expire(now)
             await trio.sleep(_STEP_S)
 
+    def _note_impairments(self, now: float) -> None:
+        """Take note of who is not in touch."""
+        if self.store.is_impaired(now):
+            self.touch.note_store_impaired(now)
+        for name in self.entries:
+            impaired = name in self.store.turned_away
+            impaired |= name in self._paused
+            impaired |= self.store_proxies[name].harm is not proxies.Harm.NONE
+            if impaired or not self.processes.is_running(name):
+                self.touch.note_impaired(name, now)
+
     async def _return_crashed(self, name: str, worker: workers.Worker) -> None:
         """Bring a crashed worker back under another name.
 
@@ -182,17 +208,27 @@
 
     def start_entry(self, name: str) -> None:
         """Start an entry, or start it again."""
+        self.lives[name] += 1
+        self._paused.discard(name)
+        self.touch.note_impaired(name, trio.current_time())
         self.processes.start(
             name, "crocusrouter", "entry", **self._settings[name]
         )
 
     def signal(self, name: str, number: signal.Signals) -> None:
         """Send a signal to an entry; one that has ended gets none."""
-        if self.processes.is_running(name):
-            self.processes.signal(name, number)
-
-
-def _build_config() -> bytes:
+        if not self.processes.is_running(name):
+            return
+        self.processes.signal(name, number)
+        if number != signal.SIGHUP:
+            self.touch.note_impaired(name, trio.current_time())
+        if number == signal.SIGSTOP:
+            self._paused.add(name)
+        elif number == signal.SIGCONT:
+            self._paused.discard(name)
+
+
+def _build_config() -> dict[str, Any]:
     route = {
         "name": "q",
         "host": HOST,
@@ -203,13 +239,8 @@
         "slack_factor": 2.0,
         "target_duration_ms": 1000,
     }
-    return orjson.dumps(
-        {
-            "version": 1,
-            "routes": [route],
-            "services": [{"name": POOL}],
-            "tenants": [
-                {"name": "a", "api_keys": [KEY], "guaranteed": {"gpu": 8}}
-            ],
-        }
-    )
+    return {
+        "routes": [route],
+        "services": [{"name": POOL}],
+        "tenants": [{"name": "a", "api_keys": [KEY], "guaranteed": {"gpu": 8}}],
+    }
