Take null for an empty field of the configuration

What callers saw: a confirmed change never takes effect, and 5 s later every entry answers 503, if the document holds null where a field is empty, or an advice whose values aren't numbers. Evidence: test_configuration_with_an_empty_ field, red in seven of nine rows on the code before. Nothing reads the values of advice. The version, on the other hand, must be a whole number from 1 on: a text or 0 was taken (two rows of test_wrong_configuration red before).

--- a/crocusrouter/platform/configuration.py
+++ b/crocusrouter/platform/configuration.py
@@ -1,5 +1,7 @@
 """The operators' configuration as it lies in the platform's store."""
 
+from typing import Any
+
 import pydantic
 
 from crocusrouter import queues
@@ -8,7 +10,18 @@
 CONFIG_KEY = "op/config"
 
 
-class _Route(pydantic.BaseModel):
+class _Part(pydantic.BaseModel):
+    """A part in which an empty field may be written as null."""
+
+    @pydantic.model_validator(mode="before")
+    @classmethod
+    def _drop_nulls(cls, fields: Any) -> Any:
+        if not isinstance(fields, dict):
+            return fields
+        return {name: v for name, v in fields.items() if v is not None}
+
+
+class _Route(_Part):
     name: str
     host: str
     prefix: str
@@ -18,28 +31,28 @@
     slack_factor: float = 1.0
     target_duration_ms: float = 0.0
     public: bool = False
-    advice: dict[str, float] | None = None
+    advice: dict[str, Any] = {}
 
 
-class _Service(pydantic.BaseModel):
+class _Service(_Part):
     name: str
     admission_check: bool = True
     standby: bool = False
 
 
-class _Tenant(pydantic.BaseModel):
+class _Tenant(_Part):
     name: str
     api_keys: list[str] = []
     # Counts by kind of resource; accelerators are "gpu".
     guaranteed: dict[str, float] = {}
 
 
-class _Limits(pydantic.BaseModel):
+class _Limits(_Part):
     max_body_bytes: int = 262_144
 
 
-class _Document(pydantic.BaseModel):
-    version: int
+class _Document(_Part):
+    version: pydantic.StrictInt = pydantic.Field(ge=1)
     routes: list[_Route] = []
     services: list[_Service] = []
     tenants: list[_Tenant] = []
