Count a peer as heard from when it was asked

An owner whose store link is gone renews leases while some peer would tell it of a successor. A heartbeat that came unasked counted as made on arrival, however long it had been on its way, and an answer as made when it was read.

--- a/crocusrouter/pools/peers.py
+++ b/crocusrouter/pools/peers.py
@@ -118,12 +118,16 @@
         served = any(at >= settled for at in self._served_at.values())
         return heard and not served
 
-    def note_heard(self, beat: messages.Beat, now: float) -> None:
-        """Note that a peer was heard."""
-        self._heard_at = now
-        self._heard_from[beat.name] = now
+    def note_heard(self, beat: messages.Beat, asked_at: float) -> None:
+        """Note a peer's answer, which is no older than its question.
+
+        Heartbeats that come unasked don't count: one that was held up on its
+        way would show an owner a peer that has long been out of reach.
+        """
+        self._heard_at = max(asked_at, self._heard_at or asked_at)
+        self._heard_from[beat.name] = asked_at
         if beat.is_served:
-            self._served_at[beat.name] = now
+            self._served_at[beat.name] = asked_at
         else:
             self._served_at.pop(beat.name, None)
 
@@ -205,7 +209,7 @@
         asked_at = self._times.steady()
         reply = await self.call(name, self._describe())
         if isinstance(reply, messages.Beat):
-            self.note_heard(reply, self._times.steady())
+            self.note_heard(reply, asked_at)
             self._take(reply, asked_at)
 
 
--- a/crocusrouter/pools/tests/test_peers.py
+++ b/crocusrouter/pools/tests/test_peers.py
@@ -11,17 +11,21 @@
 
 
 class _Link:
+    def __init__(self, answer_s=0.0):
+        self._answer_s = answer_s
+
     async def run(self):
         await trio.sleep_forever()
 
     async def call(self, message, timeout_s):
+        await trio.sleep(self._answer_s)
         return messages.Beat("b", 1, 0.0, (), True)
 
 
-def _make_peers():
+def _make_peers(answer_s=0.0):
     made = peers.Peers(
         "a",
-        lambda name, address: _Link(),
+        lambda name, address: _Link(answer_s),
         clock.Clock(trio.current_time, trio.current_time),
         lambda: messages.Beat("a", 1, 0.0, (), True),
         lambda beat, at: None,
@@ -60,6 +64,17 @@
     assert held.find_link("b") is None
 
 
+async def test_late_answer_shows_a_peer_in_reach_when_it_was_asked(
+    autojump_clock,
+):
+    """An owner renews leases by a peer's answer that was held up."""
+    made = _make_peers(0.6)
+    with trio.move_on_after(0.65):
+        await made.run()
+    assert made.may_hear(2.4)
+    assert not made.may_hear(2.6)
+
+
 async def test_help_is_asked_of_served_peers_first(autojump_clock):
     made = _make_peers()
     made.set_members({name: f"{name}:1" for name in "bcdef"})
