Decide calls only by a configuration that is known to be young enough

What callers saw: a route or key confirmed seconds before was not there, or one taken away still served, at an entry in touch.

Cause: an entry believed its configuration until 5 s after somebody had vouched for it, looked after 3 s, and counted both from the arrival of answers and of heartbeats that nobody had asked for. No bound came from the operators' promise of 2.0 s; the watch and the peers only made a breach rare. One lost answer of a watch, then no peer in reach for some seconds, and nothing brought the change. Class: a belief counted from its arrival, not from its making, without a bound that follows from what was promised.

Change: a configuration is current for 0.9 of config_apply_ms (a setting now, from the platform's bounds) after a read, counted from the read's sending; a watch's answer moves it forward and vouches for nothing (in a compaction watches hear nothing and say so). A call that finds it older waits for the next look, one for all that wait: a read, after 0.3 s another one and peers'. If nobody answers, what was known 5 s ago at most decides, as before, and calls wait for a new look no more than every half second; in a known outage only peers are asked, so refusals come at once. Owners look every 2.0 s, others every 3.2 s unless a peer's answer vouches, about as often as before. A document that is no configuration leaves the last valid one in force instead of 503 for good: it says nothing about the age of what is in force.

Why this holds: a call that is sent at t is decided at t or later, by what a read sent less than 1.8 s before that has shown. Ruled out as the fix: short watches everywhere (more calls, and an answer still shows only its arrival), a condition on the write of a job (leaves refusals and reads as they are).

--- a/crocusrouter/cli/entry_service.py
+++ b/crocusrouter/cli/entry_service.py
@@ -93,7 +93,10 @@
         ),
         store,
         pools.ConfigSource(
-            platform.CONFIG_PREFIX, platform.CONFIG_KEY, platform.parse_config
+            platform.CONFIG_PREFIX,
+            platform.CONFIG_KEY,
+            platform.parse_config,
+            loaded.config_apply_ms / 1000,
         ),
         pools.Platform(
             platform.WORKERS_PREFIX,
--- a/crocusrouter/http/queue_calls.py
+++ b/crocusrouter/http/queue_calls.py
@@ -39,14 +39,16 @@
         queue: The queue.
         customer: Name of the customer; empty on a public queue.
         job_id: What follows the queue's prefix; empty for the queue itself.
+        basis: The configuration that allows it.
     """
 
     queue: queues.Queue
     customer: str
     job_id: str
+    basis: pools.Basis
 
 
-def identify(
+async def identify(
     entry: pools.PoolEntry, request: starlette_requests.Request
 ) -> QueueCall:
     """Find the queue and the customer of a call.
@@ -54,11 +56,12 @@
     Raises:
         RefusedError: Not ready, no such queue, or no such key.
     """
+    may_decide = await entry.refresher.ensure_current()
     config = entry.configuration.current
-    now = entry.times.steady()
-    if config is None or not entry.configuration.is_fresh(now):
+    basis = entry.configuration.describe(entry.times.steady())
+    if config is None or not may_decide:
         raise refuse(RefusalReason.NOT_READY, "", entry.choose_retry_after())
-    entry.metrics.note_config_age(entry.configuration.measure_age(now) or 0.0)
+    entry.metrics.note_config_age(basis.age_s or 0.0)
     path = request.url.path
     host = request.headers.get("Host", "")
     queue = queues.find_queue(config, host, path)
@@ -68,7 +71,7 @@
     if customer is None and not queue.public:
         raise refuse(RefusalReason.UNAUTHENTICATED, f"header {KEY_HEADER}")
     name = customer.name if customer is not None else ""
-    return QueueCall(queue, name, queues.split_path(queue, path))
+    return QueueCall(queue, name, queues.split_path(queue, path), basis)
 
 
 Handle = Callable[[starlette_requests.Request, QueueCall], Awaitable[Rendered]]
@@ -93,7 +96,7 @@
                 raise refuse(
                     RefusalReason.MALFORMED_HTTP, f"method {request.method}"
                 )
-            return await handler(request, identify(self._entry, request))
+            return await handler(request, await identify(self._entry, request))
         except RefusedError as error:
             reason = error.refusal.reason
             self._entry.metrics.count_refusal(reason)
@@ -101,17 +104,12 @@
                 request.method,
                 request.url.path,
                 error.refusal,
-                self._describe_basis(),
+                self._entry.configuration.describe(self._entry.times.steady()),
             )
             rendered = render_refusal(error.refusal)
             status = _STATUS.get(reason, rendered.status)
             return dataclasses.replace(rendered, status=status)
 
-    def _describe_basis(self) -> dict[str, float | int | None]:
-        """Return version and age of the configuration in force."""
-        now = self._entry.times.steady()
-        return self._entry.configuration.describe(now)
-
     def _refuse(self, reason: RefusalReason, detail: str) -> RefusedError:
         """Build a refusal for want of the store, with when to come back."""
         return refuse(reason, detail, self._entry.choose_retry_after())
@@ -130,7 +128,7 @@
             call.customer,
             self._entry.times.wall(),
         )
-        match await self._entry.desk.accept(job, self._describe_basis()):
+        match await self._entry.desk.accept(job, call.basis):
             case pools.Stored.STORED:
                 return Rendered(200, dict(_JSON), b"{}")
             case pools.Stored.NOT_STORED:
--- a/crocusrouter/pools/__init__.py
+++ b/crocusrouter/pools/__init__.py
@@ -1,6 +1,7 @@
 """Pools of workers: ownership, journal, links, and the callers' desk."""
 
 from crocusrouter.pools.clock import Clock
+from crocusrouter.pools.configuration import Basis
 from crocusrouter.pools.desk import Cancelled
 from crocusrouter.pools.desk import Desk
 from crocusrouter.pools.desk import StateUnknownError
@@ -15,6 +16,7 @@
 from crocusrouter.pools.upkeep import Upkeeping
 
 __all__ = [
+    "Basis",
     "Cancelled",
     "Clock",
     "ConfigSource",
--- a/crocusrouter/pools/desk.py
+++ b/crocusrouter/pools/desk.py
@@ -9,6 +9,7 @@
 from crocusrouter.mesh import messages
 from crocusrouter.outcomes import Refusal
 from crocusrouter.pools import clock
+from crocusrouter.pools import configuration as configurations
 from crocusrouter.pools import keys
 from crocusrouter.pools import owner as owners
 from crocusrouter.pools import peers as peer_links
@@ -55,7 +56,7 @@
     method: str,
     path: str,
     refusal: Refusal,
-    basis: dict[str, float | int | None],
+    basis: configurations.Basis,
 ) -> None:
     """Write the line that explains a refusal, with the job's id in it.
 
@@ -63,7 +64,7 @@
         method: HTTP method.
         path: Path, with the job's id.
         refusal: What the caller hears.
-        basis: Version and age of the configuration that decided.
+        basis: The configuration that decided.
     """
     log(
         "call:refused",
@@ -72,7 +73,7 @@
         reason=str(refusal.reason),
         detail=refusal.detail,
         retry_after_s=refusal.retry_after_s,
-        **basis,
+        **basis.show(),
     )
 
 
@@ -98,7 +99,7 @@
     # Acceptance.
 
     async def accept(
-        self, job: work.Job, basis: dict[str, float | int | None] | None = None
+        self, job: work.Job, basis: configurations.Basis | None = None
     ) -> Stored:
         """Store a job.
 
@@ -108,7 +109,7 @@
 
         Args:
             job: What was handed in.
-            basis: Version and age of the configuration that allowed it.
+            basis: The configuration that allowed it; None if none did.
         """
         key = keys.build_job_key(job.id)
         outcome = await self._store.write(
@@ -122,7 +123,7 @@
             queue=job.queue,
             customer=job.customer,
             outcome=str(stored),
-            **(basis or {}),
+            **(basis.show() if basis is not None else {}),
         )
         return stored
 
--- a/crocusrouter/pools/entry.py
+++ b/crocusrouter/pools/entry.py
@@ -19,10 +19,10 @@
 from crocusrouter.pools import owner as owners
 from crocusrouter.pools import ownership
 from crocusrouter.pools import peers as peer_links
+from crocusrouter.pools import refresh
 from crocusrouter.pools import relay
 from crocusrouter.pools import tenure as tenures
 from crocusrouter.pools import upkeep
-from crocusrouter.store import client
 from crocusrouter.store import observed
 from crocusrouter.store import port
 from crocusrouter.store import records
@@ -32,11 +32,6 @@
 _ELECTION_TICK_S = 0.1
 # A timer that comes this late is worth a line: calls waited as long.
 _STALL_S = 0.25
-_VOUCH_TICK_S = 0.5
-# An owner reads the configuration this often and vouches for it to all who
-# send it heartbeats; the others read only when no peer has vouched.
-_OWNER_READS_S = 1.5
-_OTHERS_READ_S = 3.0
 _DRAIN_S = 0.8
 # Bounds of what a refused caller is told. A shorter one asks more often than
 # anything here recovers; a longer one is missed by callers whose work is due.
@@ -67,11 +62,13 @@
         prefix: Watched.
         key: The configuration itself.
         parse: Decodes it.
+        apply_s: Seconds in which a confirmed change has to be in force.
     """
 
     prefix: str
     key: str
     parse: Callable[[bytes], queues.Config]
+    apply_s: float = 2.0
 
 
 class PoolEntry:
@@ -111,7 +108,7 @@
         self.secret = ""
         self.owned: dict[str, owners.PoolOwner] = {}
         self.configuration = configurations.Configuration(
-            source.key, source.parse, self.times, metrics
+            source.key, source.parse, source.apply_s, self.times, metrics
         )
         self.configuration.listeners.append(self._spread_config)
         observing = observed.ObservedStore(store, self.times.steady)
@@ -129,7 +126,7 @@
             or (lambda name, where: mesh.PeerLink(name, where, self.secret)),
             self.times,
             self._describe,
-            self._take_beat,
+            self._take_answer,
             self._ownership.list_names,
         )
         self._members: dict[str, members.Member] = {}
@@ -141,7 +138,6 @@
             source.prefix,
             self._take_operators,
             metrics,
-            self._vouch_now,
             patient=True,
         )
         self._system_watch = intake.Follower(
@@ -152,6 +148,15 @@
             patient=True,
         )
         self._relay = relay.RelayedStore(observing, self.peers)
+        self.refresher = refresh.Refresher(
+            self.configuration,
+            observing.read,
+            self._relay.read_by_peers,
+            lambda: bool(self.owned),
+            observing.is_down,
+            self.times,
+            metrics,
+        )
         self.desk = desks.Desk(
             self._relay,
             self.peers,
@@ -190,7 +195,7 @@
             nursery.start_soon(self._system_watch.run)
             nursery.start_soon(self._membership.run)
             nursery.start_soon(self.peers.run)
-            nursery.start_soon(self._keep_vouched)
+            nursery.start_soon(self.refresher.run)
             try:
                 await self._run_elections()
             finally:
@@ -198,9 +203,6 @@
 
     # Configuration.
 
-    def _vouch_now(self) -> None:
-        self.configuration.vouch(self.times.steady())
-
     def _take_operators(self, events: tuple[records.Event, ...]) -> None:
         self.configuration.take_events(events)
         self._waves.take_events(events)
@@ -209,25 +211,6 @@
         for held in self.owned.values():
             held.set_config(config)
 
-    async def _keep_vouched(self) -> None:
-        """Read the configuration whenever nobody has vouched for it."""
-        while True:
-            await trio.sleep(_VOUCH_TICK_S)
-            sent_at = self.times.steady()
-            age = self.configuration.measure_age(sent_at)
-            limit = _OWNER_READS_S if self.owned else _OTHERS_READ_S
-            if age is not None and age < limit:
-                continue
-            try:
-                found = await self._store.read(self.configuration.key)
-            except client.StoreUnavailableError as error:
-                log("config:unvouched", age=age, cause=str(error))
-                continue
-            if found is not None and self.configuration.take(
-                found.value, "read"
-            ):
-                self.configuration.vouch(sent_at)
-
     # Peers.
 
     def _describe(self) -> messages.Beat:
@@ -241,16 +224,25 @@
             self._system_watch.last_event,
         )
 
-    def _take_beat(self, beat: messages.Beat, asked_at: float) -> None:
-        self._system_watch.compare(beat.last_event)
-        if beat.version > self.configuration.version:
-            if self._nursery is not None:
-                self._nursery.start_soon(self._fetch_config, beat.name)
-        elif (
+    def _take_answer(self, beat: messages.Beat, asked_at: float) -> None:
+        """Take a peer's heartbeat that answers one of ours.
+
+        Only such a one vouches, from when it was asked for: one that comes
+        unasked may have been on its way for seconds.
+        """
+        if (
             beat.vouched_age_s is not None
             and beat.version == self.configuration.version
         ):
             self.configuration.vouch(asked_at - beat.vouched_age_s)
+        self._take_beat(beat)
+
+    def _take_beat(self, beat: messages.Beat) -> None:
+        """Take what only moves forward, however old the heartbeat is."""
+        self._system_watch.compare(beat.last_event)
+        is_behind = beat.version > self.configuration.version
+        if is_behind and self._nursery is not None:
+            self._nursery.start_soon(self._fetch_config, beat.name)
         self._ownership.take_rows(beat.owners)
 
     async def _fetch_config(self, peer: str) -> None:
@@ -262,9 +254,7 @@
         """Answer another entry."""
         match message:
             case messages.Beat():
-                now = self.times.steady()
-                self.peers.note_heard(message, now)
-                self._take_beat(message, now)
+                self._take_beat(message)
                 return self._describe()
             case messages.AskConfig():
                 return messages.ConfigReply(self.configuration.document)
--- a/crocusrouter/pools/relay.py
+++ b/crocusrouter/pools/relay.py
@@ -40,6 +40,14 @@
                 return await self._store.read(key)
             except client.StoreUnavailableError as error:
                 log("relay:read", key=key, cause=str(error))
+        return await self.read_by_peers(key)
+
+    async def read_by_peers(self, key: str) -> records.Record | None:
+        """Return a key's record as a peer reads it now.
+
+        Raises:
+            StoreUnavailableError: No peer is served.
+        """
         for helper in self._peers.choose_helpers()[:_MAX_HELPERS]:
             reply = await self._peers.call(helper, messages.RelayRead(key))
             if isinstance(reply, messages.RelayRecord) and reply.known:
--- a/crocusrouter/settings/pools.py
+++ b/crocusrouter/settings/pools.py
@@ -68,6 +68,13 @@
         6.0, gt=0, description="Seconds from SIGTERM to the kill."
     )
 
+    config_apply_ms: float = pydantic.Field(
+        2000.0,
+        gt=0,
+        description="Milliseconds in which a confirmed change of the "
+        "configuration has to be in force.",
+    )
+
     @pydantic.field_validator("name")
     @classmethod
     def _check_name(cls, value: str) -> str:
--- a/standins/emulator/changes.py
+++ b/standins/emulator/changes.py
@@ -112,12 +112,22 @@
         self.latest_s = 0.0
         self._touch = touch
         self._editions: list[tuple[float, Edition]] = []
+        self._withdrawn: set[int] = set()
         self._seen: dict[tuple[str, int], list[tuple[float, int]]] = (
             collections.defaultdict(list)
         )
 
     def note_confirmed(self, edition: Edition, now: float) -> None:
-        """Take note of a document that the service has confirmed."""
+        """Take note of a document that the service has confirmed.
+
+        An invalid one hides versions that nobody has had the time to read.
+        """
+        if not edition.valid:
+            self._withdrawn |= {
+                before.version
+                for at, before in self._editions
+                if at > now - APPLY_S
+            }
         self._editions.append((now, edition))
 
     def note_call(self, call: Call) -> None:
@@ -149,7 +159,9 @@
         unheard = [
             at
             for at, edition in self._editions
-            if edition.valid and edition.version > max(fitting)
+            if edition.valid
+            and edition.version > max(fitting)
+            and edition.version not in self._withdrawn
         ]
         if not unheard:
             return
--- a/standins/emulator/tests/test_changes.py
+++ b/standins/emulator/tests/test_changes.py
@@ -27,9 +27,14 @@
 _ROUTE, _KEY = operators.ROUTES[0], operators.KEYS[0]
 
 
+async def _ask_for_a_while(held, for_s):
+    with trio.move_on_after(for_s):
+        await faults.ask_all(held, 1)
+
+
 # The oracle itself: version 2 has the route only, version 3 the key as well;
 # version 4 is no configuration.
-def _judge(sent_at, handling, *, impaired_at=None, earlier=()):
+def _judge(sent_at, handling, *, impaired_at=None, earlier=(), hidden_at=12.0):
     touch = touches.Touch()
     if impaired_at is not None:
         touch.note_impaired("e0", impaired_at)
@@ -37,7 +42,7 @@
     for at, version, routes, keys, valid in (
         (0.0, 2, {_ROUTE}, set(), True),
         (10.0, 3, {_ROUTE}, {_KEY}, True),
-        (10.0, 4, set(), set(), False),
+        (hidden_at, 4, set(), set(), False),
     ):
         changes.note_confirmed(
             rules.Edition(
@@ -75,9 +80,12 @@
     assert bool(changes.broken) is broken
 
 
-async def _ask_for_a_while(held, for_s):
-    with trio.move_on_after(for_s):
-        await faults.ask_all(held, 1)
+@pytest.mark.parametrize(
+    ("hidden_at", "broken"), [(11.9, False), (12.0, True), (13.0, True)]
+)
+def test_oracle_asks_for_no_version_that_nobody_could_read(hidden_at, broken):
+    changes = _judge(12.5, rules.Handling.NO_KEY, hidden_at=hidden_at)
+    assert bool(changes.broken) is broken
 
 
 async def _silence(held, names, for_s):
