--- a/crocusrouter/pools/entry.py
+++ b/crocusrouter/pools/entry.py
@@ -254,6 +254,7 @@
         """Answer another entry."""
         match message:
             case messages.Beat():
+                self.peers.note_unasked(message, self.times.steady())
                 self._take_beat(message)
                 return self._describe()
             case messages.AskConfig():
--- a/crocusrouter/pools/peers.py
+++ b/crocusrouter/pools/peers.py
@@ -119,11 +119,7 @@
         return heard and not served
 
     def note_heard(self, beat: messages.Beat, asked_at: float) -> None:
-        """Note a peer's answer, which is no older than its question.
-
-        Heartbeats that come unasked don't count: one that was held up on its
-        way would show an owner a peer that has long been out of reach.
-        """
+        """Note a peer's answer, which is no older than its question."""
         self._heard_at = max(asked_at, self._heard_at or asked_at)
         self._heard_from[beat.name] = asked_at
         if beat.is_served:
@@ -131,6 +127,16 @@
         else:
             self._served_at.pop(beat.name, None)
 
+    def note_unasked(self, beat: messages.Beat, now: float) -> None:
+        """Note a heartbeat of a peer that was not asked for it.
+
+        It may have been on its way for seconds, so it does not show an owner
+        that the peer is in reach. That the peer is served may be out of date
+        as well, which only sends callers back sooner than need be.
+        """
+        if beat.is_served:
+            self._served_at[beat.name] = now
+
     async def call(self, name: str, message: object) -> object | None:
         """Ask a peer; None if it gave no answer in time."""
         link = self._find_link(name)
--- a/crocusrouter/pools/tests/test_peers.py
+++ b/crocusrouter/pools/tests/test_peers.py
@@ -83,6 +83,19 @@
     assert made.choose_helpers()[0] == "f"
 
 
+async def test_peer_that_tells_of_itself_shows_that_others_are_served(
+    autojump_clock,
+):
+    """Callers of an entry that the store turns away are sent away for long,
+    although a peer that it does not ask would serve them.
+    """
+    made = _make_peers()
+    made.note_heard(messages.Beat("b", 1, 0.0, (), False), 10.5)
+    assert made.shares_outage(10.0)
+    made.note_unasked(messages.Beat("c", 1, 0.0, (), True), 10.6)
+    assert not made.shares_outage(10.0)
+
+
 @pytest.mark.parametrize(
     ("heard", "shared"),
     [
