End the operators' watch when a read has brought what it has not

A watch that had lost one answer was left waiting for up to 10 s after a read had shown the change, so the next change came by a read again, up to 1.8 s later and only if a call asked, and a wave of upkeep not at all. The new test was red with the callback taken out.

--- a/crocusrouter/pools/configuration.py
+++ b/crocusrouter/pools/configuration.py
@@ -118,10 +118,14 @@
         if self._vouched_at is None or at > self._vouched_at:
             self._vouched_at = at
 
-    def take(self, document: bytes, source: str) -> None:
-        """Put a configuration in force if it is valid and newer."""
+    def take(self, document: bytes, source: str) -> bool:
+        """Put a configuration in force if it is valid and newer.
+
+        Returns:
+            Whether it was.
+        """
         if document in (self.document, self._refused):
-            return
+            return False
         try:
             config = self._parse(document)
         except ValueError as error:
@@ -133,9 +137,9 @@
                 in_force=self.version,
                 error=str(error),
             )
-            return
+            return False
         if config.version <= self.version:
-            return
+            return False
         age = self.measure_age(self._times.steady())
         log(
             "config:in-force",
@@ -151,6 +155,7 @@
         self._metrics.count_event("config-in-force")
         for listener in self.listeners:
             listener(config)
+        return True
 
     def take_events(self, events: tuple[records.Event, ...]) -> None:
         """Take what a watch of the operators' keys saw."""
--- a/crocusrouter/pools/entry.py
+++ b/crocusrouter/pools/entry.py
@@ -154,6 +154,7 @@
             self._relay.read_by_peers,
             lambda: bool(self.owned),
             observing.is_down,
+            self._config_watch.look_again,
             self.times,
             metrics,
         )
--- a/crocusrouter/pools/intake.py
+++ b/crocusrouter/pools/intake.py
@@ -95,8 +95,17 @@
                 peer_revision=last_event,
             )
             self._metrics.count_event("watch-behind-peer")
-            self._doubted = True
-            self._open.cancel()
+            self.look_again()
+
+    def look_again(self) -> None:
+        """End a watch that may have lost its answer, and ask at once.
+
+        A watch that waits for long would hear of no later change either.
+        """
+        if self.failing or self._doubted:
+            return
+        self._doubted = True
+        self._open.cancel()
 
     async def load(self) -> None:
         """Read the snapshot; raises StoreUnavailableError."""
--- a/crocusrouter/pools/refresh.py
+++ b/crocusrouter/pools/refresh.py
@@ -43,6 +43,7 @@
         read_by_peers: Read,
         is_owner: Callable[[], bool],
         is_down: Callable[[], bool],
+        note_missed: Callable[[], None],
         times: clock.Clock,
         metrics: Metrics,
     ) -> None:
@@ -54,6 +55,7 @@
             read_by_peers: Reads it by way of peers.
             is_owner: Whether this entry owns a pool.
             is_down: Whether the service is known not to serve this entry.
+            note_missed: Called when a read brings what the watch has not.
             times: The present time.
             metrics: Counts looks by how they ended.
         """
@@ -62,6 +64,7 @@
         self._read_by_peers = read_by_peers
         self._is_owner = is_owner
         self._is_down = is_down
+        self._note_missed = note_missed
         self._times = times
         self._metrics = metrics
         self._wanted = trio.Event()
@@ -162,7 +165,8 @@
         except client.StoreUnavailableError:
             return False
         if found is not None:
-            self._configuration.take(found.value, "read")
+            if self._configuration.take(found.value, "read"):
+                self._note_missed()
             self._configuration.vouch(sent_at)
         self._answered += 1
         return True
--- a/crocusrouter/pools/tests/test_refresh.py
+++ b/crocusrouter/pools/tests/test_refresh.py
@@ -54,6 +54,7 @@
         by_peers or service.read_by_peers,
         lambda: False,
         lambda: service.is_down,
+        lambda: None,
         times,
         Metrics(),
     )
@@ -148,6 +149,33 @@
     assert answers == [(may_decide, 0.0)]
 
 
+async def test_watch_that_has_missed_a_change_brings_the_next_one(
+    autojump_clock,
+):
+    """A watch has lost its answer. A read brings one change, and the next one
+    was as late, since the watch was left waiting.
+    """
+    held = clusters.Cluster(5)
+    async with trio.open_nursery() as nursery:
+        await nursery.start(held.run)
+        await trio.sleep(6.2)
+        name = next(name for name in held.names if name != held.find_owner())
+        held.store.turned_away[name] = emulator.StoreFault.SILENT
+        await trio.sleep(0.1)
+        del held.store.turned_away[name]
+        held.cut_off.add(name)
+        held.put_config({"a": 8})
+        configuration = held.entries[name].configuration
+        before = configuration.version
+        while configuration.version == before:
+            await trio.sleep(0.01)
+        await trio.sleep(0.3)
+        held.put_config({"a": 9})
+        await trio.sleep(0.05)
+        assert configuration.version == before + 2
+        nursery.cancel_scope.cancel()
+
+
 async def test_heartbeat_that_comes_unasked_vouches_for_nothing(
     autojump_clock,
 ):
