Oracle: a cancel without an answer may be carried out

Only jobs whose cancel was sent may now be shown as cancelled without a confirmation; any other is lost as before (table test, both ways).

--- a/standins/emulator/cluster.py
+++ b/standins/emulator/cluster.py
@@ -335,7 +335,8 @@
         return "unknown"
 
     async def cancel(self, job_id: str) -> None:
-        """Cancel a job; takes note of the confirmation only."""
+        """Cancel a job."""
+        self.oracle.asked_to_cancel.add(job_id)
         for entry in list(self.entries.values()):
             outcome = await entry.desk.cancel(job_id)
             if outcome is pools.Cancelled.DONE:
--- a/standins/emulator/tests/test_oracle.py
+++ b/standins/emulator/tests/test_oracle.py
@@ -187,3 +187,18 @@
     for key in keys:
         held.note_start("w1", key, 2, 2.0)
     assert held.broken == []
+
+
+# A cancel without an answer is carried out later: the job is shown as cancelled
+# although the caller has no confirmation. Shown so unasked, it is lost.
+@pytest.mark.parametrize(("asked", "broken"), [(True, False), (False, True)])
+def test_cancel_without_an_answer_may_be_carried_out(asked, broken):
+    held = _make_oracle()
+    held.accepted.add("j")
+    if asked:
+        held.asked_to_cancel.add("j")
+    for number, key in enumerate((_FIRST, _SECOND)):
+        held.note_start("w0", key, number + 1, 0.0)
+        held.note_end("w0", key, number + 1, "done", 1.0)
+    held.check_over({"j": "cancelled"})
+    assert bool(held.broken) is broken
