--- a/standins/emulator/changes.py
+++ b/standins/emulator/changes.py
@@ -4,8 +4,12 @@
 import dataclasses
 import enum
 
+from standins.emulator import rules
 from standins.emulator import touch as touches
 
+# What the oracle of changes judges.
+RULES = frozenset({rules.Rule.CONFIG, rules.Rule.ROUTE_CALLS})
+
 # `config_apply_ms` and `rollback_slack_ms` of the users' sites; the latter is
 # eight times as long for an entry that was impaired.
 APPLY_S = 2.0
--- a/standins/emulator/cluster.py
+++ b/standins/emulator/cluster.py
@@ -19,7 +19,7 @@
 from crocusrouter.store import port
 from crocusrouter.telemetry import Metrics
 from crocusrouter.work import orders
-from standins.emulator import changes as rules
+from standins.emulator import changes as change_rules
 from standins.emulator import operators
 from standins.emulator import oracle as oracles
 from standins.emulator import policy as policies
@@ -155,7 +155,7 @@
         self._nursery: trio.Nursery | None = None
         self._returning: set[str] = set()
         self.touch = touches.Touch()
-        self.changes = rules.Changes(self.touch)
+        self.changes = change_rules.Changes(self.touch)
         guaranteed = {"a": 16, "b": 8}
         self.operators = operators.Operators(
             self.store, CONFIG, self.changes, _build_config(guaranteed)
@@ -308,7 +308,14 @@
     # Callers.
 
     async def submit(self, job: work.Job) -> str:
-        """Hand a job in as a caller with retries does.
+        """Hand a job in as a caller with retries does."""
+        sent_at = trio.current_time()
+        answer = await self._submit(job)
+        self.oracle.tries.append((sent_at, answer == "accepted"))
+        return answer
+
+    async def _submit(self, job: work.Job) -> str:
+        """Try up to five times.
 
         A job counts as refused only if every try was: one that was answered
         "nobody knows" may still be carried out after a later refusal.
@@ -367,14 +374,14 @@
         if self._started[name] != life or name not in self.entries:
             return
         self.changes.note_call(
-            rules.Call(
+            change_rules.Call(
                 name,
                 life,
                 route,
                 key,
                 sent_at,
                 trio.current_time(),
-                rules.read_status(rendered.status),
+                change_rules.read_status(rendered.status),
             )
         )
 
--- a/standins/emulator/faults.py
+++ b/standins/emulator/faults.py
@@ -235,6 +235,8 @@
     for name in names:
         if name not in held.entries:
             held.start_entry(name)
+    if set(names) == set(held.names):
+        held.oracle.back_at = trio.current_time()
 
 
 async def _cut(held: clusters.Cluster, owner: str, event: Event) -> None:
--- a/standins/emulator/load.py
+++ b/standins/emulator/load.py
@@ -8,6 +8,8 @@
 from standins.emulator import worker
 
 _WALL = 1_700_000_000.0
+# Both racks of a cluster of six workers, and all of them.
+_LABELS = ("a", "r0-0", "r0-1")
 
 
 @dataclasses.dataclass(frozen=True)
@@ -21,6 +23,8 @@
         poison: Share of jobs that can never be done.
         advised: Share of jobs whose workers a policy chooses.
         crashing: Share of jobs whose tasks crash each worker they start on.
+        restricted: Share of jobs that ask for a label, or for few tasks on one
+            worker.
     """
 
     per_s: float = 1.0
@@ -29,6 +33,7 @@
     poison: float = 0.05
     advised: float = 0.0
     crashing: float = 0.0
+    restricted: float = 0.0
 
     def draw(self, seed: int) -> list[tuple[float, work.Job]]:
         """Return jobs with the times at which they are handed in."""
@@ -46,6 +51,14 @@
         steps = [self._draw_step(rng, gang, ())]
         if rng.random() < 0.3:
             steps.append(self._draw_step(rng, False, (0,)))
+        if self.restricted > 0 and rng.random() < self.restricted:
+            # A gang may have more members than a rack has workers.
+            label = "a" if gang else rng.choice(_LABELS)
+            most = 0 if gang else 1
+            steps = [
+                dataclasses.replace(step, label=label, per_worker=most)
+                for step in steps
+            ]
         payload = f"job {number}"
         if rng.random() < self.poison:
             payload = "poison"
--- a/standins/emulator/operators.py
+++ b/standins/emulator/operators.py
@@ -5,7 +5,7 @@
 
 import orjson
 
-from standins.emulator import changes as rules
+from standins.emulator import changes as change_rules
 from standins.emulator import store as stores
 
 # Routes and keys that come and go; callers' jobs use neither.
@@ -32,7 +32,7 @@
         self,
         store: stores.Store,
         key: str,
-        changes: rules.Changes,
+        changes: change_rules.Changes,
         base: dict[str, Any],
     ) -> None:
         """Prepare without writing.
@@ -85,7 +85,9 @@
         customers = document["tenants"]
         keys = (key for row in customers for key in row["api_keys"])
         self.changes.note_confirmed(
-            rules.Edition(self._version, frozenset(prefixes), frozenset(keys)),
+            change_rules.Edition(
+                self._version, frozenset(prefixes), frozenset(keys)
+            ),
             now,
         )
 
@@ -95,7 +97,9 @@
         document = form.replace(b"%d", str(self._version).encode())
         self._store.put(self._key, document)
         self.changes.note_confirmed(
-            rules.Edition(self._version, frozenset(), frozenset(), valid=False),
+            change_rules.Edition(
+                self._version, frozenset(), frozenset(), valid=False
+            ),
             now,
         )
 
--- a/standins/emulator/oracle.py
+++ b/standins/emulator/oracle.py
@@ -3,6 +3,7 @@
 import collections
 
 from crocusrouter import work
+from standins.emulator import rules
 
 # A start that crosses a cancel on its way, or a stop on its way, is allowed
 # for this long.
@@ -12,6 +13,28 @@
 # are too many.
 _CRASHES = 3
 _STARTS_AFTER_CRASHES = 3
+# `recovery_s` of the users' sites, and the share of tries that must be served
+# after it. Fewer tries than this say nothing.
+RECOVERY_S = 12.0
+_SERVED_SHARE = 0.25
+_FEWEST_TRIES = 4
+
+
+# What the oracle of jobs judges, with the workers that report to it.
+RULES = frozenset(
+    {
+        rules.Rule.BUDGET,
+        rules.Rule.LIMIT_ROOMS,
+        rules.Rule.LOST_JOBS,
+        rules.Rule.MIXED_JOBS,
+        rules.Rule.ORDER,
+        rules.Rule.RECOVER,
+        rules.Rule.REFUSED,
+        rules.Rule.ROUTE_STARTS,
+        rules.Rule.TWICE,
+        rules.Rule.UNASKED,
+    }
+)
 
 
 class Oracle:
@@ -19,6 +42,9 @@
 
     Attributes:
         cancelled: Jobs whose cancel was confirmed, and when.
+        tries: When jobs were handed in, and whether that was served.
+        back_at: When all entries had been lost and were back for the last
+            time.
         asked_to_cancel: Jobs whose cancel was sent; one that was not answered
             may be carried out at any time later.
     """
@@ -30,6 +56,8 @@
         self.refused: set[str] = set()
         self.cancelled: dict[str, float] = {}
         self.asked_to_cancel: set[str] = set()
+        self.tries: list[tuple[float, bool]] = []
+        self.back_at: float | None = None
         self.done: dict[work.TaskKey, float] = {}
         self.begun: dict[str, float] = {}
         self.failed: collections.Counter[work.TaskKey] = collections.Counter()
@@ -79,6 +107,35 @@
             self.broken.append(f"{now:.3f} unasked: {key} after its cancel")
         others.add((worker, run))
 
+    def check_place(
+        self,
+        key: work.TaskKey,
+        where: tuple[str, str, frozenset[str]],
+        beside: int,
+        now: float,
+    ) -> None:
+        """Check that a task may start on a worker.
+
+        Args:
+            key: The task.
+            where: The worker's name, its pool and its labels.
+            beside: How many tasks of the step run there already.
+            now: Seconds.
+        """
+        job = self.jobs[key.job]
+        step = job.steps[key.step]
+        worker, pool, labels = where
+        wrong = []
+        if pool != job.pool:
+            wrong.append(f"of pool {pool}")
+        if step.label and step.label not in labels:
+            wrong.append(f"without label {step.label}")
+        if step.per_worker and beside >= step.per_worker:
+            wrong.append(f"beside {beside} of its step")
+        if wrong:
+            told = ", ".join(wrong)
+            self.broken.append(f"{now:.3f} route: {key} on {worker} {told}")
+
     def _count_after_crashes(self, key: work.TaskKey, now: float) -> None:
         if self.crashes[key] < _CRASHES:
             return
@@ -152,6 +209,7 @@
         Args:
             states: What callers read of each accepted job.
         """
+        self._check_recovered()
         for job_id in self.refused & self.begun.keys():
             if job_id not in self.accepted:
                 self.broken.append(f"refused: {job_id} has run")
@@ -166,6 +224,20 @@
                     f"lost: {job_id} is {state}, should be one of {wanted}"
                 )
 
+    def _check_recovered(self) -> None:
+        if self.back_at is None:
+            return
+        after = self.back_at + RECOVERY_S
+        later = [served for at, served in self.tries if at > after]
+        before = [served for at, served in self.tries if at < self.back_at]
+        if len(later) < _FEWEST_TRIES or len(before) < _FEWEST_TRIES:
+            return
+        share, earlier = (sum(tries) / len(tries) for tries in (later, before))
+        if share < _SERVED_SHARE <= earlier:
+            self.broken.append(
+                f"{after:.3f} recover: {share:.2f} of {len(later)} tries served"
+            )
+
     def _list_tasks(self, job_id: str) -> list[work.TaskKey]:
         job = self.jobs[job_id]
         return [
--- /dev/null
+++ b/standins/emulator/rules.py
@@ -0,0 +1,30 @@
+"""The rules of the platform's pages, and which of them are judged."""
+
+import enum
+
+
+class Rule(enum.StrEnum):
+    """One rule, by the word of the pages and what it is about."""
+
+    ACKS = "acks"
+    AVAIL = "avail"
+    BUDGET = "budget"
+    CONFIG = "config"
+    DRAIN = "drain"
+    GANG = "gang"
+    HARM = "harm"
+    LIMIT_ROOMS = "limit-rooms"
+    LIMIT_WAVES = "limit-waves"
+    LOST_JOBS = "lost-jobs"
+    LOST_REQUESTS = "lost-requests"
+    MIXED_JOBS = "mixed-jobs"
+    MIXED_WAVES = "mixed-waves"
+    ONE = "one"
+    ORDER = "order"
+    RECLAIM = "reclaim"
+    RECOVER = "recover"
+    REFUSED = "refused"
+    ROUTE_CALLS = "route-calls"
+    ROUTE_STARTS = "route-starts"
+    TWICE = "twice"
+    UNASKED = "unasked"
--- a/standins/emulator/tests/test_changes.py
+++ b/standins/emulator/tests/test_changes.py
@@ -10,7 +10,7 @@
 
 from standins import emulator
 from standins import fuzzing
-from standins.emulator import changes as rules
+from standins.emulator import changes as change_rules
 from standins.emulator import cluster as clusters
 from standins.emulator import faults
 from standins.emulator import operators
@@ -38,21 +38,21 @@
     touch = touches.Touch()
     if impaired_at is not None:
         touch.note_impaired("e0", impaired_at)
-    changes = rules.Changes(touch)
+    changes = change_rules.Changes(touch)
     for at, version, routes, keys, valid in (
         (0.0, 2, {_ROUTE}, set(), True),
         (10.0, 3, {_ROUTE}, {_KEY}, True),
         (hidden_at, 4, set(), set(), False),
     ):
         changes.note_confirmed(
-            rules.Edition(
+            change_rules.Edition(
                 version, frozenset(routes), frozenset(keys), valid=valid
             ),
             at,
         )
     for at, said in (*earlier, (sent_at, handling)):
         changes.note_call(
-            rules.Call("e0", 1, _ROUTE, _KEY, at, at + 0.01, said)
+            change_rules.Call("e0", 1, _ROUTE, _KEY, at, at + 0.01, said)
         )
     return changes
 
@@ -60,22 +60,22 @@
 @pytest.mark.parametrize(
     ("sent_at", "handling", "impaired_at", "earlier", "broken"),
     [
-        (11.9, rules.Handling.NO_KEY, None, (), False),
-        (12.1, rules.Handling.NO_KEY, None, (), True),
-        (12.1, rules.Handling.NO_KEY, 9.0, (), True),
-        (12.1, rules.Handling.NO_KEY, 9.2, (), False),
-        (12.1, rules.Handling.SERVED, None, (), False),
-        (10.2, rules.Handling.NO_KEY, None, [(10.1, "served")], False),
-        (10.5, rules.Handling.NO_KEY, None, [(10.1, "served")], True),
-        (11.5, rules.Handling.NO_KEY, 9.2, [(10.1, "served")], False),
-        (12.5, rules.Handling.NO_KEY, 9.6, [(10.1, "served")], True),
-        (9.0, rules.Handling.SERVED, None, (), True),
-        (10.5, rules.Handling.NO_ROUTE, None, (), True),
-        (12.1, rules.Handling.NOT_DECIDED, None, (), False),
+        (11.9, change_rules.Handling.NO_KEY, None, (), False),
+        (12.1, change_rules.Handling.NO_KEY, None, (), True),
+        (12.1, change_rules.Handling.NO_KEY, 9.0, (), True),
+        (12.1, change_rules.Handling.NO_KEY, 9.2, (), False),
+        (12.1, change_rules.Handling.SERVED, None, (), False),
+        (10.2, change_rules.Handling.NO_KEY, None, [(10.1, "served")], False),
+        (10.5, change_rules.Handling.NO_KEY, None, [(10.1, "served")], True),
+        (11.5, change_rules.Handling.NO_KEY, 9.2, [(10.1, "served")], False),
+        (12.5, change_rules.Handling.NO_KEY, 9.6, [(10.1, "served")], True),
+        (9.0, change_rules.Handling.SERVED, None, (), True),
+        (10.5, change_rules.Handling.NO_ROUTE, None, (), True),
+        (12.1, change_rules.Handling.NOT_DECIDED, None, (), False),
     ],
 )
 def test_oracle_of_changes(sent_at, handling, impaired_at, earlier, broken):
-    past = [(at, rules.Handling(said)) for at, said in earlier]
+    past = [(at, change_rules.Handling(said)) for at, said in earlier]
     changes = _judge(sent_at, handling, impaired_at=impaired_at, earlier=past)
     assert bool(changes.broken) is broken
 
@@ -84,7 +84,7 @@
     ("hidden_at", "broken"), [(11.9, False), (12.0, True), (13.0, True)]
 )
 def test_oracle_asks_for_no_version_that_nobody_could_read(hidden_at, broken):
-    changes = _judge(12.5, rules.Handling.NO_KEY, hidden_at=hidden_at)
+    changes = _judge(12.5, change_rules.Handling.NO_KEY, hidden_at=hidden_at)
     assert bool(changes.broken) is broken
 
 
--- a/standins/emulator/tests/test_days.py
+++ b/standins/emulator/tests/test_days.py
@@ -232,3 +232,15 @@
     drawn = emulator.choose_faults(6, 6, load.length_s)
     held = await emulator.play(6, load, drawn)
     assert held.oracle.broken == []
+
+
+# Tasks run on workers without the label that they ask for, or more of a step
+# on one worker than it allows; or nobody is served after all entries are back.
+@pytest.mark.parametrize("seed", range(_SEEDS))
+async def test_days_with_labels_and_bounds_keep_the_rules(seed, autojump_clock):
+    load = emulator.Load(length_s=30.0, restricted=0.5)
+    drawn = emulator.choose_faults(seed, 6, 15.0, list(emulator.Fault))
+    held = await emulator.play(seed, load, drawn, changes_per_s=0.5)
+    assert held.oracle.broken == []
+    restricted = [j for j in held.oracle.jobs.values() if j.steps[0].label]
+    assert len(restricted) > 3
--- a/standins/emulator/tests/test_oracle.py
+++ b/standins/emulator/tests/test_oracle.py
@@ -1,5 +1,7 @@
 """Each check of the oracle, seen red by a fault put in by hand."""
 
+import dataclasses
+
 import pytest
 
 from crocusrouter import work
@@ -202,3 +204,43 @@
         held.note_end("w0", key, number + 1, "done", 1.0)
     held.check_over({"j": "cancelled"})
     assert bool(held.broken) is broken
+
+
+# All entries were killed and are back, and callers are still turned away.
+@pytest.mark.parametrize(
+    ("before", "later", "broken"),
+    [
+        (4, [False] * 4, True),
+        (4, [True] + [False] * 3, False),
+        (4, [True] + [False] * 4, True),
+        (4, [False] * 3, False),
+        (0, [False] * 4, False),
+    ],
+)
+def test_few_are_served_after_all_entries_are_back(before, later, broken):
+    held = _make_oracle()
+    held.tries = [(float(at), at < before) for at in range(4)]
+    held.back_at = 10.0
+    held.tries += [(23.0 + at, served) for at, served in enumerate(later)]
+    held.check_over({})
+    assert bool(held.broken) is broken
+
+
+@pytest.mark.parametrize(
+    ("pool", "labels", "beside", "broken"),
+    [
+        ("p", {"fast", "r1"}, 0, False),
+        ("other", {"fast"}, 0, True),
+        ("p", {"r1"}, 0, True),
+        ("p", {"fast"}, 1, True),
+    ],
+)
+def test_start_on_a_worker_that_may_not_run_the_task(
+    pool, labels, beside, broken
+):
+    held = _make_oracle()
+    step = work.Step(2, work.Room(), label="fast", per_worker=1)
+    job = dataclasses.replace(held.jobs["j"], steps=(step,))
+    held.jobs["j"] = job
+    held.check_place(_FIRST, ("w0", pool, frozenset(labels)), beside, 1.0)
+    assert bool(held.broken) is broken
--- a/standins/emulator/vms.py
+++ b/standins/emulator/vms.py
@@ -12,8 +12,12 @@
 from crocusrouter.work import orders
 from crocusrouter.work import vms
 from standins.emulator import oracle as oracles
+from standins.emulator import rules
 from standins.emulator import worker as workers
 
+# What the VMs judge of the orders that they get.
+RULES = frozenset({rules.Rule.AVAIL, rules.Rule.LIMIT_WAVES, rules.Rule.ONE})
+
 WAVES = "op/wave/"
 _STATUS = "status/wave/"
 _UPKEEP_S = 2.0
@@ -63,6 +67,7 @@
         self._host = host
         self._down: set[str] = set()
         self._highest: dict[str, int] = {}
+        self._holders: dict[tuple[str, int], str] = {}
         self._lost = 0
 
     def list_all(self) -> tuple[vms.Vm, ...]:
@@ -80,8 +85,11 @@
                 )
         return tuple(found.values())
 
-    def begin(self, epoch: int, vm: str) -> vms.Upkeep:
+    def begin(self, holder: str, epoch: int, vm: str) -> vms.Upkeep:
         """Take a VM down, once for each wave."""
+        other = self._holders.setdefault((vm, epoch), holder)
+        if other != holder:
+            self._note(f"one: {vm} ordered by {other} and {holder}, {epoch}")
         if epoch < self._highest.get(vm, 0):
             self._note(f"one: {vm} ordered under {epoch}, later one known")
         self._highest[vm] = max(epoch, self._highest.get(vm, 0))
@@ -141,7 +149,7 @@
     ) -> vms.Upkeep | orders.Silent:
         """Take a VM down for its upkeep."""
         await trio.sleep(_ANSWER_S)
-        answer = self._vms.begin(epoch, vm)
+        answer = self._vms.begin(holder, epoch, vm)
         if self._vms.must_lose():
             return orders.Silent("lost")
         return answer
--- a/standins/emulator/worker.py
+++ b/standins/emulator/worker.py
@@ -266,6 +266,13 @@
                 f"{charge} where {free} is free"
             )
 
+    def _check_place(self, key: work.TaskKey, now: float) -> None:
+        asked = work.StepKey(*key[:3])
+        beside = sum(work.StepKey(*k[:3]) == asked for k in self.tasks)
+        entry = self.entry
+        where = entry.id, entry.pool, entry.labels
+        self.oracle.check_place(key, where, beside, now)
+
     def _find_free(self) -> work.Room:
         free = self.entry.room
         for key in self.tasks:
@@ -275,6 +282,7 @@
 
     def _add(self, order: orders.Start, job: work.Job, step: work.Step) -> None:
         now = trio.current_time()
+        self._check_place(order.key, now)
         task = Task(order.key, order.run, now, now, None)
         task.lasting = step.lasting
         task.ends_at = None if step.lasting else now + step.expected_s
--- a/standins/soak/changing.py
+++ b/standins/soak/changing.py
@@ -5,7 +5,7 @@
 import httpcore
 import trio
 
-from standins.emulator import changes as rules
+from standins.emulator import changes as change_rules
 from standins.emulator import operators
 from standins.soak import world as worlds
 
@@ -73,14 +73,14 @@
         if self._world.lives[name] != life:
             return
         self._world.changes.note_call(
-            rules.Call(
+            change_rules.Call(
                 name,
                 life,
                 route,
                 key,
                 sent_at,
                 trio.current_time(),
-                rules.read_status(response.status),
+                change_rules.read_status(response.status),
             )
         )
 
--- a/standins/soak/run.py
+++ b/standins/soak/run.py
@@ -13,7 +13,7 @@
 
 from crocusrouter import platform
 from crocusrouter import queues
-from standins.emulator import changes as rules
+from standins.emulator import changes as change_rules
 from standins.emulator import store as stores
 from standins.emulator import worker as workers
 from standins.soak import changing
@@ -91,7 +91,7 @@
     accepted: int
     crashes: int
     faults: list[str]
-    changes: rules.Changes
+    changes: change_rules.Changes
 
 
 async def soak(seed: int, shape: Shape, folder: pathlib.Path) -> Result:
@@ -177,6 +177,7 @@
         )
         cancels = self.rng.random() < 0.1
         only_refused = True
+        sent_at = trio.current_time()
         for _ in range(_TRIES):
             status = await self._ask("POST", job_id, body)
             if status == 200:
@@ -184,6 +185,7 @@
                 break
             only_refused &= status in (429, 503)
             await trio.sleep(0.5)
+        oracle.tries.append((sent_at, job_id in oracle.accepted))
         if job_id not in oracle.accepted:
             if only_refused:
                 oracle.refused.add(job_id)
@@ -338,6 +340,8 @@
             self.world.signal(name, signal.SIGKILL)
         await trio.sleep(_RESTART_S)
         await self._restart(names)
+        if len(names) == len(self.world.entries):
+            self.world.oracle.back_at = trio.current_time()
 
     async def _stop(self, name: str) -> None:
         self.world.signal(name, signal.SIGTERM)
--- a/standins/soak/world.py
+++ b/standins/soak/world.py
@@ -14,7 +14,7 @@
 from crocusrouter.work import orders
 from demo import processes
 from standins import ports
-from standins.emulator import changes as rules
+from standins.emulator import changes as change_rules
 from standins.emulator import operators
 from standins.emulator import oracle as oracles
 from standins.emulator import policy as policies
@@ -51,7 +51,7 @@
         """
         self.oracle = oracles.Oracle()
         self.touch = touches.Touch()
-        self.changes = rules.Changes(self.touch)
+        self.changes = change_rules.Changes(self.touch)
         self.store = stores.Store(seed)
         self.operators = operators.Operators(
             self.store, "op/config", self.changes, _build_config()
