--- a/standins/emulator/cluster.py
+++ b/standins/emulator/cluster.py
@@ -198,8 +198,7 @@
     def drain_worker(self, name: str) -> None:
         """Say that a worker leaves."""
         held = self.workers[name]
-        held.entry = dataclasses.replace(held.entry, draining=True)
-        held.drains_since = trio.current_time()
+        held.drain(trio.current_time())
         self.list_worker(name)
 
     def crash_worker(self, name: str) -> None:
--- a/standins/emulator/touch.py
+++ b/standins/emulator/touch.py
@@ -35,3 +35,8 @@
             return "store impaired"
         impaired_at = self._impaired_at.get(entry, float("-inf"))
         return "entry impaired" if impaired_at >= at - STABLE_S else ""
+
+    def is_calm(self, since: float) -> bool:
+        """Tell whether nothing at all was impaired from a time on."""
+        latest = max(self._impaired_at.values(), default=float("-inf"))
+        return max(latest, self._store_impaired_at) < since
--- a/standins/emulator/worker.py
+++ b/standins/emulator/worker.py
@@ -242,6 +242,11 @@
             self.started_draining.append((order.key, trio.current_time()))
         return orders.Taken(int(clock))
 
+    def drain(self, now: float) -> None:
+        """Say from now on that this worker leaves."""
+        self.entry = dataclasses.replace(self.entry, draining=True)
+        self.drains_since = now
+
     def set_room(self, room: work.Room, now: float) -> None:
         """Change what is there; what runs goes on."""
         self._rooms.append((now, self.entry.room))
--- a/standins/soak/changing.py
+++ b/standins/soak/changing.py
@@ -7,6 +7,7 @@
 
 from standins.emulator import changes as change_rules
 from standins.emulator import operators
+from standins.soak import cuts
 from standins.soak import world as worlds
 
 _CHANGES_PER_S = 0.5
@@ -64,11 +65,11 @@
                     )
                 },
             )
-        except (
-            httpcore.NetworkError,
-            httpcore.ProtocolError,
-            httpcore.TimeoutException,
-        ):
+        except (httpcore.ConnectError, httpcore.TimeoutException):
+            return
+        except (httpcore.NetworkError, httpcore.ProtocolError):
+            now = trio.current_time()
+            self._world.cuts.note_cut(cuts.Cut(name, sent_at, now))
             return
         if self._world.lives[name] != life:
             return
--- a/standins/soak/run.py
+++ b/standins/soak/run.py
@@ -17,6 +17,7 @@
 from standins.emulator import store as stores
 from standins.emulator import worker as workers
 from standins.soak import changing
+from standins.soak import cuts
 from standins.soak import proxy as proxies
 from standins.soak import world as worlds
 
@@ -51,6 +52,8 @@
     REFUSE_WATCHES = "refuse-watches"  # of the operators' keys
     PAUSE_OTHERS = "pause-others"  # all but one
     LOSE_PEERS = "lose-peers"  # a lost answer, then the others pause
+    DRAIN_WORKER = "drain-worker"
+    SHRINK_WORKER = "shrink-worker"
 
 
 @dataclasses.dataclass(frozen=True)
@@ -112,7 +115,7 @@
     finally:
         world.processes.stop_all()
     return Result(
-        world.oracle.broken + world.changes.broken,
+        world.oracle.broken + world.changes.broken + world.cuts.broken,
         len(world.oracle.accepted),
         len(world.oracle.crashed_at),
         played.faults,
@@ -226,7 +229,9 @@
     async def _call(
         self, method: str, job_id: str, body: bytes | None
     ) -> tuple[int | None, bytes]:
-        url = self.world.urls[self.rng.choice(self.world.entries)]
+        name = self.rng.choice(self.world.entries)
+        url = self.world.urls[name]
+        sent_at = trio.current_time()
         waits = ("connect", "read", "write", "pool")
         timeouts = dict.fromkeys(waits, _TIMEOUT_S)
         try:
@@ -237,11 +242,11 @@
                 content=body,
                 extensions={"timeout": timeouts},
             )
-        except (
-            httpcore.NetworkError,
-            httpcore.ProtocolError,
-            httpcore.TimeoutException,
-        ):
+        except (httpcore.ConnectError, httpcore.TimeoutException):
+            return None, b""
+        except (httpcore.NetworkError, httpcore.ProtocolError):
+            now = trio.current_time()
+            self.world.cuts.note_cut(cuts.Cut(name, sent_at, now))
             return None, b""
         return response.status, response.content
 
@@ -286,6 +291,10 @@
                 await self._stop(name)
             case Fault.HANG_UP:
                 self.world.signal(name, signal.SIGHUP)
+            case Fault.DRAIN_WORKER:
+                await self.world.drain_worker(worker)
+            case Fault.SHRINK_WORKER:
+                await self.world.shrink_worker(worker, for_s)
             case _:
                 await self._strike_around(name, worker, harm, fault, for_s)
 
--- a/standins/soak/world.py
+++ b/standins/soak/world.py
@@ -21,6 +21,7 @@
 from standins.emulator import store as stores
 from standins.emulator import touch as touches
 from standins.emulator import worker as workers
+from standins.soak import cuts
 from standins.soak import proxy as proxies
 from standins.soak import wire
 
@@ -33,6 +34,10 @@
 # A crashed worker is back after this, under another name at its address.
 _RETURN_S = 3.2
 _ROOM = work.Room(32_000, 131_072, 8)
+_SMALL_ROOM = work.Room(8_000, 65_536, 2)
+# A worker that leaves gets nothing new from two seconds on, and is gone later.
+_DRAIN_S = 2.0
+_LEAVES_S = 4.5
 
 
 class World:
@@ -52,13 +57,20 @@
         self.oracle = oracles.Oracle()
         self.touch = touches.Touch()
         self.changes = change_rules.Changes(self.touch)
+        # The same without planned stops.
+        self.unplanned = touches.Touch()
+        self.cuts = cuts.Cuts(self.unplanned)
         self.store = stores.Store(seed)
         self.operators = operators.Operators(
-            self.store, "op/config", self.changes, _build_config()
+            self.store,
+            "op/config",
+            self.changes,
+            _build_config(checks_room=seed % 2 == 0),
         )
         # How often each entry's process was started.
         self.lives: collections.Counter[str] = collections.Counter()
         self._paused: set[str] = set()
+        self._stopping: set[str] = set()
         self.processes = processes.Processes(folder)
         self.entries = [f"e{number}" for number in range(entries)]
         self.urls: dict[str, str] = {}
@@ -69,6 +81,8 @@
         self._ports = ports.Ports()
         self._settings: dict[str, dict[str, str]] = {}
         self._seed = seed
+        # Workers that check nothing start whatever they are told to.
+        self._guards = seed % 2 == 0
         self._gangs = workers.Gangs()
         self._policy = policies.Policy()
         self._numbers: dict[str, int] = {}
@@ -79,9 +93,11 @@
     def _add_worker(self, name: str, labels: frozenset[str]) -> None:
         entry = orders.WorkerEntry(name, POOL, "", "dc", False, _ROOM, labels)
         self._seed += 1
-        self.workers[name] = workers.Worker(
+        held = workers.Worker(
             entry, self.oracle, self._gangs, self._policy, self._seed
         )
+        held.guards = self._guards
+        self.workers[name] = held
 
     async def run(
         self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
@@ -137,9 +153,12 @@
         while True:
             number += 1
             for name in self.workers:
-                self.store.put(f"servers/{name}", self._list(name, number))
+                self._list_worker(name, number)
             await trio.sleep(_HEARTBEAT_S)
 
+    def _list_worker(self, name: str, number: int) -> None:
+        self.store.put(f"servers/{name}", self._list(name, number))
+
     def _list(self, name: str, number: int) -> bytes:
         entry = self.workers[name].entry
         port = self.worker_proxies[name].port
@@ -153,7 +172,7 @@
                 "service": POOL,
                 "address": f"127.0.0.1:{port}",
                 "zone": "dc",
-                "state": "ready",
+                "state": "draining" if entry.draining else "ready",
                 "capacity": room,
                 "labels": sorted(entry.labels),
                 "seq": number,
@@ -169,6 +188,7 @@
                     del self.workers[name]
                     nursery.start_soon(self._return_crashed, name, worker)
             self._note_impairments(now)
+            self._check_drains()
             self.store.note_silences(self.entries, now)
             self.store.expire(now)
             await trio.sleep(_STEP_S)
@@ -177,12 +197,54 @@
         """Take note of who is not in touch."""
         if self.store.is_impaired(now):
             self.touch.note_store_impaired(now)
+            self.unplanned.note_store_impaired(now)
         for name in self.entries:
             impaired = name in self.store.turned_away
             impaired |= name in self._paused
             impaired |= self.store_proxies[name].harm is not proxies.Harm.NONE
-            if impaired or not self.processes.is_running(name):
+            ended = not self.processes.is_running(name)
+            if impaired or ended:
                 self.touch.note_impaired(name, now)
+            if impaired or (ended and name not in self._stopping):
+                self.unplanned.note_impaired(name, now)
+
+    def _check_drains(self) -> None:
+        """Judge starts on workers that had said long before that they leave.
+
+        Orders don't tell their sender, so nobody may have been impaired.
+        """
+        for name, worker in self.workers.items():
+            starts, worker.started_draining = worker.started_draining, []
+            since = worker.drains_since
+            if since is None:
+                continue
+            for key, at in starts:
+                calm = self.touch.is_calm(at - touches.STABLE_S)
+                if at > since + _DRAIN_S and calm:
+                    self.oracle.broken.append(
+                        f"{at:.3f} drain: {key} on {name}, which drains since "
+                        f"{since:.3f}"
+                    )
+
+    async def drain_worker(self, name: str) -> None:
+        """Let a worker leave; another one comes under another name."""
+        worker = self.workers[name]
+        worker.drain(trio.current_time())
+        self._list_worker(name, 0)
+        await trio.sleep(_LEAVES_S)
+        if self.workers.get(name) is not worker:
+            return
+        worker.crash()
+        del self.workers[name]
+        self.store.remove(f"servers/{name}")
+        await self._return_crashed(name, worker)
+
+    async def shrink_worker(self, name: str, for_s: float) -> None:
+        """Take a part of a worker's room away for some seconds."""
+        worker = self.workers[name]
+        for room, wait_s in ((_SMALL_ROOM, for_s), (_ROOM, 0.0)):
+            worker.set_room(room, trio.current_time())
+            await trio.sleep(wait_s)
 
     async def _return_crashed(self, name: str, worker: workers.Worker) -> None:
         """Bring a crashed worker back under another name.
@@ -210,6 +272,7 @@
         """Start an entry, or start it again."""
         self.lives[name] += 1
         self._paused.discard(name)
+        self._stopping.discard(name)
         self.touch.note_impaired(name, trio.current_time())
         self.processes.start(
             name, "crocusrouter", "entry", **self._settings[name]
@@ -220,15 +283,22 @@
         if not self.processes.is_running(name):
             return
         self.processes.signal(name, number)
+        now = trio.current_time()
         if number != signal.SIGHUP:
-            self.touch.note_impaired(name, trio.current_time())
+            self.touch.note_impaired(name, now)
+        if number in (signal.SIGHUP, signal.SIGTERM):
+            self.cuts.note_planned(name, now)
+        else:
+            self.unplanned.note_impaired(name, now)
+        if number == signal.SIGTERM:
+            self._stopping.add(name)
         if number == signal.SIGSTOP:
             self._paused.add(name)
         elif number == signal.SIGCONT:
             self._paused.discard(name)
 
 
-def _build_config() -> dict[str, Any]:
+def _build_config(*, checks_room: bool) -> dict[str, Any]:
     route = {
         "name": "q",
         "host": HOST,
@@ -241,6 +311,6 @@
     }
     return {
         "routes": [route],
-        "services": [{"name": POOL}],
+        "services": [{"name": POOL, "admission_check": checks_room}],
         "tenants": [{"name": "a", "api_keys": [KEY], "guaranteed": {"gpu": 8}}],
     }
