--- a/standins/emulator/__init__.py
+++ b/standins/emulator/__init__.py
@@ -5,11 +5,28 @@
 from what workers and callers see.
 """
 
+from standins.emulator import changes
+from standins.emulator import cluster
+from standins.emulator import oracle
+from standins.emulator import vms
 from standins.emulator.cluster import Cluster
 from standins.emulator.faults import Fault
 from standins.emulator.faults import choose_faults
 from standins.emulator.faults import play
 from standins.emulator.load import Load
+from standins.emulator.rules import Rule
 from standins.emulator.store import StoreFault
 
-__all__ = ["Cluster", "Fault", "Load", "StoreFault", "choose_faults", "play"]
+# The rules that days of the emulator are judged by.
+CHECKED = oracle.RULES | changes.RULES | cluster.RULES | vms.RULES
+
+__all__ = [
+    "CHECKED",
+    "Cluster",
+    "Fault",
+    "Load",
+    "Rule",
+    "StoreFault",
+    "choose_faults",
+    "play",
+]
--- a/standins/emulator/cluster.py
+++ b/standins/emulator/cluster.py
@@ -23,12 +23,16 @@
 from standins.emulator import operators
 from standins.emulator import oracle as oracles
 from standins.emulator import policy as policies
+from standins.emulator import rules
 from standins.emulator import store as stores
 from standins.emulator import suspension
 from standins.emulator import touch as touches
 from standins.emulator import vms as vm_control
 from standins.emulator import worker as workers
 
+# What the cluster judges itself.
+RULES = frozenset({rules.Rule.DRAIN})
+
 POOL = "match"
 WORKERS = "listed/"
 OPERATORS = "op/"
--- a/standins/emulator/tests/test_oracle.py
+++ b/standins/emulator/tests/test_oracle.py
@@ -5,6 +5,7 @@
 import pytest
 
 from crocusrouter import work
+from standins import emulator
 from standins.emulator import oracle as oracles
 from standins.emulator import touch as touches
 
@@ -265,3 +266,23 @@
     held.judge_alone(touch.is_calm)
     assert bool(held.broken) is broken
     assert held.excused_alone == (impaired_at == 8.0)
+
+
+# Two holders order the upkeep of one VM, or an earlier one after a later one.
+@pytest.mark.parametrize(
+    ("orders", "broken"),
+    [
+        ([("e0", 5), ("e0", 5)], False),
+        ([("e0", 5), ("e1", 6)], False),
+        ([("e0", 5), ("e1", 5)], True),
+        ([("e1", 6), ("e0", 5)], True),
+    ],
+)
+async def test_holders_that_order_beside_each_other(
+    orders, broken, autojump_clock
+):
+    held = emulator.Cluster(1)
+    held.vms.served.add("w0")
+    for holder, epoch in orders:
+        held.vms.begin(holder, epoch, "w0")
+    assert bool(held.oracle.broken) is broken
--- a/standins/soak/__init__.py
+++ b/standins/soak/__init__.py
@@ -6,8 +6,9 @@
 Only what callers and workers see is judged.
 """
 
+from standins.soak.run import CHECKED
 from standins.soak.run import Result
 from standins.soak.run import Shape
 from standins.soak.run import soak
 
-__all__ = ["Result", "Shape", "soak"]
+__all__ = ["CHECKED", "Result", "Shape", "soak"]
--- a/standins/soak/run.py
+++ b/standins/soak/run.py
@@ -14,6 +14,8 @@
 from crocusrouter import platform
 from crocusrouter import queues
 from standins.emulator import changes as change_rules
+from standins.emulator import oracle as oracles
+from standins.emulator import rules
 from standins.emulator import store as stores
 from standins.emulator import worker as workers
 from standins.soak import changing
@@ -21,6 +23,9 @@
 from standins.soak import proxy as proxies
 from standins.soak import world as worlds
 
+# The rules that soaks are judged by.
+CHECKED = oracles.RULES | change_rules.RULES | cuts.RULES | {rules.Rule.DRAIN}
+
 _TRIES = 6
 _TIMEOUT_S = 3.0
 _RESTART_S = 0.8
--- a/standins/soak/world.py
+++ b/standins/soak/world.py
@@ -189,6 +189,7 @@
                     nursery.start_soon(self._return_crashed, name, worker)
             self._note_impairments(now)
             self._check_drains()
+            self.oracle.judge_alone(self.touch.is_calm)
             self.store.note_silences(self.entries, now)
             self.store.expire(now)
             await trio.sleep(_STEP_S)
@@ -198,6 +199,10 @@
         if self.store.is_impaired(now):
             self.touch.note_store_impaired(now)
             self.unplanned.note_store_impaired(now)
+        for name, worker in self.workers.items():
+            harm = self.worker_proxies[name].harm
+            if worker.is_impaired(now) or harm is not proxies.Harm.NONE:
+                self.touch.note_impaired(name, now)
         for name in self.entries:
             impaired = name in self.store.turned_away
             impaired |= name in self._paused
