--- a/standins/emulator/faults.py
+++ b/standins/emulator/faults.py
@@ -8,6 +8,7 @@
 import trio
 
 from crocusrouter import work
+from crocusrouter.pools import keys
 from standins.emulator import cluster as clusters
 from standins.emulator import load as loads
 from standins.emulator import operators
@@ -22,6 +23,9 @@
 _HEARTBEAT_S = 1.5
 _UNLISTED_S = 3 * _HEARTBEAT_S
 _RESTART_S = 1.5
+_LOST_S = 0.1
+_GRACE_S = 6.0
+_WATCHED = (clusters.OPERATORS, clusters.WORKERS, keys.JOBS, keys.SYSTEM)
 # Calls on routes and keys that come and go, each at all entries.
 _ASKING_S = 0.25
 FOREIGN = (
@@ -58,6 +62,12 @@
     FAIL_ALL = "fail-all"
     CANCEL_MANY = "cancel-many"
     SHRINK_WORKER = "shrink-worker"
+    CUT_ENTRY = "cut-entry"  # from its peers alone
+    LOSE_ANSWERS = "lose-answers"  # of the store to one entry, for a moment
+    LOSE_PEERS = "lose-peers"  # such a moment, then cut from its peers
+    REFUSE_WATCHES = "refuse-watches"  # of one prefix
+    STOP_ENTRY = "stop-entry"  # as planned
+    FREEZE_OTHERS = "freeze-others"  # all but one
 
 
 _STORE = {
@@ -69,6 +79,16 @@
 }
 
 
+# Faults of entries alone among peers; days that were drawn before these kinds
+# were there draw without them.
+ALONE = (
+    Fault.CUT_ENTRY,
+    Fault.LOSE_ANSWERS,
+    Fault.LOSE_PEERS,
+    Fault.REFUSE_WATCHES,
+    Fault.STOP_ENTRY,
+    Fault.FREEZE_OTHERS,
+)
 # Drawn days name their faults by place in this list; kept seeds would play
 # other days if it changed.
 DRAWN = tuple(
@@ -80,6 +100,7 @@
         Fault.FOREIGN_ENTRY,
         Fault.FREEZE_OWNER,
         Fault.SHRINK_WORKER,
+        *ALONE,
     )
 )
 
@@ -224,10 +245,68 @@
         await held.suspensions.suspend(owner, event.for_s)
     elif fault is Fault.CANCEL_MANY:
         await _cancel_many(held)
+    elif fault in ALONE:
+        await _strike_entry(held, event)
     else:
         await _strike_worker(held, event)
 
 
+async def _strike_entry(held: clusters.Cluster, event: Event) -> None:
+    name = held.random.choice(held.names)
+    match event.fault:
+        case Fault.CUT_ENTRY:
+            await _cut_from_peers(held, name, event.for_s)
+        case Fault.LOSE_ANSWERS:
+            await _lose_answers(held, name)
+        case Fault.LOSE_PEERS:
+            await _lose_answers(held, name)
+            await trio.sleep(held.random.uniform(0.0, event.for_s))
+            await _cut_from_peers(held, name, event.for_s)
+        case Fault.REFUSE_WATCHES:
+            prefix = held.random.choice(_WATCHED)
+            held.store.refused_watches.add(prefix)
+            await trio.sleep(event.for_s)
+            held.store.refused_watches.discard(prefix)
+        case Fault.STOP_ENTRY:
+            await _stop(held, name)
+        case Fault.FREEZE_OTHERS:
+            async with trio.open_nursery() as nursery:
+                for other in held.names:
+                    if other != name:
+                        nursery.start_soon(
+                            held.suspensions.suspend, other, event.for_s
+                        )
+
+
+async def _cut_from_peers(
+    held: clusters.Cluster, name: str, for_s: float
+) -> None:
+    held.cut_off.add(name)
+    await trio.sleep(for_s)
+    held.cut_off.discard(name)
+
+
+async def _lose_answers(held: clusters.Cluster, name: str) -> None:
+    """Lose what the store answers in a time in which few calls are made."""
+    if name in held.store.turned_away:
+        return
+    held.store.turned_away[name] = stores.StoreFault.SILENT
+    await trio.sleep(_LOST_S)
+    held.store.turned_away.pop(name, None)
+
+
+async def _stop(held: clusters.Cluster, name: str) -> None:
+    """Stop an entry as planned: it hands its pools over first."""
+    entry = held.entries.get(name)
+    if entry is None:
+        return
+    held.touch.note_impaired(name, trio.current_time())
+    with trio.move_on_after(_GRACE_S):
+        await entry.release_all()
+    if held.entries.get(name) is entry:
+        await _kill(held, [name])
+
+
 async def _kill(held: clusters.Cluster, names: list[str]) -> None:
     for name in names:
         held.kill_entry(name)
--- a/standins/emulator/tests/test_days.py
+++ b/standins/emulator/tests/test_days.py
@@ -115,7 +115,8 @@
     """
     load = emulator.Load()
     # Kept seeds would play other days with a kind that came later.
-    kinds = [k for k in emulator.Fault if k is not emulator.Fault.FREEZE_OWNER]
+    later = {emulator.Fault.FREEZE_OWNER, *faults.ALONE}
+    kinds = [kind for kind in emulator.Fault if kind not in later]
     drawn = emulator.choose_faults(seed, 8, load.length_s, kinds)
     held = await emulator.play(seed, load, drawn)
     assert held.oracle.broken == []
