Test: a late answer brings no older configuration back

With the comparison of versions taken out no test was: every path of the emulator answers with what is newest. The new test is red then.

--- a/crocusrouter/pools/tests/test_refresh.py
+++ b/crocusrouter/pools/tests/test_refresh.py
@@ -198,3 +198,17 @@
         assert entry.configuration.measure_age(now) > 3.9
         assert not entry.peers.may_hear(now)
         nursery.cancel_scope.cancel()
+
+
+async def test_late_answer_brings_no_older_version_back(autojump_clock):
+    """A read is answered with what the watch has long replaced."""
+    service = _Service()
+    service.delays = [0.25]
+    held, refresher = _open(service)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(refresher.run)
+        await trio.sleep(0.1)
+        held.take(b"9", "store")
+        await trio.sleep(0.3)
+        nursery.cancel_scope.cancel()
+    assert held.version == 9
