Give a call's wait anew when the process stood still in it

A process that gets no processor for most of a second wakes with its time limits over and the answers in its sockets: a call that waited for the newest configuration was decided by one of up to 5 s ago, and the look counted as unanswered. Limits that were overrun by 0.2 s are taken for a stall now; the call waits again, four times at most, and the look is made again. The test blocks the event loop for 0.8 and 1.6 s in the middle of a look; both were red.

--- a/crocusrouter/pools/refresh.py
+++ b/crocusrouter/pools/refresh.py
@@ -29,6 +29,10 @@
 # After a look that nobody has answered, the next one begins, and calls wait
 # for it, no earlier than this.
 _PAUSE_S = 0.5
+# A limit that is overrun by this means that the process stood still, with
+# answers in its sockets; then it passed for nobody.
+_STALL_S = 0.2
+_MOST_WAITS = 4
 
 Read = Callable[[str], Awaitable[records.Record | None]]
 
@@ -81,12 +85,20 @@
         Returns:
             Whether a call may be decided by what is in force now.
         """
-        with trio.move_on_after(_PATIENCE_S):
-            while self._should_wait(self._times.steady()):
-                self._wanted.set()
-                await self._looked.wait()
+        for _ in range(_MOST_WAITS):
+            began = self._times.steady()
+            with trio.move_on_after(_PATIENCE_S):
+                while self._should_wait(self._times.steady()):
+                    self._wanted.set()
+                    await self._looked.wait()
+            if not self._has_stalled(began + _PATIENCE_S):
+                break
         return self._configuration.is_fresh(self._times.steady())
 
+    def _has_stalled(self, limit: float) -> bool:
+        """Tell whether a limit was overrun because the process stood still."""
+        return self._times.steady() > limit + _STALL_S
+
     def _should_wait(self, now: float) -> bool:
         if self._configuration.current is None:
             # Callers of an entry that comes up go elsewhere at once.
@@ -123,16 +135,20 @@
     async def _look(self) -> None:
         """Ask until somebody answers or nobody is left to ask."""
         before = self._answered
-        if self._is_down():
-            with trio.move_on_after(_ANSWER_S):
+        began = self._times.steady()
+        is_down = self._is_down()
+        limit_s = _ANSWER_S if is_down else _LOOK_S
+        with trio.move_on_after(limit_s):
+            if is_down:
                 await self._ask(self._read_by_peers)
-        else:
-            with trio.move_on_after(_LOOK_S):
+            else:
                 await self._ask_all()
         if self._answered > before:
             self._failed_at = None
             self._metrics.count_event("config-look-answered")
             return
+        if self._has_stalled(began + limit_s):
+            return
         self._failed_at = self._times.steady()
         self._metrics.count_event("config-look-unanswered")
         log(
--- a/crocusrouter/pools/tests/test_refresh.py
+++ b/crocusrouter/pools/tests/test_refresh.py
@@ -1,5 +1,7 @@
 """How old the configuration may be by which a call is decided."""
 
+import time
+
 import pytest
 import trio
 
@@ -200,6 +202,30 @@
         nursery.cancel_scope.cancel()
 
 
+@pytest.mark.parametrize("stall_s", [0.8, 1.6])
+async def test_process_that_stands_still_does_not_decide_by_what_it_knew(
+    stall_s,
+):
+    """The process gets no processor while a call waits. Its time to wait is
+    over when it goes on, and the answer lies in its socket.
+    """
+    service = _Service()
+    held, refresher = _open(service)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(refresher.run)
+        await trio.sleep(2.0)
+
+        async def stand_still():
+            await trio.sleep(0.01)
+            time.sleep(stall_s)
+
+        service.delays = [0.05]
+        nursery.start_soon(stand_still)
+        assert await refresher.ensure_current()
+        assert held.is_current(trio.current_time())
+        nursery.cancel_scope.cancel()
+
+
 async def test_late_answer_brings_no_older_version_back(autojump_clock):
     """A read is answered with what the watch has long replaced."""
     service = _Service()
