Derive the longest age of the configuration from the promise too

With config_apply_ms of 6 s an entry without calls looked every 9.6 s and counted as not ready from 5 s on: the balancer sent nobody there. 5 s at 2.0 s as before.

--- a/crocusrouter/pools/configuration.py
+++ b/crocusrouter/pools/configuration.py
@@ -17,8 +17,9 @@
 _LOOK_SHARE = 1.6
 _OWNER_LOOK_SHARE = 1.0
 # While nobody can be asked, calls are decided by what was known this long ago;
-# after that they are refused.
-_STALE_S = 5.0
+# after that they are refused. Above the others, so that looking keeps an entry
+# ready.
+_STALE_SHARE = 2.5
 
 
 @dataclasses.dataclass(frozen=True)
@@ -81,7 +82,7 @@
 
     def is_fresh(self, now: float) -> bool:
         """Tell whether calls may be decided while nobody can be asked."""
-        return self._is_younger(_STALE_S, now)
+        return self._is_younger(_STALE_SHARE * self._apply_s, now)
 
     def _is_younger(self, limit_s: float, now: float) -> bool:
         age = self.measure_age(now)
--- a/crocusrouter/pools/tests/test_refresh.py
+++ b/crocusrouter/pools/tests/test_refresh.py
@@ -41,12 +41,12 @@
         raise client.StoreUnavailableError("no peer")
 
 
-def _open(service, *, by_peers=None):
+def _open(service, *, by_peers=None, apply_s=_APPLY_S):
     times = clock.Clock(trio.current_time, trio.current_time)
     held = configuration.Configuration(
         _KEY,
         lambda value: queues.Config(int(value)),
-        _APPLY_S,
+        apply_s,
         times,
         Metrics(),
     )
@@ -88,6 +88,21 @@
     assert held.version == 3
 
 
+@pytest.mark.parametrize("apply_s", [0.5, 2.0, 6.0])
+async def test_entry_without_calls_stays_ready(apply_s, autojump_clock):
+    """The balancer sends nobody to an entry that looks too seldom for what
+    operators are promised.
+    """
+    held, refresher = _open(_Service(), apply_s=apply_s)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(refresher.run)
+        await trio.sleep(0.1)
+        for _ in range(100):
+            assert held.is_fresh(trio.current_time())
+            await trio.sleep(0.2)
+        nursery.cancel_scope.cancel()
+
+
 async def test_answer_that_was_held_up_counts_from_its_question(autojump_clock):
     """A read's answer arrives 1.1 s late, and is taken to be from then."""
     service = _Service()
