Record no job as parked whose ends a successor would not know

What workers saw: a task is started again after its end (TWICE).

Change: a job is recorded only once all that is known of it is durable. Both tests are red without it.

--- a/crocusrouter/pools/journal.py
+++ b/crocusrouter/pools/journal.py
@@ -52,6 +52,7 @@
         self._wake = trio.Event()
         self._cycle = 0
         self._done = 0
+        self._writing: frozenset[str] = frozenset()
         self._finished = trio.Condition()
 
     def wake(self) -> None:
@@ -59,6 +60,10 @@
         if self._book.dirty:
             self._wake.set()
 
+    def is_durable(self, job_id: str) -> bool:
+        """Tell whether a successor would read all that is known of a job."""
+        return job_id not in self._book.dirty and job_id not in self._writing
+
     async def settle(self) -> None:
         """Wait until all that is dirty now is durable."""
         if not self._book.dirty and self._done == self._cycle:
@@ -95,6 +100,7 @@
     async def _flush(self) -> None:
         chosen = sorted(self._book.dirty)[:_BATCH_JOBS]
         self._book.dirty -= set(chosen)
+        self._writing = frozenset(chosen)
         values = {
             job_id: work.dump_progress(held.progress)
             for job_id in chosen
@@ -112,10 +118,11 @@
                     self._revisions[job_id] = outcome.revision
                 self._book.note_durable(finals)
                 self._book.note_crashes_kept(values.keys() - self._book.dirty)
-                return
+                break
             self._take_failure(outcome)
             if not isinstance(outcome, port.Mismatched):
                 await trio.sleep(_RETRY_S)
+        self._writing = frozenset()
 
     async def _write(self, values: dict[str, bytes]) -> port.WriteOutcome:
         guards = [self._tenure.guard]
--- a/crocusrouter/pools/owner.py
+++ b/crocusrouter/pools/owner.py
@@ -115,7 +115,9 @@
         self._nursery: trio.Nursery | None = None
         self._roster = roster.Roster(store, held, self.book)
         make_policy = platform.make_policy
-        self._parking = parking.Parking(store, held, self.book, times.steady)
+        self._parking = parking.Parking(
+            store, held, self.book, self._journal.is_durable, times.steady
+        )
         self._advisor = advisor.Advisor(
             make_policy() if make_policy is not None else None,
             self.book,
--- a/crocusrouter/pools/parking.py
+++ b/crocusrouter/pools/parking.py
@@ -42,6 +42,7 @@
         store: port.KeyValueStore,
         held: tenures.Tenure,
         book: work.Book,
+        is_durable: Callable[[str], bool],
         read_clock: Callable[[], float],
     ) -> None:
         """Prepare; `load` reads what the owner before has written.
@@ -50,11 +51,13 @@
             store: The key-value service.
             held: This owner's tenure; guards each write.
             book: Whose jobs are recorded.
+            is_durable: Whether a successor knows all ends of a job's tasks.
             read_clock: Returns steady seconds.
         """
         self._store = store
         self._tenure = held
         self._book = book
+        self._is_durable = is_durable
         self._read_clock = read_clock
         self._key = keys.PARKED + held.pool
         self._revision = 0
@@ -125,7 +128,11 @@
         )
 
     def _choose(self, now: float) -> frozenset[str]:
-        """Return the jobs to record, of which nothing runs."""
+        """Return the jobs to record, of which nothing runs.
+
+        A task of theirs that has ended must be known to a successor, which
+        would start it again at once.
+        """
         blocked = self._book.list_blocked()
         return frozenset(
             job_id
@@ -133,7 +140,10 @@
             if not held.is_final
             and not self._book.may_run_unseen(held, blocked)
             and not _has_run(held)
-            and (job_id in self._recorded or _has_waited(held, now))
+            and (
+                job_id in self._recorded
+                or (_has_waited(held, now) and self._is_durable(job_id))
+            )
         )
 
     async def _write(
--- a/crocusrouter/pools/tests/test_journal.py
+++ b/crocusrouter/pools/tests/test_journal.py
@@ -109,3 +109,21 @@
     await first.release()
     assert await rival.take()
     assert rival.epoch > first.epoch
+
+
+async def test_job_is_durable_only_once_its_write_was_answered(autojump_clock):
+    """A successor is told that it may start what it does not know has ended."""
+    store = stores.Store(1)
+    async with trio.open_nursery() as nursery:
+        _, book, opened = await _open(store)
+        nursery.start_soon(opened.run)
+        assert opened.is_durable("j")
+        store.fault = emulator.StoreFault.BUSY
+        nursery.start_soon(_end_task, book, opened, 0)
+        for _ in range(5):
+            await trio.sleep(0.11)
+            assert not opened.is_durable("j")
+        store.fault = emulator.StoreFault.NONE
+        await trio.sleep(1.0)
+        assert opened.is_durable("j")
+        nursery.cancel_scope.cancel()
--- a/crocusrouter/pools/tests/test_parking.py
+++ b/crocusrouter/pools/tests/test_parking.py
@@ -25,12 +25,12 @@
     steady = staticmethod(trio.current_time)
 
 
-async def _open(store, book):
+async def _open(store, book, is_durable=lambda job: True):
     """Return parking under a tenure that has just begun."""
     view = stores.StoreView(store, "e0")
     held = tenure.Tenure(view, "p", tenure.Holder("e0"), _Times())
     assert await held.take()
-    return parking.Parking(view, held, book, trio.current_time)
+    return parking.Parking(view, held, book, is_durable, trio.current_time)
 
 
 def _make_book():
@@ -68,6 +68,24 @@
     assert _read(store) == parked
 
 
+@pytest.mark.parametrize(
+    ("durable", "parked"), [(False, set()), (True, {_JOB})]
+)
+async def test_job_whose_ends_are_not_durable_is_not_recorded(
+    durable, parked, autojump_clock
+):
+    """A task runs twice: it has ended, the journal could not be written, and a
+    successor reads that nothing of the job runs and starts the task at once.
+    """
+    store = stores.Store(1)
+    opened = await _open(store, _make_book(), lambda job: durable)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(opened.run)
+        await trio.sleep(2.0)
+        nursery.cancel_scope.cancel()
+    assert _read(store) == parked
+
+
 async def test_job_with_a_run_is_not_recorded(autojump_clock):
     store = stores.Store(1)
     book = build.make_book(build.make_job(_JOB, build.make_step(2)))
