--- /dev/null
+++ b/crocusrouter/platform/tests/test_configuration.py
@@ -0,0 +1,85 @@
+"""The operators' configuration decoded, and what is none refused."""
+
+import copy
+
+import orjson
+import pytest
+
+from crocusrouter import platform
+from crocusrouter import queues
+
+_CONFIG = {
+    "version": 7,
+    "routes": [
+        {
+            "name": "r1",
+            "host": "Nony24.example",
+            "prefix": "/lohu930/",
+            "kind": "unsafe",
+            "target_duration_ms": 1000,
+            "priority": 1,
+            "service": "s",
+            "max_attempts": 3,
+            "slack_factor": 3.0,
+            "public": True,
+        }
+    ],
+    "services": [{"name": "s", "admission_check": True, "standby": False}],
+    "limits": {"max_body_bytes": 1000, "surprise": 1},
+    "tenants": [
+        {"name": "t", "api_keys": ["k1", "k2"], "guaranteed": {"gpu": 32}}
+    ],
+}
+
+
+def test_configuration():
+    config = platform.parse_config(orjson.dumps(_CONFIG))
+    assert config.version == 7
+    assert config.limits.max_body == 1000
+    assert config.queues[0] == queues.Queue(
+        "r1", "nony24.example", "/lohu930/", "s", 1, 3, 3.0, 1.0, True
+    )
+    customer = queues.find_customer(config, "k2")
+    assert customer is not None
+    assert customer.guaranteed == 32
+
+
+# A change of the configuration never takes effect: an empty field is null, or
+# a field that nobody needs has another form.
+@pytest.mark.parametrize(
+    ("part", "field", "value"),
+    [
+        ("routes", "advice", None),
+        ("routes", "advice", {"decide_ms": "fast"}),
+        ("routes", "priority", None),
+        ("tenants", "api_keys", None),
+        ("tenants", "guaranteed", None),
+        ("services", "standby", None),
+        (None, "routes", None),
+        (None, "limits", None),
+        (None, "surprise", None),
+    ],
+)
+def test_configuration_with_an_empty_field(part, field, value):
+    document = copy.deepcopy(_CONFIG)
+    holder = document if part is None else document[part][0]
+    holder[field] = value
+    assert platform.parse_config(orjson.dumps(document)).version == 7
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"{",
+        b"[]",
+        b'{"version": "x"}',
+        b'{"version": "7"}',
+        b'{"version": 0}',
+        b'{"version": null}',
+        b'{"version": 7, "routes": [null]}',
+        b'{"version": 7, "routes": [{"name": "r"}]}',
+    ],
+)
+def test_wrong_configuration(data):
+    with pytest.raises(ValueError):
+        platform.parse_config(data)
--- a/standins/emulator/changes.py
+++ b/standins/emulator/changes.py
@@ -70,8 +70,8 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class Call:
-    """A call and its answer, as its caller sees them.
+class Asked:
+    """A call as it was sent.
 
     Attributes:
         entry: Name of the entry that was asked.
@@ -79,8 +79,6 @@
         route: Prefix of the path.
         key: The key that it carried.
         sent_at: Seconds.
-        answered_at: Seconds.
-        handling: What the answer says.
     """
 
     entry: str
@@ -88,6 +86,17 @@
     route: str
     key: str
     sent_at: float
+
+
+@dataclasses.dataclass(frozen=True)
+class Call(Asked):
+    """A call and its answer, as its caller sees them.
+
+    Attributes:
+        answered_at: Seconds.
+        handling: What the answer says.
+    """
+
     answered_at: float
     handling: Handling
 
@@ -134,6 +143,12 @@
             }
         self._editions.append((now, edition))
 
+    def note_answer(self, asked: Asked, status: int | None, now: float) -> None:
+        """Judge a call by the HTTP status of its answer."""
+        sent = dataclasses.asdict(asked)
+        handling = read_status(status)
+        self.note_call(Call(**sent, answered_at=now, handling=handling))
+
     def note_call(self, call: Call) -> None:
         """Judge one call."""
         if call.handling is Handling.NOT_DECIDED:
--- a/standins/emulator/cluster.py
+++ b/standins/emulator/cluster.py
@@ -370,23 +370,15 @@
         entry = self.entries.get(name)
         if entry is None:
             return
-        sent_at, life = trio.current_time(), self._started[name]
+        life = self._started[name]
+        asked = change_rules.Asked(name, life, route, key, trio.current_time())
         await self.suspensions.wait_awake(name)
         calls = queue_calls.QueueCalls(entry)
         rendered = await calls.handle(_build_request(route, key))
         if self._started[name] != life or name not in self.entries:
             return
-        self.changes.note_call(
-            change_rules.Call(
-                name,
-                life,
-                route,
-                key,
-                sent_at,
-                trio.current_time(),
-                change_rules.read_status(rendered.status),
-            )
-        )
+        now = trio.current_time()
+        self.changes.note_answer(asked, rendered.status, now)
 
     # Time.
 
--- a/standins/soak/__main__.py
+++ b/standins/soak/__main__.py
@@ -29,6 +29,10 @@
         counts += f", {seen.judged} calls on changes"
         counts += f" (latest {seen.latest_s:.2f} s, excused"
         counts += f" {dict(seen.excused)}, not ready {seen.unready})"
+        cut = result.cuts
+        counts += (
+            f", {cut.judged} cut beside planned work ({cut.excused} excused)"
+        )
         print(f"seed {seed}: {verdict}, {counts}, {folder}")
         print("  " + "; ".join(result.faults), flush=True)
         for line in result.broken:
--- a/standins/soak/changing.py
+++ b/standins/soak/changing.py
@@ -54,6 +54,7 @@
         """
         life = self._world.lives[name]
         sent_at = trio.current_time()
+        asked = change_rules.Asked(name, life, route, key, sent_at)
         try:
             response = await self._pool.request(
                 "GET",
@@ -73,17 +74,8 @@
             return
         if self._world.lives[name] != life:
             return
-        self._world.changes.note_call(
-            change_rules.Call(
-                name,
-                life,
-                route,
-                key,
-                sent_at,
-                trio.current_time(),
-                change_rules.read_status(response.status),
-            )
-        )
+        now = trio.current_time()
+        self._world.changes.note_answer(asked, response.status, now)
 
     async def aclose(self) -> None:
         """Close all connections."""
--- a/standins/soak/run.py
+++ b/standins/soak/run.py
@@ -93,6 +93,7 @@
         crashes: How often a task has crashed its worker.
         faults: What was done, in order.
         changes: What was seen of changes of the configuration.
+        cuts: What was seen of requests that were cut.
     """
 
     broken: list[str]
@@ -100,6 +101,7 @@
     crashes: int
     faults: list[str]
     changes: change_rules.Changes
+    cuts: cuts.Cuts
 
 
 async def soak(seed: int, shape: Shape, folder: pathlib.Path) -> Result:
@@ -125,6 +127,7 @@
         len(world.oracle.crashed_at),
         played.faults,
         world.changes,
+        world.cuts,
     )
 
 
