Tell in the log which process of a worker has answered

None says which process answers under a worker's id, which numbers it lists, and what was noted before.

Change: a report carries the start of its process (`born`); `worker:reached` tells it with the clock, the last end noted and the numbers listed; `worker:restarted` is written when it changes, and counted; `run:missing` tells the run, its age and the last end noted, and is counted. Nothing decides by it.

--- a/crocusrouter/platform/tests/test_decoding.py
+++ b/crocusrouter/platform/tests/test_decoding.py
@@ -100,6 +100,24 @@
     assert report.ended == (orders.Ended(2, _KEY, 1, orders.How.BROKEN),)
 
 
+@pytest.mark.parametrize(
+    ("born", "told"),
+    [
+        (1_769_216_655_123, 1_769_216_655_123),
+        (0, None),
+        (-1, None),
+        (1.5, None),
+        ("1769216655123", None),
+        (True, None),
+        (None, None),
+    ],
+)
+async def test_start_of_a_process_is_a_whole_number(monkeypatch, born, told):
+    _Wire(monkeypatch, _answer(200, clock_ms=9, born=born))
+    worker = platform.PlatformWorker("i-1", "127.0.0.1:1")
+    assert (await worker.hold(7, 0, None, 0.0)).born_ms == told
+
+
 async def test_look_lists_runs_and_ends(monkeypatch):
     wire = _Wire(
         monkeypatch,
--- a/crocusrouter/platform/workers.py
+++ b/crocusrouter/platform/workers.py
@@ -148,9 +148,17 @@
         int(document["clock_ms"]),
         tuple(row for row in running if row is not None),
         tuple(row for row in ended if row is not None),
+        _parse_born(document.get("born")),
     )
 
 
+def _parse_born(value: object) -> int | None:
+    """Return the milliseconds of a worker's start; None if it isn't told."""
+    if isinstance(value, bool) or not isinstance(value, int) or value <= 0:
+        return None
+    return value
+
+
 def _parse_running(row: list[Any]) -> orders.Running | None:
     key = names.parse_task(row[0])
     if key is None:
--- a/crocusrouter/pools/owner.py
+++ b/crocusrouter/pools/owner.py
@@ -41,6 +41,8 @@
 _COUNTED = {
     "run:on-leaving": "start-on-leaving-worker",
     "run:lost": "run-lost-with-its-worker",
+    "run:missing": "run-missing-on-its-worker",
+    "worker:restarted": "worker-restarted",
 }
 
 MakeWorker = Callable[[str, str], orders.WorkerPort]
--- a/crocusrouter/work/orders.py
+++ b/crocusrouter/work/orders.py
@@ -68,11 +68,14 @@
         clock_ms: The worker's own clock.
         running: All runs.
         ended: Ends that nobody has confirmed.
+        born_ms: Unix milliseconds at which its process started; None if it
+            does not say.
     """
 
     clock_ms: int
     running: tuple[Running, ...] = ()
     ended: tuple[Ended, ...] = ()
+    born_ms: int | None = None
 
 
 @dataclasses.dataclass(frozen=True)
--- a/crocusrouter/work/reports.py
+++ b/crocusrouter/work/reports.py
@@ -32,7 +32,15 @@
     if held is None:
         return
     if held.silent_since is not None or not held.reached:
-        book.note("worker:reached", worker=worker)
+        book.note(
+            "worker:reached",
+            worker=worker,
+            born_ms=report.born_ms,
+            clock_ms=report.clock_ms,
+            noted=held.noted,
+            ends=[ended.number for ended in report.ended],
+        )
+    _tell_restart(book, held, report)
     held.silent_since = None
     held.reached = True
     held.heard_at = now
@@ -50,6 +58,24 @@
     _find_missing(book, held, listed, sent_at, now)
 
 
+def _tell_restart(
+    book: books.Book, held: runs.Worker, report: orders.Report
+) -> None:
+    """Log that the worker's process is another one than before."""
+    if held.born_ms not in (None, report.born_ms):
+        book.note(
+            "worker:restarted",
+            worker=held.entry.id,
+            born_ms=report.born_ms,
+            before_ms=held.born_ms,
+            clock_ms=report.clock_ms,
+            noted=held.noted,
+            ends=[ended.number for ended in report.ended],
+            runs=len(held.runs),
+        )
+    held.born_ms = report.born_ms
+
+
 def _note_running(
     book: books.Book, held: runs.Worker, row: orders.Running, now: float
 ) -> None:
@@ -106,7 +132,14 @@
         confirmed = run.confirmed_at
         if key in listed or confirmed is None or confirmed >= sent_at:
             continue
-        book.note("run:missing", task=key, worker=run.worker)
+        book.note(
+            "run:missing",
+            task=key,
+            run=run.number,
+            worker=run.worker,
+            ran_s=round(now - run.since, 3),
+            noted=held.noted,
+        )
         book.drop_run(run)
         book.requeue(run, orders.How.LAPSED, now)
 
