Emulator: processes of workers start again under their ids; the test is red

What callers see: a task runs again after a run of it has ended as done and that end was confirmed; a task starts again after its attempts are spent.

Change: one to three workers at a time crash and start again under their own ids, in touch, behind a cut, or beside orders that are carried out late; the new process knows nothing, and its clock and the numbers of its ends begin anew. An entry reaches whatever process answers under an id. No logic of the product is touched.

--- a/standins/emulator/cluster.py
+++ b/standins/emulator/cluster.py
@@ -179,6 +179,16 @@
 
     def add_worker(self, name: str, rack: str) -> None:
         """Start a worker and list it."""
+        self._start_worker(name, rack)
+        self.list_worker(name)
+
+    def restart_worker(self, name: str) -> None:
+        """Start a worker's process again under its id."""
+        entry = self.workers[name].entry
+        rack = next(label for label in entry.labels if "-" in label)
+        self._start_worker(name, rack).start_anew(trio.current_time())
+
+    def _start_worker(self, name: str, rack: str) -> workers.Worker:
         entry = orders.WorkerEntry(
             name,
             POOL,
@@ -192,7 +202,7 @@
         held = workers.Worker(entry, self.oracle, self.gangs, self.policy, seed)
         held.guards = self._guards
         self.workers[name] = held
-        self.list_worker(name)
+        return held
 
     def list_worker(self, name: str) -> None:
         """Write a worker's entry, as its heartbeat does."""
@@ -228,7 +238,7 @@
     def _step_worker(self, name: str, now: float) -> None:
         held = self.workers[name]
         held.step(now)
-        if held.refuses and name not in self._returning:
+        if held.crashed_by_task and name not in self._returning:
             assert self._nursery is not None
             self._returning.add(name)
             self._nursery.start_soon(self._return_crashed, name)
@@ -275,7 +285,7 @@
 
     def _find_view(self, name: str) -> Callable[[str, str], orders.WorkerPort]:
         def open_view(worker: str, _: str) -> orders.WorkerPort:
-            view = workers.WorkerView(self.workers[worker], name)
+            view = workers.WorkerView(lambda: self.workers[worker], name)
             held = suspension.Suspendable(view, self.suspensions, name)
             return cast(orders.WorkerPort, held)
 
--- a/standins/emulator/faults.py
+++ b/standins/emulator/faults.py
@@ -23,6 +23,11 @@
 _HEARTBEAT_S = 1.5
 _UNLISTED_S = 3 * _HEARTBEAT_S
 _RESTART_S = 1.5
+# How long a worker's process is away, and how many crash at once.
+_AWAY_S = (0.2, 1.5)
+_AWAY_BEHIND_CUT_S = (1.0, 4.0)
+_MOST_RESTARTED = 3
+_LATE_SHARE = 0.5
 _LOST_S = 0.1
 _GRACE_S = 6.0
 _WATCHED = (clusters.OPERATORS, clusters.WORKERS, keys.JOBS, keys.SYSTEM)
@@ -68,6 +73,10 @@
     REFUSE_WATCHES = "refuse-watches"  # of one prefix
     STOP_ENTRY = "stop-entry"  # as planned
     FREEZE_OTHERS = "freeze-others"  # all but one
+    # Processes of workers that start again under their ids.
+    RESTART = "restart"
+    RESTART_BEHIND_CUT = "restart-behind-cut"  # from the entries
+    RESTART_BESIDE_LATE = "restart-beside-late"  # orders
 
 
 _STORE = {
@@ -89,6 +98,13 @@
     Fault.STOP_ENTRY,
     Fault.FREEZE_OTHERS,
 )
+RESTARTS = (
+    Fault.RESTART,
+    Fault.RESTART_BEHIND_CUT,
+    Fault.RESTART_BESIDE_LATE,
+)
+# Days and histories that were drawn before these kinds were there.
+UNRESTARTED = tuple(fault for fault in Fault if fault not in RESTARTS)
 # Drawn days name their faults by place in this list; kept seeds would play
 # other days if it changed.
 DRAWN = tuple(
@@ -101,6 +117,7 @@
         Fault.FREEZE_OWNER,
         Fault.SHRINK_WORKER,
         *ALONE,
+        *RESTARTS,
     )
 )
 
@@ -247,6 +264,8 @@
         await _cancel_many(held)
     elif fault in ALONE:
         await _strike_entry(held, event)
+    elif fault in RESTARTS:
+        await _strike_processes(held, event)
     else:
         await _strike_worker(held, event)
 
@@ -369,6 +388,40 @@
             await _replace(held, name, event.for_s)
 
 
+async def _strike_processes(held: clusters.Cluster, event: Event) -> None:
+    """Restart the processes of one to three workers at the same moment."""
+    live = [name for name, worker in held.workers.items() if worker.alive]
+    chosen = held.random.sample(live, k=held.random.randint(1, _MOST_RESTARTED))
+    async with trio.open_nursery() as nursery:
+        for name in chosen:
+            nursery.start_soon(_restart, held, name, event)
+
+
+async def _restart(held: clusters.Cluster, name: str, event: Event) -> None:
+    """Crash a worker's process; the next one takes its id.
+
+    Until its first heartbeat the list tells of the earlier one.
+    """
+    worker = held.workers[name]
+    away_s = held.random.uniform(*_AWAY_S)
+    match event.fault:
+        case Fault.RESTART_BEHIND_CUT:
+            worker.cut_from = set(held.names)
+            away_s = held.random.uniform(*_AWAY_BEHIND_CUT_S)
+        case Fault.RESTART_BESIDE_LATE:
+            worker.late_share = _LATE_SHARE
+            await trio.sleep(event.for_s)
+    if not worker.alive:
+        return
+    worker.refuses = not worker.cut_from
+    worker.crash()
+    await trio.sleep(away_s)
+    held.restart_worker(name)
+    await trio.sleep(held.random.uniform(0.0, _HEARTBEAT_S))
+    if held.workers[name].alive:
+        held.list_worker(name)
+
+
 async def _shrink(held: clusters.Cluster, name: str, for_s: float) -> None:
     """Take a part of a worker's room away; its next heartbeat tells."""
     worker = held.workers[name]
--- a/standins/emulator/tests/test_changes.py
+++ b/standins/emulator/tests/test_changes.py
@@ -231,7 +231,9 @@
 @pytest.mark.parametrize("seed", range(_SEEDS))
 async def test_drawn_days_with_changes_keep_the_rules(seed, autojump_clock):
     load = emulator.Load()
-    drawn = emulator.choose_faults(seed, 6, load.length_s, list(emulator.Fault))
+    drawn = emulator.choose_faults(
+        seed, 6, load.length_s, list(faults.UNRESTARTED)
+    )
     held = await emulator.play(seed, load, drawn, changes_per_s=1.0)
     assert held.oracle.broken == []
     assert held.changes.judged > 50
--- a/standins/emulator/worker.py
+++ b/standins/emulator/worker.py
@@ -1,5 +1,6 @@
 """A worker of the platform in memory: leases, fences, rooms and gangs."""
 
+from collections.abc import Callable
 import dataclasses
 import random
 
@@ -28,6 +29,9 @@
 _SHRUNK_AFTER_S = 4.5
 # A worker that has crashed is listed until three heartbeats are missed.
 _UNNOTICED_S = 4.5
+# A new process's clock starts here.
+_FIRST_CLOCK_MS = 1.0
+_UNIX_MS = 1_700_000_000_000
 # The figure is one for the last half second; a step of time is 20 ms.
 _TAIL_SHARE = 0.08
 
@@ -88,6 +92,7 @@
         self._crashed_at = 0.0
         self.reborn = False
         self.refuses = False
+        self.crashed_by_task = False
         self.missed_starts = 0
         self.begun = 0
         self.drains_since: float | None = None
@@ -104,6 +109,7 @@
         self.noted = 0
         self.offset_ms = self.random.uniform(1e5, 1e6)
         self.rate = self.random.uniform(_SLOWEST, 1.0)
+        self.born_ms = _UNIX_MS
         self._tail_ms = _TAIL_MS
         self._news = trio.Event()
 
@@ -111,6 +117,11 @@
         """Return this worker's own milliseconds."""
         return self.offset_ms + trio.current_time() * 1000 * self.rate
 
+    def start_anew(self, now: float) -> None:
+        """Begin as the next process under this id, which knows nothing."""
+        self.born_ms = _UNIX_MS + int(now * 1000)
+        self.offset_ms = _FIRST_CLOCK_MS - now * 1000 * self.rate
+
     def step(self, now: float) -> None:
         """Let time pass: ends, stops, lapses."""
         if not self.alive:
@@ -173,6 +184,7 @@
         """Crash because of a task; the VM stays up and refuses connections."""
         self.oracle.note_crash(task.key, list(self.tasks), now)
         self.refuses = True
+        self.crashed_by_task = True
         self.crash()
         self._news.set()
 
@@ -364,7 +376,9 @@
             )
             for task in self.tasks.values()
         )
-        return orders.Report(int(clock), running, tuple(self.ended))
+        return orders.Report(
+            int(clock), running, tuple(self.ended), self.born_ms
+        )
 
     def measure_tail(self, task: Task) -> float:
         """Return the tail of a serving task's answers in milliseconds."""
@@ -415,10 +429,20 @@
 class WorkerView:
     """A worker as one entry meets it; implements `WorkerPort`."""
 
-    def __init__(self, worker: Worker, entry: str) -> None:
-        self._worker = worker
+    def __init__(self, find: Callable[[], Worker], entry: str) -> None:
+        """Open a view.
+
+        Args:
+            find: Returns the process that answers under the worker's id.
+            entry: Who meets it.
+        """
+        self._find = find
         self._entry = entry
 
+    @property
+    def _worker(self) -> Worker:
+        return self._find()
+
     def _is_reachable(self) -> bool:
         return self._worker.alive and self._entry not in self._worker.cut_from
 
--- a/standins/soak/world.py
+++ b/standins/soak/world.py
@@ -128,7 +128,7 @@
         for name, worker in self.workers.items():
             number = listed.pop()
             self._numbers[name] = number
-            self._platform.workers[number] = workers.WorkerView(worker, "")
+            self._platform.workers[number] = _open_view(worker)
             self._platform.lives[number] = name
             self.worker_proxies[name] = proxies.Proxy(number)
             await nursery.start(self.worker_proxies[name].run)
@@ -184,7 +184,7 @@
             now = trio.current_time()
             for name, worker in list(self.workers.items()):
                 worker.step(now)
-                if worker.refuses:
+                if worker.crashed_by_task:
                     del self.workers[name]
                     nursery.start_soon(self._return_crashed, name, worker)
             self._note_impairments(now)
@@ -265,8 +265,7 @@
         self._numbers[again] = number
         self.worker_proxies[again] = proxy
         self._add_worker(again, worker.entry.labels)
-        view = workers.WorkerView(self.workers[again], "")
-        self._platform.workers[number] = view
+        self._platform.workers[number] = _open_view(self.workers[again])
         self._platform.lives[number] = again
         await trio.sleep(3 * _HEARTBEAT_S - _RETURN_S)
         self.store.remove(f"servers/{name}")
@@ -303,6 +302,10 @@
             self._paused.discard(name)
 
 
+def _open_view(worker: workers.Worker) -> workers.WorkerView:
+    return workers.WorkerView(lambda: worker, "")
+
+
 def _build_config(*, checks_room: bool) -> dict[str, Any]:
     route = {
         "name": "q",
