--- a/crocusrouter/platform/calls.py
+++ b/crocusrouter/platform/calls.py
@@ -66,6 +66,45 @@
 Result = Answered | Unanswered
 
 
+class Connection:
+    """One connection to an address, opened by its first call.
+
+    It is never opened again, so all calls reach the same process.
+    """
+
+    def __init__(self, address: str) -> None:
+        self._base = f"http://{address}"
+        self._connection = httpcore.AsyncHTTPConnection(
+            httpcore.URL(self._base).origin,
+            keepalive_expiry=_IDLE_CONNECTION_S,
+            socket_options=_SOCKET_OPTIONS,
+        )
+
+    @property
+    def is_open(self) -> bool:
+        """Whether another call may be made."""
+        held = self._connection
+        return not (held.is_closed() or held.has_expired())
+
+    async def call(
+        self,
+        method: str,
+        target: str,
+        document: dict[str, Any] | None,
+        timeout_s: float,
+        headers: dict[str, str] | None = None,
+    ) -> Result:
+        """Make one call; see `Caller.call`."""
+        url = self._base + target
+        return await _exchange(
+            self._connection, method, url, document, timeout_s, headers
+        )
+
+    async def aclose(self) -> None:
+        """Close it."""
+        await self._connection.aclose()
+
+
 class Caller:
     """Calls one address over connections of its own.
 
@@ -99,32 +138,44 @@
             timeout_s: Seconds for each of connecting, sending and waiting.
             headers: Sent besides the content type.
         """
-        names = ("connect", "read", "write", "pool")
-        content = orjson.dumps(document) if document is not None else None
-        sent: dict[bytes | str, bytes | str] = {
-            "Content-Type": "application/json"
-        }
-        sent.update(headers or {})
-        try:
-            response = await self._pool.request(
-                method,
-                self._base + target,
-                headers=sent,
-                content=content,
-                extensions={"timeout": dict.fromkeys(names, timeout_s)},
-            )
-        except _NOT_SENT as error:
-            return Unanswered(repr(error), maybe_done=False)
-        except _BROKEN as error:
-            return Unanswered(repr(error), maybe_done=True)
-        try:
-            body = orjson.loads(response.content) if response.content else {}
-        except orjson.JSONDecodeError as error:
-            return Unanswered(f"answer is no JSON: {error}", maybe_done=True)
-        return Answered(
-            response.status, body if isinstance(body, dict) else {"": body}
+        url = self._base + target
+        return await _exchange(
+            self._pool, method, url, document, timeout_s, headers
         )
 
     async def aclose(self) -> None:
         """Close all connections."""
         await self._pool.aclose()
+
+
+async def _exchange(
+    requests: httpcore.AsyncConnectionPool | httpcore.AsyncHTTPConnection,
+    method: str,
+    url: str,
+    document: dict[str, Any] | None,
+    timeout_s: float,
+    headers: dict[str, str] | None,
+) -> Result:
+    names = ("connect", "read", "write", "pool")
+    content = orjson.dumps(document) if document is not None else None
+    sent: dict[bytes | str, bytes | str] = {"Content-Type": "application/json"}
+    sent.update(headers or {})
+    try:
+        response = await requests.request(
+            method,
+            url,
+            headers=sent,
+            content=content,
+            extensions={"timeout": dict.fromkeys(names, timeout_s)},
+        )
+    except _NOT_SENT as error:
+        return Unanswered(repr(error), maybe_done=False)
+    except _BROKEN as error:
+        return Unanswered(repr(error), maybe_done=True)
+    try:
+        body = orjson.loads(response.content) if response.content else {}
+    except orjson.JSONDecodeError as error:
+        return Unanswered(f"answer is no JSON: {error}", maybe_done=True)
+    return Answered(
+        response.status, body if isinstance(body, dict) else {"": body}
+    )
--- a/crocusrouter/platform/tests/test_decoding.py
+++ b/crocusrouter/platform/tests/test_decoding.py
@@ -27,7 +27,8 @@
     def __init__(self, monkeypatch, *answers):
         self.sent = []
         self._answers = list(answers)
-        monkeypatch.setattr(calls.Caller, "call", self._call)
+        for caller in (calls.Caller, calls.Connection):
+            monkeypatch.setattr(caller, "call", self._call)
 
     async def _call(self, method, target, document, timeout_s, headers=None):
         self.sent.append((method, target, document))
@@ -67,7 +68,7 @@
 )
 async def test_answers_to_a_start(monkeypatch, answer, expected):
     wire = _Wire(monkeypatch, answer)
-    worker = platform.PlatformWorker("i-1", "127.0.0.1:1")
+    worker = platform.PlatformConnection("i-1", "127.0.0.1:1")
     order = orders.Start(_KEY, 2, "text", "cp")
     assert await worker.start(7, order, 486000, 0.3) == expected
     assert wire.sent == [
@@ -93,7 +94,7 @@
     rows = [["someone-elses", 1, "", 0], [_NAME, 2, "", 0]]
     ends = [[1, "odd", 1, "done", ""], [2, _NAME, 1, "new-word", ""]]
     _Wire(monkeypatch, _answer(200, clock_ms=9, running=rows, finished=ends))
-    report = await platform.PlatformWorker("i", "127.0.0.1:1").hold(
+    report = await platform.PlatformConnection("i", "127.0.0.1:1").hold(
         7, 0, None, 0.0
     )
     assert [row.key for row in report.running] == [_KEY]
@@ -114,7 +115,7 @@
 )
 async def test_start_of_a_process_is_a_whole_number(monkeypatch, born, told):
     _Wire(monkeypatch, _answer(200, clock_ms=9, born=born))
-    worker = platform.PlatformWorker("i-1", "127.0.0.1:1")
+    worker = platform.PlatformConnection("i-1", "127.0.0.1:1")
     assert (await worker.hold(7, 0, None, 0.0)).born_ms == told
 
 
@@ -128,7 +129,7 @@
             finished=[[58, _NAME, 1, "done", ""]],
         ),
     )
-    worker = platform.PlatformWorker("i-1", "127.0.0.1:1")
+    worker = platform.PlatformConnection("i-1", "127.0.0.1:1")
     report = await worker.hold(7, 57, None, 1.0)
     assert report == orders.Report(
         9,
@@ -379,7 +380,7 @@
 
 async def test_pace_of_a_run(monkeypatch):
     wire = _Wire(monkeypatch, _answer(200, clock_ms=5))
-    worker = platform.PlatformWorker("i-1", "127.0.0.1:1")
+    worker = platform.PlatformConnection("i-1", "127.0.0.1:1")
     assert await worker.pace(7, orders.Pace(_KEY, 2, 40), 0.3) == orders.Taken(
         5
     )
--- a/crocusrouter/platform/tests/test_worker_entries.py
+++ b/crocusrouter/platform/tests/test_worker_entries.py
@@ -32,6 +32,16 @@
     )
 
 
+@pytest.mark.parametrize(
+    ("born", "incarnation"),
+    [({"born": 5}, "i-1@5"), ({"born": None}, "i-1"), ({}, "i-1")],
+)
+def test_incarnation_of_a_listed_worker(born, incarnation):
+    entry = platform.parse_worker("servers/i-1", orjson.dumps(_ENTRY | born))
+    assert entry.id == incarnation
+    assert entry.worker == "i-1"
+
+
 @pytest.mark.parametrize("data", [b"", b"[]", b'{"service": 1}'])
 def test_entry_that_is_no_worker(data):
     assert platform.parse_worker("servers/i-1", data) is None
@@ -67,6 +77,11 @@
         {"labels": [1]},
         {"labels": None},
         {"remaining_ms": "soon"},
+        {"born": "1700000000000"},
+        {"born": 1700000000000.5},
+        {"born": 0},
+        {"born": -1},
+        {"born": True},
     ],
 )
 def test_entry_of_another_writer(wrong):
@@ -104,7 +119,7 @@
 
 @hypothesis.given(
     changed=strategies.dictionaries(
-        strategies.sampled_from([*_ENTRY, "remaining_ms", "cpu"]), _JSON
+        strategies.sampled_from([*_ENTRY, "remaining_ms", "cpu", "born"]), _JSON
     ),
     key=strategies.text(max_size=12),
 )
--- a/crocusrouter/platform/workers.py
+++ b/crocusrouter/platform/workers.py
@@ -13,16 +13,12 @@
 from crocusrouter.platform import calls
 from crocusrouter.platform import names
 from crocusrouter.telemetry import log
+from crocusrouter.work import incarnations
 from crocusrouter.work import model
 from crocusrouter.work import orders
 
 WORKERS_PREFIX = "servers/"
 _HOLD_GRACE_S = 0.6
-# One look waits for an end; another may be asked for meanwhile.
-_HOLD_CONNECTIONS = 2
-# Orders to one worker that can be under way at once. Each new connection is
-# priced, and an unanswered order keeps one busy until its timeout.
-_ORDER_CONNECTIONS = 3
 _OK = 200
 _OTHER_INCARNATION = 421
 _CONFLICT = 409
@@ -39,13 +35,18 @@
 _HOW = {how.value: how for how in orders.How}
 
 
-class PlatformWorker:
-    """Implements `work.orders.WorkerPort`."""
+class PlatformConnection:
+    """Implements `work.orders.Connection`."""
 
-    def __init__(self, worker: str, address: str) -> None:
+    def __init__(self, incarnation: str, address: str) -> None:
+        worker = incarnations.find_worker(incarnation)
         self._headers = {"X-Expect-Instance": worker}
-        self._holds = calls.Caller(address, _HOLD_CONNECTIONS)
-        self._orders = calls.Caller(address, _ORDER_CONNECTIONS)
+        self._connection = calls.Connection(address)
+
+    @property
+    def is_open(self) -> bool:
+        """Whether another call may be made; no call was left unanswered."""
+        return self._connection.is_open
 
     async def hold(
         self, epoch: int, seen: int, until_ms: int | None, wait_s: float
@@ -56,7 +57,7 @@
             document["until_ms"] = until_ms
         if wait_s > 0:
             document["wait_ms"] = int(wait_s * 1000)
-        result = await self._holds.call(
+        result = await self._connection.call(
             "POST", "/hold", document, wait_s + _HOLD_GRACE_S, self._headers
         )
         refused = _find_refusal(result)
@@ -106,14 +107,13 @@
         return await self._order("/pace", document, timeout_s)
 
     async def aclose(self) -> None:
-        """Close all connections."""
-        await self._holds.aclose()
-        await self._orders.aclose()
+        """Close it."""
+        await self._connection.aclose()
 
     async def _order(
         self, path: str, document: dict[str, Any], timeout_s: float
     ) -> orders.Taken | orders.Rejected | orders.Silent:
-        result = await self._orders.call(
+        result = await self._connection.call(
             "POST", path, document, timeout_s, self._headers
         )
         refused = _find_refusal(result)
@@ -209,6 +209,9 @@
     labels: list[str]
     # Only while it drains: the least time that is left.
     remaining_ms: float | None = None
+    # Unix milliseconds of its start; none where each start has an id of its
+    # own.
+    born: Annotated[int, pydantic.Field(gt=0)] | None = None
 
 
 def parse_worker(key: str, value: bytes) -> orders.WorkerEntry | None:
@@ -219,8 +222,9 @@
         log("worker:unreadable", key=key, error=str(error))
         return None
     room = listed.capacity
+    worker = key.removeprefix(WORKERS_PREFIX)
     return orders.WorkerEntry(
-        key.removeprefix(WORKERS_PREFIX),
+        incarnations.build_incarnation(worker, listed.born),
         listed.service,
         listed.address,
         listed.zone,
--- a/crocusrouter/pools/advisor.py
+++ b/crocusrouter/pools/advisor.py
@@ -7,6 +7,7 @@
 from crocusrouter import work
 from crocusrouter.pools import clock
 from crocusrouter.telemetry import log
+from crocusrouter.work import incarnations
 from crocusrouter.work import orders
 
 # An answer takes the service's fixed time and some more for each of at most
@@ -69,8 +70,11 @@
             log("policy:no-address", step=step, remedy="set policy_address")
             await trio.sleep(_ANSWER_TIMEOUT_S)
             return
+        by_worker = {
+            incarnations.find_worker(name): name for name in question.workers
+        }
         answer = await self._policy.advise(
-            step, question.workers, _ANSWER_TIMEOUT_S
+            step, tuple(by_worker), _ANSWER_TIMEOUT_S
         )
         if isinstance(answer, orders.Silent):
             log("policy:no-answer", step=step, cause=answer.cause)
@@ -87,5 +91,11 @@
         if held is None:
             return
         valid_until = self._times.steady() + answer.valid_s
-        held.permits.note_answer(question.workers, answer.tickets, valid_until)
+        # A ticket ends with the incarnation that it was given for.
+        tickets = {
+            by_worker[worker]: ticket
+            for worker, ticket in answer.tickets.items()
+            if worker in by_worker
+        }
+        held.permits.note_answer(question.workers, tickets, valid_until)
         self._changed()
--- a/crocusrouter/pools/links.py
+++ b/crocusrouter/pools/links.py
@@ -9,6 +9,7 @@
 from crocusrouter.pools import clock
 from crocusrouter.pools import journal as journals
 from crocusrouter.pools import leases
+from crocusrouter.pools import unanswered as unanswered_starts
 from crocusrouter.telemetry import log
 from crocusrouter.work import orders
 from crocusrouter.work import runs
@@ -27,8 +28,13 @@
 _START_PATIENCE_S = 2.0
 
 
+# Told when another incarnation answers: who was meant, who answers (None if
+# that isn't known), and the stops that the latter has to answer.
+Replaced = Callable[[str, str | None, list[orders.Stop]], None]
+
+
 class WorkerLink:
-    """Keeps one worker's lease and carries orders to it."""
+    """Keeps one incarnation's lease and carries orders to it."""
 
     def __init__(
         self,
@@ -41,11 +47,13 @@
         may_renew: Callable[[], bool],
         may_start: Callable[[float], bool],
         changed: Callable[[], None],
+        replaced: Replaced,
+        unanswered: unanswered_starts.UnansweredStarts,
     ) -> None:
         """Open a link.
 
         Args:
-            worker: The worker's id.
+            worker: The incarnation.
             port: How to reach it.
             epoch: The owner's epoch.
             book: Told of everything that the worker says.
@@ -55,6 +63,9 @@
             may_start: Whether it is known well enough, at a steady time, which
                 jobs were cancelled and which workers leave.
             changed: Called when the book has changed.
+            replaced: Called when another incarnation answers.
+            unanswered: Shared with the links to the worker's other
+                incarnations.
         """
         self.worker = worker
         self.lease = leases.LeaseClock(times.steady())
@@ -66,6 +77,8 @@
         self._may_renew = may_renew
         self._may_start = may_start
         self._changed = changed
+        self._replaced = replaced
+        self._unanswered = unanswered
         self._seen = 0
         self._wake = trio.Event()
         self._gone = False
@@ -82,6 +95,7 @@
         """
         try:
             await self._look(0.0)
+            await self._stop_late_starts()
             while not self._gone:
                 held = self._book.workers.get(self.worker)
                 if held is None:
@@ -115,8 +129,8 @@
                 await self._take_report(result, now)
             case orders.Rejected(orders.Why.FENCED):
                 raise journals.DeposedError(f"fenced by {self.worker}")
-            case orders.Rejected(orders.Why.OTHER_INCARNATION):
-                self._leave()
+            case orders.Rejected(orders.Why.OTHER_INCARNATION, _, other):
+                self._leave(other)
             case _:
                 await self._take_silence()
 
@@ -144,10 +158,15 @@
                 self._gone = True
         await trio.sleep(_RETRY_S)
 
-    def _leave(self) -> None:
-        """Give the worker up: another incarnation answers at its address."""
+    def _leave(self, other: str | None) -> None:
+        """Give the incarnation up: another one answers in its place."""
         self._gone = True
-        work.note_replaced(self._book, self.worker, self._times.steady())
+        stops = (
+            self._unanswered.list_stops(other, self._times.steady())
+            if other is not None
+            else []
+        )
+        self._replaced(self.worker, other, stops)
         self.wake()
         self._changed()
 
@@ -180,8 +199,8 @@
                     return
                 case orders.Rejected(orders.Why.FENCED):
                     raise journals.DeposedError(f"fenced by {self.worker}")
-                case orders.Rejected(orders.Why.OTHER_INCARNATION):
-                    self._leave()
+                case orders.Rejected(orders.Why.OTHER_INCARNATION, _, other):
+                    self._leave(other)
                     return
                 case orders.Rejected(why):
                     if not maybe_begun:
@@ -192,6 +211,7 @@
                     maybe_begun = maybe_begun or maybe_done
                     if maybe_done:
                         self._book.note_maybe_begun(order.key, order.run)
+                        self._unanswered.note(order, self.worker, now)
                     log(
                         "order:unanswered",
                         task=order.key,
@@ -254,6 +274,15 @@
             self._book.stop_run(run, "its start was not answered", now)
             self._changed()
 
+    async def _stop_late_starts(self) -> None:
+        """Keep the worker from what was ordered to incarnations before it."""
+        held = self._book.workers.get(self.worker)
+        if self._gone or held is None or not held.reached:
+            return
+        now = self._times.steady()
+        for order in self._unanswered.list_stops(self.worker, now):
+            await self.stop(order)
+
     def _is_current(self, order: orders.Stop) -> bool:
         run = self._book.runs.get(order.key)
         return run is not None and run.number == order.run
@@ -279,8 +308,8 @@
                     self.lease.note(clock_ms, now)
                     await self._settle_stop(order, now)
                     return
-                case orders.Rejected(orders.Why.OTHER_INCARNATION):
-                    self._leave()
+                case orders.Rejected(orders.Why.OTHER_INCARNATION, _, other):
+                    self._leave(other)
                     return
             if known and not self._is_current(order):
                 return
--- a/crocusrouter/pools/listing.py
+++ b/crocusrouter/pools/listing.py
@@ -82,6 +82,8 @@
         self._times = times
         self._metrics = metrics
         self._listeners = listeners
+        # The incarnation that each key tells of.
+        self._incarnations: dict[str, str] = {}
         self.freshness = freshness.Freshness(
             source.prefix, times, metrics, listeners.changed
         )
@@ -121,6 +123,10 @@
             # it runs is looked after.
             self._unlist(record.key)
             return
+        if self._incarnations.get(record.key) != entry.id:
+            # Another process has started under the worker's id.
+            self._unlist(record.key)
+        self._incarnations[record.key] = entry.id
         known = self._book.workers.get(entry.id)
         leaves = entry.draining and not (known is not None and known.sealed)
         self._book.set_worker(entry, now)
@@ -129,9 +135,10 @@
         self._listeners.listed(entry.id, entry.address)
 
     def _unlist(self, key: str) -> None:
-        worker = key.removeprefix(self._source.prefix)
-        self._book.unlist_worker(worker)
-        self._listeners.unlisted(worker)
+        incarnation = self._incarnations.pop(key, None)
+        if incarnation is not None:
+            self._book.unlist_worker(incarnation)
+            self._listeners.unlisted(incarnation)
 
     def _tell_leaving(self, worker: str, revision: int) -> None:
         """Log how late the word may have come, and what it came too late for.
--- a/crocusrouter/pools/owner.py
+++ b/crocusrouter/pools/owner.py
@@ -1,7 +1,9 @@
 """The owner of one pool: joins book, journal, watches and worker links."""
 
+import collections
 from collections.abc import Callable
 import dataclasses
+import functools
 
 import trio
 
@@ -10,6 +12,7 @@
 from crocusrouter.pools import advisor
 from crocusrouter.pools import backlog
 from crocusrouter.pools import clock
+from crocusrouter.pools import connections
 from crocusrouter.pools import expiry
 from crocusrouter.pools import journal as journals
 from crocusrouter.pools import links
@@ -18,6 +21,7 @@
 from crocusrouter.pools import reservations
 from crocusrouter.pools import roster
 from crocusrouter.pools import tenure as tenures
+from crocusrouter.pools import unanswered
 from crocusrouter.pools import upkeep
 from crocusrouter.store import client
 from crocusrouter.store import port
@@ -45,7 +49,7 @@
     "worker:restarted": "worker-restarted",
 }
 
-MakeWorker = Callable[[str, str], orders.WorkerPort]
+OpenConnection = Callable[[str, str], orders.Connection]
 
 
 @dataclasses.dataclass(frozen=True)
@@ -55,7 +59,8 @@
     Attributes:
         workers_prefix: Where they are listed in the key-value service.
         parse_worker: Decodes an entry of that list.
-        make_worker: Opens a port to a worker's id and address.
+        open_connection: Opens a connection to an incarnation of a worker, at
+            an address.
         keep_jobs_s: Seconds for which a job that is over can be asked for.
         make_policy: Opens the policy service of advised queues; None if
             there is none.
@@ -64,7 +69,7 @@
 
     workers_prefix: str
     parse_worker: listing.ParseWorker
-    make_worker: MakeWorker
+    open_connection: OpenConnection
     keep_jobs_s: float = 600.0
     make_policy: Callable[[], orders.PolicyPort] | None = None
     upkeeping: upkeep.Upkeeping | None = None
@@ -111,6 +116,10 @@
             store, held, self.book, self._backlog.revisions
         )
         self._links: dict[str, links.WorkerLink] = {}
+        # By worker; outlives the links to its incarnations.
+        self._unanswered: dict[str, unanswered.UnansweredStarts] = (
+            collections.defaultdict(unanswered.UnansweredStarts)
+        )
         self._reservations = reservations.Reservations()
         self._runs = held.epoch << _RUN_BITS
         self._wake = trio.Event()
@@ -223,11 +232,15 @@
         if self._nursery is None:
             # Not running yet; all that was loaded is opened then.
             return
-        if worker in self._links or self.book.workers[worker].gone:
+        held = self.book.workers[worker]
+        if worker in self._links or held.gone:
             return
+        open_connection = functools.partial(
+            self._platform.open_connection, worker, address
+        )
         link = links.WorkerLink(
             worker,
-            self._platform.make_worker(worker, address),
+            connections.Connections(worker, open_connection),
             self.epoch,
             self.book,
             self._times,
@@ -235,10 +248,29 @@
             self._may_hold,
             self._may_start,
             self.wake,
+            self._take_replaced,
+            self._unanswered[held.entry.worker],
         )
         self._links[worker] = link
         self._nursery.start_soon(self._run_link, worker, link)
 
+    def _take_replaced(
+        self, worker: str, other: str | None, stops: list[orders.Stop]
+    ) -> None:
+        """Note that another incarnation answers in place of one.
+
+        It may not be listed yet; it is asked at once what it runs. Orders that
+        were under way tell the same once more.
+        """
+        if worker not in self.book.workers or self.book.workers[worker].gone:
+            return
+        now = self._times.steady()
+        if other is not None:
+            self.book.add_successor(worker, other, now)
+        work.note_replaced(self.book, worker, now, other, stops)
+        if other is not None:
+            self._open_link(other, self.book.workers[other].entry.address)
+
     async def _run_link(self, worker: str, link: links.WorkerLink) -> None:
         await link.run()
         del self._links[worker]
@@ -256,6 +288,8 @@
         if held is None or held.listed or held.runs or worker in self._links:
             return
         self.book.forget_worker(worker)
+        if self._unanswered[held.entry.worker].is_settled(self._times.steady()):
+            del self._unanswered[held.entry.worker]
         log("worker:forgotten", worker=worker)
 
     def _may_hold(self) -> bool:
--- /dev/null
+++ b/crocusrouter/pools/tests/test_connections.py
@@ -0,0 +1,234 @@
+"""Calls reach the incarnation that they are meant for, or none."""
+
+import pytest
+import trio
+
+from crocusrouter import work
+from crocusrouter.pools import connections
+from crocusrouter.work import orders
+
+_KEY = work.TaskKey("00000000000000aa", 0, 0, 0)
+_START = orders.Start(_KEY, 7, "")
+_STOP = orders.Stop(_KEY, 7)
+_PACE = orders.Pace(_KEY, 7, 50)
+
+
+class _Worker:
+    """One process at a time under the id w0; its connections end with it."""
+
+    def __init__(self, born_ms=5):
+        self.born_ms = born_ms
+        self.process = 0
+        self.sent = []
+        self.silent = False
+        self.opened = 0
+
+    def restart(self, born_ms):
+        self.process += 1
+        self.born_ms = born_ms
+
+    def open(self):
+        self.opened += 1
+        return _Connection(self)
+
+
+class _Connection:
+    def __init__(self, worker):
+        self._worker = worker
+        self._process = None
+        self.is_open = True
+
+    async def _call(self, what, answer):
+        await trio.sleep(0.001)
+        if self._process is None:
+            self._process = self._worker.process
+        if self._process != self._worker.process or self._worker.silent:
+            self.is_open = False
+            return orders.Silent("broken")
+        self._worker.sent.append(what)
+        return answer
+
+    async def hold(self, epoch, seen, until_ms, wait_s):
+        report = orders.Report(1, (), (), self._worker.born_ms)
+        return await self._call(("hold", seen, until_ms, wait_s), report)
+
+    async def start(self, epoch, order, until_ms, timeout_s):
+        return await self._call(order, orders.Taken(1))
+
+    async def stop(self, epoch, order, timeout_s):
+        return await self._call(order, orders.Taken(1))
+
+    async def pace(self, epoch, order, timeout_s):
+        return await self._call(order, orders.Taken(1))
+
+    async def aclose(self):
+        self.is_open = False
+
+
+_FIRST_LOOK = ("hold", 0, None, 0.0)
+
+
+def _open(worker, incarnation="w0@5"):
+    return connections.Connections(incarnation, worker.open)
+
+
+async def _send(port, order):
+    match order:
+        case orders.Start():
+            return await port.start(1, order, 9000, 0.3)
+        case orders.Stop():
+            return await port.stop(1, order, 0.3)
+    return await port.pace(1, order, 0.3)
+
+
+async def test_first_look_on_a_connection_confirms_and_renews_nothing(
+    autojump_clock,
+):
+    """Ends were confirmed that the next process under the id had listed."""
+    worker = _Worker()
+    port = _open(worker)
+    for _ in range(3):
+        await port.hold(1, 57, 9000, 1.0)
+    first = ("hold", 0, None, 1.0)
+    assert worker.sent == [first, *[("hold", 57, 9000, 1.0)] * 2]
+    assert worker.opened == 1
+
+
+@pytest.mark.parametrize("order", [_START, _STOP, _PACE])
+@pytest.mark.parametrize("known", [False, True])
+async def test_no_order_reaches_the_next_process(order, known, autojump_clock):
+    """A task began on a process whose runs nobody counted there."""
+    worker = _Worker()
+    port = _open(worker)
+    if known:
+        await port.hold(1, 0, None, 0.0)
+    worker.restart(born_ms=7)
+    answers = [await _send(port, order) for _ in range(2)]
+    assert answers[-1] == orders.Rejected(
+        orders.Why.OTHER_INCARNATION, 1, "w0@7"
+    )
+    assert order not in worker.sent
+
+
+@pytest.mark.parametrize("order", [_START, _STOP, _PACE])
+async def test_order_follows_a_look_on_a_new_connection(order, autojump_clock):
+    worker = _Worker()
+    assert await _send(_open(worker), order) == orders.Taken(1)
+    assert worker.sent == [_FIRST_LOOK, order]
+
+
+async def test_orders_and_looks_share_connections(autojump_clock):
+    """Each new connection is priced and costs a look."""
+    worker = _Worker()
+    port = _open(worker)
+    for _ in range(3):
+        await port.hold(1, 0, None, 0.0)
+        await _send(port, _START)
+    assert worker.opened == 1
+
+
+@pytest.mark.parametrize("count", [2, 3, 8])
+async def test_orders_given_together_share_a_connection(count, autojump_clock):
+    """Each of them opened one, and had to look first."""
+    worker = _Worker()
+    port = _open(worker)
+    await port.hold(1, 0, None, 0.0)
+    async with trio.open_nursery() as nursery:
+        for _ in range(count):
+            nursery.start_soon(_send, port, _START)
+    assert worker.sent.count(_START) == count
+    assert worker.opened == 1
+
+
+async def test_order_does_not_wait_for_one_that_is_unanswered(autojump_clock):
+    worker = _Worker()
+    port = _open(worker)
+    await port.hold(1, 0, None, 0.0)
+    worker.opened = 0
+    slow = port._idle[0]
+
+    async def hang(*_):
+        await trio.sleep(0.35)
+        slow.is_open = False
+        return orders.Silent("lost")
+
+    slow.start = hang
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(_send, port, _START)
+        await trio.sleep(0.001)
+        began = trio.current_time()
+        await _send(port, _STOP)
+        assert trio.current_time() - began < 0.02
+    assert worker.opened == 1
+
+
+@pytest.mark.parametrize(
+    ("incarnation", "born_ms", "expected"),
+    [
+        ("w0@5", 5, "w0@5"),
+        ("w0", None, "w0"),
+        ("w0@5", 7, "w0@7"),
+        ("w0@5", 3, "w0@3"),  # clocks jump
+        ("w0", 7, "w0@7"),
+        ("w0@5", None, None),
+    ],
+)
+async def test_who_answers(incarnation, born_ms, expected, autojump_clock):
+    """A process that tells no start is nobody's where others tell theirs."""
+    answer = await _open(_Worker(born_ms), incarnation).hold(1, 0, None, 0.0)
+    match answer:
+        case orders.Report():
+            assert expected == incarnation
+        case orders.Rejected(why, _, other):
+            assert why is orders.Why.OTHER_INCARNATION
+            assert other == expected != incarnation
+        case orders.Silent():
+            assert expected is None
+
+
+async def test_order_that_was_never_sent_can_not_have_begun(autojump_clock):
+    """Its task counted as running there until the lease had ended."""
+    worker = _Worker()
+    worker.silent = True
+    answer = await _send(_open(worker), _START)
+    assert answer == orders.Silent("broken", maybe_done=False)
+
+
+async def test_unanswered_orders_leave_room_for_looks(autojump_clock):
+    """A worker that left orders unanswered lapsed for want of looks."""
+    worker = _Worker()
+    port = _open(worker)
+    started = []
+
+    async def start():
+        started.append(await _send(port, _START))
+
+    async def hang(*_):
+        await trio.sleep(5.0)
+        return orders.Silent("lost")
+
+    connection = worker.open()
+    connection.start = hang
+    worker.open = lambda: connection
+    port = _open(worker)
+    async with trio.open_nursery() as nursery:
+        for _ in range(4):
+            nursery.start_soon(start)
+        await trio.sleep(0.1)
+        with trio.fail_after(0.1):
+            assert isinstance(await port.hold(1, 0, None, 0.0), orders.Report)
+    assert orders.Silent("all connections are busy", False) in started
+
+
+async def test_connection_in_use_is_closed_after_its_answer(autojump_clock):
+    """Connections of links that had ended stayed open."""
+    worker = _Worker()
+    port = _open(worker)
+    opened = []
+    worker.open = lambda: opened.append(_Connection(worker)) or opened[-1]
+    port = _open(worker)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(_send, port, _START)
+        await trio.sleep(0.0005)
+        await port.aclose()
+    assert not opened[0].is_open
--- a/crocusrouter/pools/tests/test_links.py
+++ b/crocusrouter/pools/tests/test_links.py
@@ -8,6 +8,7 @@
 from crocusrouter import work
 from crocusrouter.pools import clock
 from crocusrouter.pools import links
+from crocusrouter.pools import unanswered
 from crocusrouter.work import orders
 from crocusrouter.work.tests import build
 
@@ -56,7 +57,17 @@
     book.workers[_WORKER].reached = True
     times = clock.Clock(trio.current_time, lambda: 1e6 + trio.current_time())
     link = links.WorkerLink(
-        _WORKER, port, 1, book, times, _settle, _always, may_start, lambda: None
+        _WORKER,
+        port,
+        1,
+        book,
+        times,
+        _settle,
+        _always,
+        may_start,
+        lambda: None,
+        lambda *_: None,
+        unanswered.UnansweredStarts(),
     )
     link.lease.note(500, trio.current_time())
     return book, link
--- a/crocusrouter/pools/tests/test_listing.py
+++ b/crocusrouter/pools/tests/test_listing.py
@@ -137,3 +137,56 @@
     assert line["unheard_s"] == pytest.approx(unheard_s, abs=0.3)
     assert line["started_unheard"] == started
     assert line["under_way"] == 1
+
+
+@pytest.mark.parametrize(
+    ("told", "listed"),
+    [
+        (["w0@5", "w0@7"], ["w0@7"]),
+        (["w0@7", "w0@5"], ["w0@5"]),  # clocks jump
+        (["w0@5", "w0@7", None], []),
+        (["w0@5", "w0@5"], ["w0@5"]),
+        (["w0", "w0@5"], ["w0@5"]),
+    ],
+)
+async def test_one_incarnation_of_a_worker_is_listed_at_a_time(
+    told, listed, autojump_clock
+):
+    """Work went to a process that had ended, and none to the next one."""
+    events = [
+        records.Removed("listed/w0", revision)
+        if name is None
+        else records.Changed(
+            records.Record("listed/w0", name.encode(), revision)
+        )
+        for revision, name in enumerate(told, 6)
+    ]
+    book = work.Book(1)
+    unlisted = []
+    follower = listing.WorkerList(
+        listing.Source(
+            "listed/", lambda _, value: build.make_entry(value.decode())
+        ),
+        _Empty(*events),
+        "p",
+        book,
+        clock.Clock(trio.current_time, trio.current_time),
+        Metrics(),
+        listing.Listeners(
+            lambda worker, address: None, unlisted.append, lambda: None
+        ),
+    )
+    await follower.load()
+    with trio.move_on_after(10.0):
+        await follower.run()
+    assert [
+        name for name, held in book.workers.items() if held.listed
+    ] == listed
+    assert set(unlisted) == {name for name in told if name} - set(listed)
+
+
+class _Empty(_Store):
+    """Lists nobody at first."""
+
+    async def read_prefix(self, prefix):
+        return records.Snapshot((), 5)
--- a/crocusrouter/pools/tests/test_upkeep.py
+++ b/crocusrouter/pools/tests/test_upkeep.py
@@ -11,6 +11,7 @@
 from crocusrouter.store import port
 from crocusrouter.work import upkeep
 from crocusrouter.work import vms
+from crocusrouter.work.tests import build
 from standins.emulator import store as stores
 
 _WAVE = vms.Wave(1, frozenset({"m1"}), 20.0, 1)
@@ -81,3 +82,39 @@
         nursery.cancel_scope.cancel()
     assert platform.listed == listed
     assert store.items["status/1"].value == b"True"
+
+
+class _Restarting(_Vms):
+    """One VM of ours; the worker on it keeps its id over its upkeep."""
+
+    def __init__(self):
+        super().__init__()
+        self.ordered = 0
+
+    async def list_vms(self):
+        return (vms.Vm("m1", "ours", vms.VmState.UP, "w1"),)
+
+    async def begin_upkeep(self, holder, epoch, vm, wave):
+        self.ordered += 1
+        return vms.Upkeep.DONE
+
+
+async def test_wave_ends_where_the_worker_starts_again_under_its_id(
+    autojump_clock,
+):
+    """The VM counted as down for ever, and the wave never ended."""
+    store = stores.Store(1)
+    platform = _Restarting()
+    duty = _make_duty(store, platform)
+    book = duty._book
+    book.set_worker(build.make_entry("w1@5"), 0.0)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(duty.run)
+        await trio.sleep(6.0)
+        assert platform.ordered == 1
+        assert store.items["status/1"].value == b"False"
+        book.unlist_worker("w1@5")
+        book.set_worker(build.make_entry("w1@9"), 6.0)
+        await trio.sleep(2.0)
+        nursery.cancel_scope.cancel()
+    assert store.items["status/1"].value == b"True"
--- a/crocusrouter/pools/upkeep.py
+++ b/crocusrouter/pools/upkeep.py
@@ -149,6 +149,7 @@
             if isinstance(listed, orders.Silent):
                 log("vms:no-answer", cause=listed.cause)
                 return
+            listed = self._name_incarnations(listed)
             for wave in waves:
                 await self._advance(wave, listed, vms)
             self._rest(listed)
@@ -158,6 +159,16 @@
             with trio.CancelScope(shield=True):
                 await vms.aclose()
 
+    def _name_incarnations(
+        self, listed: tuple[vm_port.Vm, ...]
+    ) -> tuple[vm_port.Vm, ...]:
+        """Name the incarnation on each VM; the platform names its worker."""
+        known = self._book.map_incarnations()
+        return tuple(
+            dataclasses.replace(vm, worker=known.get(vm.worker, ""))
+            for vm in listed
+        )
+
     async def _advance(
         self,
         wave: vm_port.Wave,
--- a/crocusrouter/work/crashes.py
+++ b/crocusrouter/work/crashes.py
@@ -11,8 +11,11 @@
 when it is back, and the crash is taken back.
 """
 
+from collections.abc import Iterable
+
 from crocusrouter.work import book as books
 from crocusrouter.work import model
+from crocusrouter.work import orders
 from crocusrouter.work import progress as progresses
 from crocusrouter.work import runs
 
@@ -56,32 +59,52 @@
     worker = book.workers.get(name)
     if worker is None:
         return
-    lost = book.note_lapsed(name, why, now)
-    _judge(book, _list_blamed(book, worker, lost), worker, now)
+    blamed = _list_blamed(book, worker, list(worker.runs.values()))
+    for run in blamed:
+        _keep(book, run, worker)
+    book.note_lapsed(name, why, now)
+    _give_up_crashing(book, blamed, now)
 
 
-def note_replaced(book: books.Book, name: str, now: float) -> None:
-    """Note that another incarnation answers at a worker's address.
+def note_replaced(
+    book: books.Book,
+    name: str,
+    now: float,
+    successor: str | None = None,
+    late: Iterable[orders.Stop] = (),
+) -> None:
+    """Note that another incarnation answers in place of a worker's.
 
     Args:
         book: The pool's book.
-        name: The worker that is gone.
+        name: The incarnation that is gone.
         now: Steady time in seconds.
+        successor: The one that answers; None if that isn't known.
+        late: Stops of the starts that the successor may carry out late.
     """
     worker = book.workers.get(name)
     if worker is None:
         return
-    blamed = _list_blamed(book, worker, book.note_gone(name, now))
+    blamed = _list_blamed(book, worker, list(worker.runs.values()))
+    for run in blamed:
+        _keep(book, run, worker)
+    _tell_crash(book, worker, blamed)
+    book.note_gone(name, now, successor, late)
+    _give_up_crashing(book, blamed, now)
+
+
+def _tell_crash(
+    book: books.Book, worker: runs.Worker, blamed: list[runs.Run]
+) -> None:
     if not blamed:
         return
     early = [run for run in blamed if _is_early(run, worker)]
     book.note(
         "worker:crashed",
-        worker=name,
+        worker=worker.entry.id,
         suspects=[str(run.key) for run in early],
         others=[str(run.key) for run in blamed if run not in early],
     )
-    _judge(book, blamed, worker, now)
 
 
 def clear_told(book: books.Book, key: model.TaskKey, number: int) -> None:
@@ -171,12 +194,10 @@
     )
 
 
-def _judge(
-    book: books.Book, blamed: list[runs.Run], worker: runs.Worker, now: float
+def _give_up_crashing(
+    book: books.Book, blamed: list[runs.Run], now: float
 ) -> None:
-    """Keep a crash with the runs that it ended; give up what has too many."""
-    for run in blamed:
-        _keep(book, run, worker)
+    """Give up the tasks under which too many workers have crashed."""
     for run in blamed:
         assert run.work is not None
         if run.work.kept.is_given_up(run.key.position):
--- a/crocusrouter/work/orders.py
+++ b/crocusrouter/work/orders.py
@@ -7,6 +7,7 @@
 import enum
 from typing import Protocol
 
+from crocusrouter.work import incarnations
 from crocusrouter.work import model
 
 
@@ -100,10 +101,18 @@
 
 @dataclasses.dataclass(frozen=True)
 class Rejected:
-    """The worker refused and did nothing."""
+    """The worker refused and did nothing.
+
+    Attributes:
+        why: Its reason.
+        clock_ms: Its clock.
+        incarnation: Who has answered instead of the one that was meant; None
+            if that isn't known.
+    """
 
     why: Why
     clock_ms: int | None = None
+    incarnation: str | None = None
 
 
 @dataclasses.dataclass(frozen=True)
@@ -175,7 +184,10 @@
     async def advise(
         self, step: model.StepKey, workers: tuple[str, ...], timeout_s: float
     ) -> PolicyAnswer | Silent:
-        """Ask which of `workers` may run a step."""
+        """Ask which of `workers` may run a step.
+
+        The service knows workers by the ids that their incarnations share.
+        """
         ...
 
     async def aclose(self) -> None:
@@ -183,8 +195,48 @@
         ...
 
 
+class Connection(Protocol):
+    """One connection to the process that answers under a worker's id.
+
+    It is opened by its first call, and ends with that process.
+    """
+
+    @property
+    def is_open(self) -> bool:
+        """Whether another call may be made; no call was left unanswered."""
+        ...
+
+    async def hold(
+        self, epoch: int, seen: int, until_ms: int | None, wait_s: float
+    ) -> Report | Rejected | Silent:
+        """Renew the lease, confirm ends up to `seen`, wait for an end."""
+        ...
+
+    async def start(
+        self, epoch: int, order: Start, until_ms: int, timeout_s: float
+    ) -> Taken | Rejected | Silent:
+        """Start a run."""
+        ...
+
+    async def stop(
+        self, epoch: int, order: Stop, timeout_s: float
+    ) -> Taken | Rejected | Silent:
+        """Stop a run."""
+        ...
+
+    async def pace(
+        self, epoch: int, order: Pace, timeout_s: float
+    ) -> Taken | Rejected | Silent:
+        """Set the share of its speed at which a run works."""
+        ...
+
+    async def aclose(self) -> None:
+        """Close it."""
+        ...
+
+
 class WorkerPort(Protocol):
-    """One incarnation of a worker."""
+    """One incarnation of a worker, over any number of connections."""
 
     async def hold(
         self, epoch: int, seen: int, until_ms: int | None, wait_s: float
@@ -220,7 +272,7 @@
     """A worker as the platform lists it.
 
     Attributes:
-        id: One life of a worker; a replacement gets another one.
+        id: One incarnation of a worker; see `incarnations`.
         pool: The service that it belongs to.
         address: "IP:port".
         data_centre: Where it is.
@@ -238,3 +290,8 @@
     room: model.Room
     labels: frozenset[str]
     stays_s: float | None = None
+
+    @property
+    def worker(self) -> str:
+        """The id that all incarnations of the worker share."""
+        return incarnations.find_worker(self.id)
--- a/crocusrouter/work/reports.py
+++ b/crocusrouter/work/reports.py
@@ -35,12 +35,10 @@
         book.note(
             "worker:reached",
             worker=worker,
-            born_ms=report.born_ms,
             clock_ms=report.clock_ms,
             noted=held.noted,
             ends=[ended.number for ended in report.ended],
         )
-    _tell_restart(book, held, report)
     held.silent_since = None
     held.reached = True
     held.heard_at = now
@@ -58,24 +56,6 @@
     _find_missing(book, held, listed, sent_at, now)
 
 
-def _tell_restart(
-    book: books.Book, held: runs.Worker, report: orders.Report
-) -> None:
-    """Log that the worker's process is another one than before."""
-    if held.born_ms not in (None, report.born_ms):
-        book.note(
-            "worker:restarted",
-            worker=held.entry.id,
-            born_ms=report.born_ms,
-            before_ms=held.born_ms,
-            clock_ms=report.clock_ms,
-            noted=held.noted,
-            ends=[ended.number for ended in report.ended],
-            runs=len(held.runs),
-        )
-    held.born_ms = report.born_ms
-
-
 def _note_running(
     book: books.Book, held: runs.Worker, row: orders.Running, now: float
 ) -> None:
--- a/crocusrouter/work/runs.py
+++ b/crocusrouter/work/runs.py
@@ -83,7 +83,6 @@
         failures: Jobs whose tasks failed here since a task last ended well.
         suspect_until: Until when nothing new goes there.
         noted: Number of the last end that the book has taken in.
-        born_ms: When its process started, as its last report said.
         leaves_at: Steady time until which a draining worker stays at least;
             None if it does not say.
         sealed: Whether it has been draining; it gets nothing new ever after.
@@ -109,7 +108,6 @@
     failures: set[str] = dataclasses.field(default_factory=set)
     suspect_until: float = 0.0
     noted: int = 0
-    born_ms: int | None = None
     leaves_at: float | None = None
     sealed: bool = False
     resting: bool = False
--- a/crocusrouter/work/vms.py
+++ b/crocusrouter/work/vms.py
@@ -24,7 +24,8 @@
         name: Stays the same over all lives of its worker.
         pool: The service whose worker runs on it.
         state: What it does.
-        worker: Id of the worker's present life; empty if there is none.
+        worker: The worker's present incarnation; empty if there is none. The
+            platform itself names the id that its incarnations share.
     """
 
     name: str
--- a/standins/emulator/cluster.py
+++ b/standins/emulator/cluster.py
@@ -18,6 +18,7 @@
 from crocusrouter.http import queue_calls
 from crocusrouter.store import port
 from crocusrouter.telemetry import Metrics
+from crocusrouter.work import incarnations
 from crocusrouter.work import orders
 from standins.emulator import changes as change_rules
 from standins.emulator import operators
@@ -51,10 +52,14 @@
 _WALL = 1_700_000_000.0
 
 
-def _encode_worker(entry: orders.WorkerEntry) -> bytes:
+def _encode_worker(entry: orders.WorkerEntry, born_ms: int) -> bytes:
     return orjson.dumps(
         dataclasses.asdict(entry)
-        | {"labels": sorted(entry.labels), "room": list(entry.room)}
+        | {
+            "labels": sorted(entry.labels),
+            "room": list(entry.room),
+            "born": born_ms,
+        }
     )
 
 
@@ -63,6 +68,9 @@
         fields = orjson.loads(value)
         fields["room"] = work.Room(*fields["room"])
         fields["labels"] = frozenset(fields["labels"])
+        fields["id"] = incarnations.build_incarnation(
+            fields["id"], fields.pop("born")
+        )
         return orders.WorkerEntry(**fields)
     except (KeyError, TypeError, ValueError):
         return None
@@ -206,8 +214,9 @@
 
     def list_worker(self, name: str) -> None:
         """Write a worker's entry, as its heartbeat does."""
-        entry = self.workers[name].entry
-        self.store.put(WORKERS + name, _encode_worker(entry))
+        held = self.workers[name]
+        value = _encode_worker(held.entry, held.born_ms)
+        self.store.put(WORKERS + name, value)
 
     def drain_worker(self, name: str) -> None:
         """Say that a worker leaves."""
@@ -283,11 +292,12 @@
         held = suspension.Suspendable(view, self.suspensions, name)
         return cast(port.KeyValueStore, held)
 
-    def _find_view(self, name: str) -> Callable[[str, str], orders.WorkerPort]:
-        def open_view(worker: str, _: str) -> orders.WorkerPort:
+    def _find_view(self, name: str) -> Callable[[str, str], orders.Connection]:
+        def open_view(incarnation: str, _: str) -> orders.Connection:
+            worker = incarnations.find_worker(incarnation)
             view = workers.WorkerView(lambda: self.workers[worker], name)
             held = suspension.Suspendable(view, self.suspensions, name)
-            return cast(orders.WorkerPort, held)
+            return cast(orders.Connection, held)
 
         return open_view
 
--- a/standins/emulator/faults.py
+++ b/standins/emulator/faults.py
@@ -359,6 +359,8 @@
 
 async def _strike_worker(held: clusters.Cluster, event: Event) -> None:
     live = [name for name, worker in held.workers.items() if worker.alive]
+    if not live:
+        return
     name = held.random.choice(live)
     worker = held.workers[name]
     match event.fault:
@@ -391,7 +393,8 @@
 async def _strike_processes(held: clusters.Cluster, event: Event) -> None:
     """Restart the processes of one to three workers at the same moment."""
     live = [name for name, worker in held.workers.items() if worker.alive]
-    chosen = held.random.sample(live, k=held.random.randint(1, _MOST_RESTARTED))
+    most = min(len(live), held.random.randint(1, _MOST_RESTARTED))
+    chosen = held.random.sample(live, k=most)
     async with trio.open_nursery() as nursery:
         for name in chosen:
             nursery.start_soon(_restart, held, name, event)
--- a/standins/emulator/suspension.py
+++ b/standins/emulator/suspension.py
@@ -61,6 +61,8 @@
 
     def __getattr__(self, name: str) -> Any:
         call = getattr(self._port, name)
+        if not callable(call):
+            return call
 
         async def pass_on(*args: Any, **options: Any) -> Any:
             async with self._suspensions.pass_through(self._entry):
--- a/standins/emulator/tests/test_days.py
+++ b/standins/emulator/tests/test_days.py
@@ -32,7 +32,7 @@
     assert held.oracle.broken == []
 
 
-@pytest.mark.parametrize("fault", list(faults.UNRESTARTED))
+@pytest.mark.parametrize("fault", list(emulator.Fault))
 async def test_each_fault_twice(fault, autojump_clock):
     """One kind of fault comes twice in a day, the second time while the
     system still recovers from the first.
--- a/standins/emulator/tests/test_followers.py
+++ b/standins/emulator/tests/test_followers.py
@@ -60,7 +60,8 @@
     owner = held.entries.get(held.find_owner() or "")
     if owner is None:
         return False
-    found = owner.owned[clusters.POOL].book.workers.get("w1")
+    book = owner.owned[clusters.POOL].book
+    found = book.workers.get(book.map_incarnations().get("w1", ""))
     return found is not None and found.sealed
 
 
--- a/standins/emulator/tests/test_histories.py
+++ b/standins/emulator/tests/test_histories.py
@@ -14,7 +14,7 @@
     strategies.builds(
         faults.Event,
         at=strategies.integers(4, 48).map(lambda quarter: quarter / 4),
-        fault=strategies.sampled_from(list(faults.UNRESTARTED)),
+        fault=strategies.sampled_from(list(emulator.Fault)),
         for_s=strategies.integers(2, 20).map(lambda quarter: quarter / 4),
     ),
     max_size=7,
--- a/standins/emulator/worker.py
+++ b/standins/emulator/worker.py
@@ -427,21 +427,29 @@
 
 
 class WorkerView:
-    """A worker as one entry meets it; implements `WorkerPort`."""
+    """A connection from an entry to a worker; implements `Connection`.
+
+    It ends with the process that answered its first call.
+    """
 
     def __init__(self, find: Callable[[], Worker], entry: str) -> None:
-        """Open a view.
+        """Prepare a connection.
 
         Args:
             find: Returns the process that answers under the worker's id.
-            entry: Who meets it.
+            entry: Who opens it.
         """
         self._find = find
         self._entry = entry
+        self._met: Worker | None = None
+        self.is_open = True
 
     @property
     def _worker(self) -> Worker:
-        return self._find()
+        """The process at the other end."""
+        if self._met is None:
+            self._met = self._find()
+        return self._met
 
     def _is_reachable(self) -> bool:
         return self._worker.alive and self._entry not in self._worker.cut_from
@@ -450,6 +458,7 @@
         self, timeout_s: float, *, sent: bool = False
     ) -> orders.Silent:
         """Get no answer: at once where connections are refused or break."""
+        self.is_open = False
         if self._worker.refuses and self._entry not in self._worker.cut_from:
             await trio.sleep(_ORDER_S)
             return orders.Silent("refused", maybe_done=sent)
@@ -488,6 +497,7 @@
             trio.lowlevel.spawn_system_task(
                 self._begin_late, epoch, order, until_ms
             )
+            self.is_open = False
             await trio.sleep(timeout_s)
             return orders.Silent("late")
         outcome = self._worker.begin(epoch, order, until_ms)
@@ -526,4 +536,5 @@
         return self._worker.set_pace(epoch, order)
 
     async def aclose(self) -> None:
-        """Close nothing."""
+        """Close it."""
+        self.is_open = False
--- a/standins/soak/__init__.py
+++ b/standins/soak/__init__.py
@@ -7,8 +7,9 @@
 """
 
 from standins.soak.run import CHECKED
+from standins.soak.run import Fault
 from standins.soak.run import Result
 from standins.soak.run import Shape
 from standins.soak.run import soak
 
-__all__ = ["CHECKED", "Result", "Shape", "soak"]
+__all__ = ["CHECKED", "Fault", "Result", "Shape", "soak"]
--- a/standins/soak/__main__.py
+++ b/standins/soak/__main__.py
@@ -16,9 +16,17 @@
     entries: Annotated[int, typer.Option(help="Entry processes.")] = 4,
     faults: Annotated[int, typer.Option(help="Faults a soak.")] = 5,
     length_s: Annotated[float, typer.Option(help="Seconds of load.")] = 15.0,
+    kinds: Annotated[
+        list[soak.Fault] | None, typer.Option("--kind", help="Only these.")
+    ] = None,
 ) -> None:
     """Play seeds one after another; print what broke and keep its logs."""
-    shape = soak.Shape(entries=entries, faults=faults, length_s=length_s)
+    shape = soak.Shape(
+        entries=entries,
+        faults=faults,
+        length_s=length_s,
+        kinds=tuple(kinds or soak.Fault),
+    )
     failed = []
     for seed in range(first, first + seeds):
         folder = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
--- a/standins/soak/proxy.py
+++ b/standins/soak/proxy.py
@@ -1,7 +1,6 @@
 """A loopback proxy that harms the connections it carries."""
 
 import enum
-import functools
 import socket
 import struct
 
@@ -22,6 +21,21 @@
     RESET = "reset"  # connections are reset, old and new ones
 
 
+class Ending(enum.StrEnum):
+    """What callers see of a process that ends, until the next one starts."""
+
+    RESET = "reset"  # open connections and new ones are reset
+    REFUSE = "refuse"  # open ones are reset, new ones are refused
+    STRAND = "strand"  # open ones are silent for good, new ones for now
+
+
+class _Carried:
+    """One connection that a proxy carries."""
+
+    def __init__(self) -> None:
+        self.is_stranded = False
+
+
 class Proxy:
     """Carries connections from one loopback port to another."""
 
@@ -34,19 +48,47 @@
         self.harm = Harm.NONE
         self.port = 0
         self._target = target
+        self._carried: set[_Carried] = set()
+        self._listening = trio.CancelScope()
+        self._accepts = trio.Event()
+        self._accepts.set()
 
     async def run(
         self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
     ) -> None:
         """Carry connections until cancelled."""
-        async with trio.open_nursery() as nursery:
-            [listener] = await nursery.start(
-                functools.partial(
-                    trio.serve_tcp, self._carry, 0, host="127.0.0.1"
+        async with trio.open_nursery() as carrying:
+            while True:
+                [listener] = await trio.open_tcp_listeners(
+                    self.port, host="127.0.0.1"
                 )
-            )
-            self.port = listener.socket.getsockname()[1]
-            task_status.started()
+                if not self.port:
+                    self.port = listener.socket.getsockname()[1]
+                    task_status.started()
+                with trio.CancelScope() as self._listening:
+                    await trio.serve_listeners(
+                        self._carry, [listener], handler_nursery=carrying
+                    )
+                await self._accepts.wait()
+
+    def end_process(self, ending: Ending) -> None:
+        """Let the process behind the proxy end."""
+        match ending:
+            case Ending.RESET:
+                self.harm = Harm.RESET
+            case Ending.REFUSE:
+                self.harm = Harm.RESET
+                self._accepts = trio.Event()
+                self._listening.cancel()
+            case Ending.STRAND:
+                self.harm = Harm.SILENCE
+                for carried in self._carried:
+                    carried.is_stranded = True
+
+    def start_process(self) -> None:
+        """Let the next process answer; connections to the last one are over."""
+        self.harm = Harm.NONE
+        self._accepts.set()
 
     async def _carry(self, caller: trio.SocketStream) -> None:
         try:
@@ -54,19 +96,20 @@
         except OSError:
             await trio.aclose_forcefully(caller)
             return
+        carried = _Carried()
+        self._carried.add(carried)
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(
-                self._pass, caller, other, False, nursery.cancel_scope
-            )
-            nursery.start_soon(
-                self._pass, other, caller, True, nursery.cancel_scope
-            )
-            nursery.start_soon(self._watch, caller, nursery.cancel_scope)
+            scope = nursery.cancel_scope
+            nursery.start_soon(self._pass, carried, caller, other, False, scope)
+            nursery.start_soon(self._pass, carried, other, caller, True, scope)
+            nursery.start_soon(self._watch, caller, scope)
+        self._carried.discard(carried)
         for stream in (caller, other):
             await trio.aclose_forcefully(stream)
 
     async def _pass(
         self,
+        carried: _Carried,
         source: trio.SocketStream,
         target: trio.SocketStream,
         is_answer: bool,
@@ -77,7 +120,7 @@
             async for data in source:
                 if self.harm is Harm.DELAY:
                     await trio.sleep(_DELAY_S)
-                while self._holds_back(is_answer):
+                while carried.is_stranded or self._holds_back(is_answer):
                     await trio.sleep(_POLL_S)
                 await target.send_all(data)
         except (trio.BrokenResourceError, trio.ClosedResourceError):
--- a/standins/soak/run.py
+++ b/standins/soak/run.py
@@ -59,6 +59,7 @@
     LOSE_PEERS = "lose-peers"  # a lost answer, then the others pause
     DRAIN_WORKER = "drain-worker"
     SHRINK_WORKER = "shrink-worker"
+    RESTART_WORKER = "restart-worker"  # under its id
 
 
 @dataclasses.dataclass(frozen=True)
@@ -73,6 +74,7 @@
         faults: How many faults.
         crashing: The tasks of one job in so many crash each worker they
             start on; 0 for none.
+        kinds: What faults are drawn from.
     """
 
     entries: int = 4
@@ -81,6 +83,7 @@
     length_s: float = 15.0
     faults: int = 5
     crashing: int = 20
+    kinds: tuple[Fault, ...] = tuple(Fault)
 
 
 @dataclasses.dataclass
@@ -163,7 +166,7 @@
             nursery.start_soon(self._load, nursery)
             for _ in range(self.shape.faults):
                 at = self.rng.uniform(0.5, self.shape.length_s)
-                fault = self.rng.choice(list(Fault))
+                fault = self.rng.choice(self.shape.kinds)
                 for_s = self.rng.uniform(0.5, 4.0)
                 nursery.start_soon(self._strike, at, fault, for_s)
 
@@ -305,6 +308,9 @@
                 await self.world.drain_worker(worker)
             case Fault.SHRINK_WORKER:
                 await self.world.shrink_worker(worker, for_s)
+            case Fault.RESTART_WORKER:
+                ending = self.rng.choice(list(proxies.Ending))
+                await self.world.restart_worker(worker, ending, for_s)
             case _:
                 await self._strike_around(name, worker, harm, fault, for_s)
 
--- a/standins/soak/tests/test_soak.py
+++ b/standins/soak/tests/test_soak.py
@@ -10,6 +10,17 @@
 )
 
 
+_RESTARTING = soak.Shape(
+    entries=3,
+    hosts=6,
+    per_s=3.0,
+    length_s=12.0,
+    faults=12,
+    crashing=0,
+    kinds=(soak.Fault.RESTART_WORKER,),
+)
+
+
 # Callers see a job lost, run twice, or refused though it ran. Entries are
 # killed, paused and stopped, and their links to store and workers are harmed,
 # at times drawn from the seed.
@@ -28,3 +39,11 @@
     assert result.broken == []
     assert result.accepted > 3
     assert result.crashes > 1
+
+
+# Tasks ran again whose ends a restarted worker had listed: the owner confirmed
+# them unread, since the next process had the id of the one before.
+async def test_processes_of_one_worker_are_told_apart(tmp_path):
+    result = await soak.soak(4, _RESTARTING, tmp_path)
+    assert result.broken == []
+    assert result.accepted > 3
--- a/standins/soak/wire.py
+++ b/standins/soak/wire.py
@@ -222,9 +222,10 @@
     result: orders.Report | orders.Taken | orders.Rejected | orders.Silent,
 ) -> Answer:
     match result:
-        case orders.Report(clock_ms, running, ended):
+        case orders.Report(clock_ms, running, ended, born_ms):
             return 200, {
                 "clock_ms": clock_ms,
+                "born": born_ms,
                 "running": [
                     [names.build_task(r.key), r.run, r.saved, r.percent]
                     for r in running
--- a/standins/soak/world.py
+++ b/standins/soak/world.py
@@ -160,7 +160,8 @@
         self.store.put(f"servers/{name}", self._list(name, number))
 
     def _list(self, name: str, number: int) -> bytes:
-        entry = self.workers[name].entry
+        worker = self.workers[name]
+        entry = worker.entry
         port = self.worker_proxies[name].port
         room = {
             "cpu": entry.room.cpu,
@@ -176,6 +177,7 @@
                 "capacity": room,
                 "labels": sorted(entry.labels),
                 "seq": number,
+                "born": worker.born_ms,
             }
         )
 
@@ -251,6 +253,28 @@
             worker.set_room(room, trio.current_time())
             await trio.sleep(wait_s)
 
+    async def restart_worker(
+        self, name: str, ending: proxies.Ending, away_s: float
+    ) -> None:
+        """Crash a worker's process; the next one takes its id.
+
+        Until its next heartbeat the list tells of the earlier one.
+        """
+        worker = self.workers[name]
+        if not worker.alive:
+            return
+        proxy = self.worker_proxies[name]
+        proxy.end_process(ending)
+        worker.crash()
+        await trio.sleep(away_s)
+        proxy.start_process()
+        if self.workers.get(name) is not worker:
+            return
+        self._add_worker(name, worker.entry.labels)
+        again = self.workers[name]
+        again.start_anew(trio.current_time())
+        self._platform.workers[self._numbers[name]] = _open_view(again)
+
     async def _return_crashed(self, name: str, worker: workers.Worker) -> None:
         """Bring a crashed worker back under another name.
 
