Pause before a start is tried again at a worker that refuses connections

Cause: a start without an answer is sent again for 2 s. One that is refused at once came back in 0.6 ms, and nothing paused it: the owner's loop and its log were busy with it, and so was the worker once it listened again.

Change: as after each look without an answer, a quarter of a second.

The task waits no longer than before, since the time after which a start is given up stays 2 s.

--- a/crocusrouter/pools/links.py
+++ b/crocusrouter/pools/links.py
@@ -219,6 +219,8 @@
                         worker=self.worker,
                         cause=cause,
                     )
+                    if not maybe_done:
+                        await trio.sleep(_RETRY_S)
         await self._give_up(order, maybe_begun)
 
     def _is_wanted(self, order: orders.Start) -> bool:
--- a/crocusrouter/pools/tests/test_links.py
+++ b/crocusrouter/pools/tests/test_links.py
@@ -166,3 +166,18 @@
     await link.start(orders.Start(key, 7, "", ""))
     assert port.sent == []
     assert book.find_work(key).waiting == {0}
+
+
+async def test_refused_connection_is_not_tried_again_at_once(autojump_clock):
+    """A worker's process was away; one start was sent 222 times in 0.15 s."""
+    port = _Port(*[_NOT_SENT] * 1000)
+    book, link = _make_link(port)
+    job = build.make_job("00000000000000aa", build.make_step(1))
+    book.put_job(job, work.Progress(), 1, 0.0)
+    book.open_due(2e6, 0.0)
+    key = work.TaskKey(job.id, 0, 0, 0)
+    book.add_run(key, 7, _WORKER, 0.0)
+    with trio.fail_after(5.0):
+        await link.start(orders.Start(key, 7, "", ""))
+    assert 2 <= len(port.sent) <= 10
+    assert book.find_work(key).waiting == {0}
