--- a/crocusrouter/work/book.py
+++ b/crocusrouter/work/book.py
@@ -362,18 +362,17 @@
     def _move_run(self, run: runs.Run, successor: str, now: float) -> None:
         """Count a run as one that a successor may still begin, and stop it."""
         work = run.work
+        assert work is not None
         held = self.workers[run.worker]
         del held.runs[run.key]
-        if work is not None:
-            held.used = held.used.minus(work.step.charge)
+        held.used = held.used.minus(work.step.charge)
         run.worker = successor
         run.confirmed_at = None
         run.phase = runs.Phase.ORDERED
-        if work is not None:
-            self._charge(run, work, successor)
+        self._charge(run, work, successor)
         why = "its worker has restarted before its start was answered"
         self.stop_run(run, why, now)
-        if work is not None and work.step.gang:
+        if work.step.gang:
             self.stop_step(work, "a member's worker has restarted", now)
 
     def forget_worker(self, worker: str) -> None:
