--- a/standins/soak/__main__.py
+++ b/standins/soak/__main__.py
@@ -31,7 +31,6 @@
     for seed in range(first, first + seeds):
         folder = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
         result = trio.run(soak.soak, seed, shape, folder)
-        verdict = "broken" if result.broken else "kept"
         seen = result.changes
         counts = f"{result.accepted} jobs, {result.crashes} crashes"
         counts += f", {seen.judged} calls on changes"
@@ -41,11 +40,12 @@
         counts += (
             f", {cut.judged} cut beside planned work ({cut.excused} excused)"
         )
-        print(f"seed {seed}: {verdict}, {counts}, {folder}")
+        print(f"seed {seed}: {result.verdict}, {counts}, {folder}")
+        print(f"  no case of: {', '.join(result.list_idle_checks()) or '-'}")
         print("  " + "; ".join(result.faults), flush=True)
         for line in result.broken:
             print(f"  {line}", flush=True)
-        if result.broken:
+        if result.verdict != "kept":
             failed.append(seed)
     print(f"{seeds - len(failed)} of {seeds} seeds kept all promises: {failed}")
     raise typer.Exit(1 if failed else 0)
--- a/standins/soak/run.py
+++ b/standins/soak/run.py
@@ -106,6 +106,23 @@
     changes: change_rules.Changes
     cuts: cuts.Cuts
 
+    @property
+    def verdict(self) -> str:
+        """Whether all promises were kept; a run without a case says nothing."""
+        if self.broken:
+            return "broken"
+        return "kept" if self.accepted else "judged nothing"
+
+    def list_idle_checks(self) -> list[str]:
+        """Return the checks that had no case to judge."""
+        cases = {
+            "jobs": self.accepted,
+            "crashes": self.crashes,
+            "changes": self.changes.judged,
+            "cut requests": self.cuts.judged,
+        }
+        return [check for check, count in cases.items() if not count]
+
 
 async def soak(seed: int, shape: Shape, folder: pathlib.Path) -> Result:
     """Play one soak; ends the processes that it started.
--- a/standins/soak/tests/test_soak.py
+++ b/standins/soak/tests/test_soak.py
@@ -1,8 +1,13 @@
 """A short soak of real processes; longer ones: python -m standins.soak."""
 
 import pytest
+import typer.testing
 
 from standins import soak
+from standins.emulator import changes
+from standins.emulator import touch
+from standins.soak import __main__ as commands
+from standins.soak import cuts
 
 _SHAPE = soak.Shape(entries=3, hosts=4, per_s=2.0, length_s=6.0, faults=3)
 _CRASHING = soak.Shape(
@@ -47,3 +52,31 @@
     result = await soak.soak(4, _RESTARTING, tmp_path)
     assert result.broken == []
     assert result.accepted > 3
+
+
+@pytest.mark.parametrize(
+    ("broken", "accepted", "verdict"),
+    [
+        ([], 3, "kept"),
+        ([], 0, "judged nothing"),
+        (["1.0 twice: a"], 3, "broken"),
+        (["1.0 twice: a"], 0, "broken"),
+    ],
+)
+def test_soak_without_a_case_is_not_kept(broken, accepted, verdict):
+    """Entries that never served anybody passed for ones that kept all."""
+    seen = touch.Touch()
+    result = soak.Result(
+        broken, accepted, 0, [], changes.Changes(seen), cuts.Cuts(seen)
+    )
+    assert result.verdict == verdict
+    assert ("jobs" in result.list_idle_checks()) is (accepted == 0)
+
+
+def test_fault_that_does_not_exist_is_refused_with_those_that_do():
+    application = typer.Typer()
+    application.command()(commands.run)
+    runner = typer.testing.CliRunner()
+    result = runner.invoke(application, ["--kind", "earthquake"])
+    assert result.exit_code == 2
+    assert "restart-worker" in result.output
