Stop a gang whole once the start of a member is given up

The worker of two members crashed under them 0.05 s after the gang's start at 27.14 s; their starts were given up at 29.34 s; the other two waited on until 30.17 s and ended alone.

Cause: a start that may have begun is stopped when it is given up, and counts as running until the stop is answered. Only its end put the gang back and stopped the other members, and a stop at a worker that is away has no answer.

Ruled out: the incarnations (each worker of the gang was the same throughout); an impairment: the job itself crashed the worker, which the rule on gangs does not excuse.

Change: the other members are stopped when the start of one is given up (2 s, where they wait 3 s).

Before: the other member runs on (test red); after: it is stopped.

--- a/crocusrouter/pools/links.py
+++ b/crocusrouter/pools/links.py
@@ -274,6 +274,10 @@
         if run.phase is runs.Phase.ORDERED:
             now = self._times.steady()
             self._book.stop_run(run, "its start was not answered", now)
+            if run.work is not None and run.work.step.gang:
+                # The others would wait for it until they end alone.
+                why = "a member's start was not answered"
+                self._book.stop_step(run.work, why, now)
             self._changed()
 
     async def _stop_late_starts(self) -> None:
--- a/crocusrouter/pools/tests/test_links.py
+++ b/crocusrouter/pools/tests/test_links.py
@@ -10,6 +10,7 @@
 from crocusrouter.pools import links
 from crocusrouter.pools import unanswered
 from crocusrouter.work import orders
+from crocusrouter.work import runs
 from crocusrouter.work.tests import build
 
 _WORKER = "w0"
@@ -181,3 +182,20 @@
         await link.start(orders.Start(key, 7, "", ""))
     assert 2 <= len(port.sent) <= 10
     assert book.find_work(key).waiting == {0}
+
+
+async def test_gang_is_stopped_whole_once_a_member_is_given_up(autojump_clock):
+    """The others waited for it until their time was over, and ended alone."""
+    port = _Port(*[_SILENT, *[_NOT_SENT] * 20])
+    book, link = _make_link(port)
+    book.set_worker(build.make_entry("w1"), 0.0)
+    job = build.make_job("00000000000000aa", build.make_step(2, gang=True))
+    book.put_job(job, work.Progress(), 1, 0.0)
+    book.open_due(2e6, 0.0)
+    member = work.TaskKey(job.id, 0, 0, 0)
+    other = work.TaskKey(job.id, 0, 0, 1)
+    book.add_run(member, 7, _WORKER, 0.0)
+    book.add_run(other, 7, "w1", 0.0)
+    book.note_taken(other, 7, 0.0)
+    await link.start(orders.Start(member, 7, "", ""))
+    assert book.runs[other].phase is runs.Phase.STOPPING
