--- a/standins/emulator/faults.py
+++ b/standins/emulator/faults.py
@@ -77,6 +77,8 @@
     RESTART = "restart"
     RESTART_BEHIND_CUT = "restart-behind-cut"  # from the entries
     RESTART_BESIDE_LATE = "restart-beside-late"  # orders
+    SLOW_WORKER = "slow-worker"
+    STALL_WORKER = "stall-worker"  # its tasks stand still, its answers don't
 
 
 _STORE = {
@@ -103,8 +105,10 @@
     Fault.RESTART_BEHIND_CUT,
     Fault.RESTART_BESIDE_LATE,
 )
+# How fast the tasks of a worker go on.
+SPEEDS = {Fault.SLOW_WORKER: 0.25, Fault.STALL_WORKER: 0.0}
 # Days and histories that were drawn before these kinds were there.
-UNRESTARTED = tuple(fault for fault in Fault if fault not in RESTARTS)
+EARLIER = tuple(fault for fault in Fault if fault not in (*RESTARTS, *SPEEDS))
 # Drawn days name their faults by place in this list; kept seeds would play
 # other days if it changed.
 DRAWN = tuple(
@@ -118,6 +122,7 @@
         Fault.SHRINK_WORKER,
         *ALONE,
         *RESTARTS,
+        *SPEEDS,
     )
 )
 
@@ -376,6 +381,10 @@
             worker.fails_all = True
             await trio.sleep(event.for_s)
             worker.fails_all = False
+        case Fault.SLOW_WORKER | Fault.STALL_WORKER:
+            worker.speed = SPEEDS[event.fault]
+            await trio.sleep(event.for_s)
+            worker.speed = 1.0
         case Fault.SHRINK_WORKER:
             await _shrink(held, name, event.for_s)
         case Fault.CRASH_WORKER:
--- a/standins/emulator/tests/test_changes.py
+++ b/standins/emulator/tests/test_changes.py
@@ -231,9 +231,7 @@
 @pytest.mark.parametrize("seed", range(_SEEDS))
 async def test_drawn_days_with_changes_keep_the_rules(seed, autojump_clock):
     load = emulator.Load()
-    drawn = emulator.choose_faults(
-        seed, 6, load.length_s, list(faults.UNRESTARTED)
-    )
+    drawn = emulator.choose_faults(seed, 6, load.length_s, list(faults.EARLIER))
     held = await emulator.play(seed, load, drawn, changes_per_s=1.0)
     assert held.oracle.broken == []
     assert held.changes.judged > 50
--- a/standins/emulator/tests/test_days.py
+++ b/standins/emulator/tests/test_days.py
@@ -116,7 +116,7 @@
     load = emulator.Load()
     # Kept seeds would play other days with a kind that came later.
     later = {emulator.Fault.FREEZE_OWNER, *faults.ALONE}
-    kinds = [kind for kind in faults.UNRESTARTED if kind not in later]
+    kinds = [kind for kind in faults.EARLIER if kind not in later]
     drawn = emulator.choose_faults(seed, 8, load.length_s, kinds)
     held = await emulator.play(seed, load, drawn)
     assert held.oracle.broken == []
@@ -240,7 +240,7 @@
 @pytest.mark.parametrize("seed", range(_SEEDS))
 async def test_days_with_labels_and_bounds_keep_the_rules(seed, autojump_clock):
     load = emulator.Load(length_s=30.0, restricted=0.5)
-    drawn = emulator.choose_faults(seed, 6, 15.0, list(faults.UNRESTARTED))
+    drawn = emulator.choose_faults(seed, 6, 15.0, list(faults.EARLIER))
     held = await emulator.play(seed, load, drawn, changes_per_s=0.5)
     assert held.oracle.broken == []
     restricted = [j for j in held.oracle.jobs.values() if j.steps[0].label]
--- a/standins/emulator/worker.py
+++ b/standins/emulator/worker.py
@@ -98,6 +98,9 @@
         self.drains_since: float | None = None
         self.started_draining: list[tuple[work.TaskKey, float]] = []
         self.fails_all = False
+        # Share of its usual speed at which everything here works.
+        self.speed = 1.0
+        self._stepped_at: float | None = None
         self.cut_from: set[str] = set()
         self.late_share = 0.0
         self.fence = 0
@@ -126,6 +129,7 @@
         """Let time pass: ends, stops, lapses."""
         if not self.alive:
             return
+        self._hold_back(now)
         self._follow_tail()
         lapsed = self.read_clock() > self.until_ms
         if lapsed:
@@ -146,6 +150,17 @@
                     return
                 self._end(task, task.how, now)
 
+    def _hold_back(self, now: float) -> None:
+        """Move the ends of all work away, as slow as it is."""
+        since = self._stepped_at if self._stepped_at is not None else now
+        lost_s = (now - since) * (1.0 - self.speed)
+        self._stepped_at = now
+        for task in self.tasks.values():
+            if task.works_from is not None:
+                task.works_from += lost_s
+            if task.ends_at is not None:
+                task.ends_at += lost_s
+
     def _end(self, task: Task, how: orders.How, now: float) -> None:
         if self.tasks.get(task.key) is not task:
             return
@@ -263,6 +278,7 @@
             return now < self._crashed_at + _UNNOTICED_S
         shrunk = any(at + _SHRUNK_AFTER_S > now for at, _ in self._rooms)
         harmed = self.cut_from or self.late_share or self.fails_all
+        harmed = harmed or self.speed < 1.0
         return shrunk or bool(harmed) or self.entry.draining
 
     def drain(self, now: float) -> None:
