--- a/standins/soak/run.py
+++ b/standins/soak/run.py
@@ -60,6 +60,13 @@
     DRAIN_WORKER = "drain-worker"
     SHRINK_WORKER = "shrink-worker"
     RESTART_WORKER = "restart-worker"  # under its id
+    FAIL_ALL = "fail-all"  # a worker fails what it starts
+    SLOW_WORKER = "slow-worker"
+    STALL_WORKER = "stall-worker"  # its tasks stand still, its answers don't
+
+
+# How fast the tasks of a worker go on.
+_SPEEDS = {Fault.SLOW_WORKER: 0.25, Fault.STALL_WORKER: 0.0}
 
 
 @dataclasses.dataclass(frozen=True)
@@ -328,6 +335,8 @@
             case Fault.RESTART_WORKER:
                 ending = self.rng.choice(list(proxies.Ending))
                 await self.world.restart_worker(worker, ending, for_s)
+            case Fault.FAIL_ALL | Fault.SLOW_WORKER | Fault.STALL_WORKER:
+                await self._spoil(self.world.workers[worker], fault, for_s)
             case _:
                 await self._strike_around(name, worker, harm, fault, for_s)
 
@@ -364,6 +373,16 @@
                 await trio.sleep(for_s)
                 await self._pause_others(name, _LONGEST_PAUSE_S)
 
+    async def _spoil(
+        self, worker: workers.Worker, fault: Fault, for_s: float
+    ) -> None:
+        """Let a worker do its work badly for some seconds."""
+        worker.fails_all = fault is Fault.FAIL_ALL
+        worker.speed = _SPEEDS.get(fault, 1.0)
+        await trio.sleep(for_s)
+        worker.fails_all = False
+        worker.speed = 1.0
+
     async def _lose_answers(self, name: str) -> None:
         self.world.store.turned_away[name] = stores.StoreFault.SILENT
         await trio.sleep(_LOST_S)
