Split what happens to a replaced incarnation off the book

Change: `work/replacement.py` takes an incarnation in whose place another one answers; the book keeps `move_run`. `Connection` is a `WorkerPort` that tells whether it is open.

--- a/bench/replay/day.py
+++ b/bench/replay/day.py
@@ -12,6 +12,7 @@
 from crocusrouter.pools import reservations
 from crocusrouter.work import orders
 from crocusrouter.work import packing
+from crocusrouter.work import replacement
 from crocusrouter.work import runs
 
 _WALL = 1_000_000.0
@@ -165,7 +166,7 @@
             if run.worker == name and self.running.get(run.key) is run:
                 self._end(run, orders.How.BROKEN)
         self.book.unlist_worker(name)
-        self.book.note_gone(name, now)
+        replacement.note_gone(self.book, name, now)
 
     def _take_arrivals(self, now: float) -> bool:
         changed = False
--- a/crocusrouter/pools/owner.py
+++ b/crocusrouter/pools/owner.py
@@ -266,7 +266,7 @@
             return
         now = self._times.steady()
         if other is not None:
-            self.book.add_successor(worker, other, now)
+            work.add_successor(self.book, worker, other, now)
         work.note_replaced(self.book, worker, now, other, stops)
         if other is not None:
             self._open_link(other, self.book.workers[other].entry.address)
--- a/crocusrouter/pools/upkeep.py
+++ b/crocusrouter/pools/upkeep.py
@@ -163,7 +163,7 @@
         self, listed: tuple[vm_port.Vm, ...]
     ) -> tuple[vm_port.Vm, ...]:
         """Name the incarnation on each VM; the platform names its worker."""
-        known = self._book.map_incarnations()
+        known = work.map_incarnations(self._book)
         return tuple(
             dataclasses.replace(vm, worker=known.get(vm.worker, ""))
             for vm in listed
--- a/crocusrouter/work/__init__.py
+++ b/crocusrouter/work/__init__.py
@@ -21,6 +21,8 @@
 from crocusrouter.work.progress import Progress
 from crocusrouter.work.progress import dump_progress
 from crocusrouter.work.progress import parse_progress
+from crocusrouter.work.replacement import add_successor
+from crocusrouter.work.replacement import map_incarnations
 from crocusrouter.work.reports import take_report
 from crocusrouter.work.runs import JobWork
 
@@ -39,9 +41,11 @@
     "Step",
     "StepKey",
     "TaskKey",
+    "add_successor",
     "choose_paces",
     "choose_question",
     "dump_progress",
+    "map_incarnations",
     "note_lapsed",
     "note_replaced",
     "note_silent",
--- a/crocusrouter/work/book.py
+++ b/crocusrouter/work/book.py
@@ -7,7 +7,6 @@
 
 import collections
 from collections.abc import Iterable
-import dataclasses
 
 from crocusrouter.work import model
 from crocusrouter.work import orders
@@ -213,33 +212,6 @@
             held.leaves_at = min(held.leaves_at or stays_until, stays_until)
         return False
 
-    def add_successor(self, worker: str, successor: str, now: float) -> None:
-        """Take an incarnation into the book that may not be listed yet.
-
-        Args:
-            worker: The incarnation in whose place it has answered.
-            successor: The one that answers now.
-            now: Steady time in seconds.
-        """
-        if successor in self.workers:
-            return
-        entry = self.workers[worker].entry
-        self.set_worker(
-            dataclasses.replace(
-                entry, id=successor, draining=False, stays_s=None
-            ),
-            now,
-        )
-        self.unlist_worker(successor)
-
-    def map_incarnations(self) -> dict[str, str]:
-        """Return the listed incarnation of each worker."""
-        return {
-            held.entry.worker: name
-            for name, held in self.workers.items()
-            if held.listed and not held.gone
-        }
-
     def set_resting(self, names: set[str]) -> None:
         """Note which workers are being emptied; the others take work again."""
         for name, held in self.workers.items():
@@ -323,58 +295,6 @@
         held.lapsed = True
         return lost
 
-    def note_gone(
-        self,
-        worker: str,
-        now: float,
-        successor: str | None = None,
-        late: Iterable[orders.Stop] = (),
-    ) -> None:
-        """Note that another incarnation answers in place of a worker's.
-
-        The platform may list the one that is gone for some seconds more. Its
-        runs are waiting again, but for late ones: they count as the
-        successor's until that has stopped them.
-
-        Args:
-            worker: The incarnation that is gone.
-            now: Steady time in seconds.
-            successor: The one that answers.
-            late: Stops of the starts that the successor may carry out late.
-        """
-        held = self.workers.get(worker)
-        if held is None or held.gone:
-            return
-        held.gone = True
-        self.note(
-            "worker:restarted",
-            worker=worker,
-            successor=successor,
-            runs=len(held.runs),
-        )
-        if successor is not None:
-            for order in late:
-                run = held.runs.get(order.key)
-                if run is not None and run.number == order.run:
-                    self._move_run(run, successor, now)
-        self.note_lapsed(worker, "another incarnation answers", now)
-
-    def _move_run(self, run: runs.Run, successor: str, now: float) -> None:
-        """Count a run as one that a successor may still begin, and stop it."""
-        work = run.work
-        assert work is not None
-        held = self.workers[run.worker]
-        del held.runs[run.key]
-        held.used = held.used.minus(work.step.charge)
-        run.worker = successor
-        run.confirmed_at = None
-        run.phase = runs.Phase.ORDERED
-        self._charge(run, work, successor)
-        why = "its worker has restarted before its start was answered"
-        self.stop_run(run, why, now)
-        if work.step.gang:
-            self.stop_step(work, "a member's worker has restarted", now)
-
     def forget_worker(self, worker: str) -> None:
         """Drop a worker that is unlisted and runs nothing."""
         self.workers.pop(worker, None)
@@ -419,6 +339,18 @@
             held.runs[run.key] = run
             held.lapsed = False
 
+    def move_run(self, run: runs.Run, worker: str) -> None:
+        """Count a run on another worker, as one that may still begin there."""
+        work = run.work
+        assert work is not None
+        held = self.workers[run.worker]
+        del held.runs[run.key]
+        held.used = held.used.minus(work.step.charge)
+        run.worker = worker
+        run.confirmed_at = None
+        run.phase = runs.Phase.ORDERED
+        self._charge(run, work, worker)
+
     def drop_run(self, run: runs.Run) -> None:
         """Remove a run that has certainly ended."""
         held = self.workers.get(run.worker)
--- a/crocusrouter/work/crashes.py
+++ b/crocusrouter/work/crashes.py
@@ -17,6 +17,7 @@
 from crocusrouter.work import model
 from crocusrouter.work import orders
 from crocusrouter.work import progress as progresses
+from crocusrouter.work import replacement
 from crocusrouter.work import runs
 
 # A run that worked for this long did not crash its worker by what it is.
@@ -89,7 +90,7 @@
     for run in blamed:
         _keep(book, run, worker)
     _tell_crash(book, worker, blamed)
-    book.note_gone(name, now, successor, late)
+    replacement.note_gone(book, name, now, successor, late)
     _give_up_crashing(book, blamed, now)
 
 
--- a/crocusrouter/work/orders.py
+++ b/crocusrouter/work/orders.py
@@ -195,16 +195,8 @@
         ...
 
 
-class Connection(Protocol):
-    """One connection to the process that answers under a worker's id.
-
-    It is opened by its first call, and ends with that process.
-    """
-
-    @property
-    def is_open(self) -> bool:
-        """Whether another call may be made; no call was left unanswered."""
-        ...
+class WorkerPort(Protocol):
+    """One incarnation of a worker, over any number of connections."""
 
     async def hold(
         self, epoch: int, seen: int, until_ms: int | None, wait_s: float
@@ -231,39 +223,19 @@
         ...
 
     async def aclose(self) -> None:
-        """Close it."""
+        """Close all connections."""
         ...
 
 
-class WorkerPort(Protocol):
-    """One incarnation of a worker, over any number of connections."""
-
-    async def hold(
-        self, epoch: int, seen: int, until_ms: int | None, wait_s: float
-    ) -> Report | Rejected | Silent:
-        """Renew the lease, confirm ends up to `seen`, wait for an end."""
-        ...
-
-    async def start(
-        self, epoch: int, order: Start, until_ms: int, timeout_s: float
-    ) -> Taken | Rejected | Silent:
-        """Start a run."""
-        ...
-
-    async def stop(
-        self, epoch: int, order: Stop, timeout_s: float
-    ) -> Taken | Rejected | Silent:
-        """Stop a run."""
-        ...
+class Connection(WorkerPort, Protocol):
+    """One connection to the process that answers under a worker's id.
 
-    async def pace(
-        self, epoch: int, order: Pace, timeout_s: float
-    ) -> Taken | Rejected | Silent:
-        """Set the share of its speed at which a run works."""
-        ...
+    It is opened by its first call, and ends with that process.
+    """
 
-    async def aclose(self) -> None:
-        """Close all connections."""
+    @property
+    def is_open(self) -> bool:
+        """Whether another call may be made; no call was left unanswered."""
         ...
 
 
--- a/crocusrouter/work/tests/test_book.py
+++ b/crocusrouter/work/tests/test_book.py
@@ -2,6 +2,7 @@
 
 from crocusrouter import work
 from crocusrouter.work import orders
+from crocusrouter.work import replacement
 from crocusrouter.work import runs
 from crocusrouter.work.tests import build
 
@@ -238,7 +239,7 @@
     build.start_planned(book, now=1.0)
     worker = book.runs[_key("j")].worker
     book.note_silent(worker, 1.25)
-    book.note_gone(worker, 4.0)
+    replacement.note_gone(book, worker, 4.0)
     lost = [facts for what, facts in book.events if what == "run:lost"]
     assert [facts["task"] for facts in lost] == [_key("j"), _key("j", 1)]
     assert {facts["ran_s"] for facts in lost} == {0.25}
--- a/crocusrouter/work/tests/test_restarts.py
+++ b/crocusrouter/work/tests/test_restarts.py
@@ -20,7 +20,7 @@
     for key in late:
         book.runs[key].maybe_begun = True
     stops = [orders.Stop(key, book.runs[key].number) for key in late]
-    book.add_successor(_OLD, _NEW, 1.0)
+    work.add_successor(book, _OLD, _NEW, 1.0)
     work.note_replaced(book, _OLD, 1.0, _NEW, stops)
     return book
 
@@ -68,7 +68,7 @@
     [member] = book.workers[_OLD].runs.values()
     [other] = book.workers["w1@5"].runs.values()
     member.maybe_begun = True
-    book.add_successor(_OLD, _NEW, 1.0)
+    work.add_successor(book, _OLD, _NEW, 1.0)
     stop = orders.Stop(member.key, member.number)
     work.note_replaced(book, _OLD, 1.0, _NEW, [stop])
     assert other.phase is runs.Phase.STOPPING
@@ -89,7 +89,7 @@
     book = build.make_book(workers=(_OLD,))
     book.set_worker(build.make_entry(_OLD, draining=True), 0.0)
     if known:
-        book.add_successor(_OLD, _NEW, 1.0)
+        work.add_successor(book, _OLD, _NEW, 1.0)
         book.workers[_NEW].reached = True
         assert not book.workers[_NEW].may_take(1.0)
     book.set_worker(build.make_entry(_NEW), 2.0)
@@ -102,7 +102,7 @@
     book = build.make_book(workers=("w0@5", "w1@5", "w2"))
     book.unlist_worker("w0@5")
     book.set_worker(build.make_entry("w0@7"), 1.0)
-    assert book.map_incarnations() == {
+    assert work.map_incarnations(book) == {
         "w0": "w0@7",
         "w1": "w1@5",
         "w2": "w2",
--- a/standins/emulator/tests/test_followers.py
+++ b/standins/emulator/tests/test_followers.py
@@ -61,7 +61,7 @@
     if owner is None:
         return False
     book = owner.owned[clusters.POOL].book
-    found = book.workers.get(book.map_incarnations().get("w1", ""))
+    found = book.workers.get(work.map_incarnations(book).get("w1", ""))
     return found is not None and found.sealed
 
 
