Start nothing in data centres that operators have closed (platform)

Change: - pools/closures.py keeps the list by revision, so that answers in any order, dropped history and peers' lists never take it back; its age counts from the question. An owner starts nothing by a list older than 0.8 of the promised time; it reads again at 0.4 of it, and at once when it takes over. - A worker of a closed data centre takes no start by any way: planner, trials, reservations, questions to the policy service, starts repeated or waiting for their record. Racks there are not waited for; workers there are not avoided later. - Guarantees that lack room are logged and counted at once. - The emulator and the soak close data centres alone and beside kills, outages, cuts, lost power, lost answers, late orders and restarts; the emulator also loses and cuts the owner's data centre.

--- a/crocusrouter/cli/entry_service.py
+++ b/crocusrouter/cli/entry_service.py
@@ -98,6 +98,10 @@
             platform.CONFIG_KEY,
             platform.parse_config,
             entry_settings.config_apply_ms / 1000,
+            pools.ClosureSource(
+                platform.find_closed_data_centre,
+                entry_settings.closure_apply_ms / 1000,
+            ),
         ),
         pools.Platform(
             platform.WORKERS_PREFIX,
--- a/crocusrouter/mesh/messages.py
+++ b/crocusrouter/mesh/messages.py
@@ -157,6 +157,10 @@
     """The configuration document of the operators; empty if there is none."""
 
     document: bytes
+        closed_data_centres: The data centres that operators have closed.
+        closures_revision: Revision up to which the sender knows all closures.
+        closures_age_s: Seconds since that list was certainly complete; None if
+            it never was.
 
 
 @dataclasses.dataclass(frozen=True)
@@ -165,6 +169,9 @@
 
     pool: str
     job_id: str
+    closed_data_centres: tuple[str, ...] = ()
+    closures_revision: int = 0
+    closures_age_s: float | None = None
 
 
 @dataclasses.dataclass(frozen=True)
--- a/crocusrouter/platform/__init__.py
+++ b/crocusrouter/platform/__init__.py
@@ -7,6 +7,7 @@
 from crocusrouter.platform.configuration import CONFIG_KEY
 from crocusrouter.platform.configuration import CONFIG_PREFIX
 from crocusrouter.platform.configuration import WrongConfigError
+from crocusrouter.platform.configuration import find_closed_data_centre
 from crocusrouter.platform.configuration import parse_config
 from crocusrouter.platform.kv import PlatformStore
 from crocusrouter.platform.policy import PlatformPolicy
@@ -34,6 +35,7 @@
     "PlatformWorkerConnection",
     "WrongConfigError",
     "build_wave_status",
+    "find_closed_data_centre",
     "is_job_id",
     "parse_config",
     "parse_submission",
--- a/crocusrouter/platform/configuration.py
+++ b/crocusrouter/platform/configuration.py
@@ -8,6 +8,7 @@
 
 CONFIG_PREFIX = "op/"
 CONFIG_KEY = "op/config"
+_EVACUATIONS_PREFIX = "op/evacuate/"
 
 
 class _Part(pydantic.BaseModel):
@@ -97,6 +98,30 @@
     )
 
 
+def find_closed_data_centre(key: str) -> str | None:
+    """Return the data centre that a key closes to new work, or None.
+
+    The platform calls this the evacuation of a zone. The key alone requests
+    it, whatever its value.
+
+    Raises:
+        ValueError: The key names no zone.
+
+    >>> find_closed_data_centre("op/evacuate/liege")
+    'liege'
+    >>> find_closed_data_centre("op/config") is None
+    True
+    """
+    if not key.startswith(_EVACUATIONS_PREFIX):
+        return None
+    zone = key.removeprefix(_EVACUATIONS_PREFIX)
+    if not zone.strip() or "/" in zone:
+        raise ValueError(
+            f"{key!r} names no zone; write {_EVACUATIONS_PREFIX}ZONE"
+        )
+    return zone
+
+
 def _build_queue(route: _Route) -> queues.Queue:
     return queues.Queue(
         route.name,
--- a/crocusrouter/pools/__init__.py
+++ b/crocusrouter/pools/__init__.py
@@ -1,6 +1,7 @@
 """Pools of workers: ownership, scheduling, journal and job calls."""
 
 from crocusrouter.pools.clocks import Clock
+from crocusrouter.pools.closures import ClosureSource
 from crocusrouter.pools.configuration import ConfigBasis
 from crocusrouter.pools.entry import ConfigSource
 from crocusrouter.pools.entry import Identity
@@ -19,6 +20,7 @@
     "ConfigBasis",
     "CancelOutcome",
     "Clock",
+    "ClosureSource",
     "ConfigSource",
     "JobApi",
     "Identity",
--- a/crocusrouter/pools/config_refresh.py
+++ b/crocusrouter/pools/config_refresh.py
@@ -50,6 +50,7 @@
         on_missed_change: Callable[[], None],
         clock: clocks.Clock,
         metrics: Metrics,
+        find_read_due: Callable[[], float] = lambda: float("inf"),
     ) -> None:
         """Prepare; `run` checks regularly.
 
@@ -64,6 +65,8 @@
                 watch has not reported.
             clock: Source of the current time.
             metrics: Counts checks by outcome.
+            find_read_due: Returns the steady time at which a read is due for
+                other records that it brings along.
         """
         self._configuration = configuration
         self._read = read
@@ -73,6 +76,8 @@
         self._on_missed_change = on_missed_change
         self._clock = clock
         self._metrics = metrics
+        self._find_read_due = find_read_due
+        self._checked_at = float("-inf")
         self._check_requested = trio.Event()
         self._check_finished = trio.Event()
         self._failed_at: float | None = None
@@ -97,6 +102,10 @@
                 break
         return self._configuration.is_fresh(self._clock.steady())
 
+    def request_check(self) -> None:
+        """Check now, because this entry needs records that may be old."""
+        self._check_requested.set()
+
     def _has_stalled(self, deadline: float) -> bool:
         """Return whether a timeout was exceeded because the process blocked."""
         return self._clock.steady() > deadline + _STALL_THRESHOLD_S
@@ -128,7 +137,10 @@
         """
         while True:
             now = self._clock.steady()
-            due_at = self._configuration.find_next_check(self._is_owner())
+            due_at = min(
+                self._configuration.find_next_check(self._is_owner()),
+                max(self._find_read_due(), self._checked_at + _RETRY_DELAY_S),
+            )
             if self._failed_at is not None:
                 due_at = max(due_at, self._failed_at + _RETRY_DELAY_S)
             if now >= due_at:
@@ -141,6 +153,7 @@
         """Ask until an answer arrives or the time for the check is over."""
         answers_before = self._answer_count
         began_at = self._clock.steady()
+        self._checked_at = began_at
         is_down = self._is_down()
         timeout_s = _ANSWER_TIMEOUT_S if is_down else _CHECK_TIMEOUT_S
         with trio.move_on_after(timeout_s):
--- a/crocusrouter/pools/entry.py
+++ b/crocusrouter/pools/entry.py
@@ -8,8 +8,10 @@
 
 from crocusrouter import mesh
 from crocusrouter import queues
+from crocusrouter import work
 from crocusrouter.mesh import messages
 from crocusrouter.pools import clocks
+from crocusrouter.pools import closures
 from crocusrouter.pools import config_refresh
 from crocusrouter.pools import configuration as configurations
 from crocusrouter.pools import job_api
@@ -64,12 +66,15 @@
         key: Key of the configuration itself.
         parse: Decodes it.
         apply_s: Seconds within which a confirmed change has to be in force.
+        closure_source: The data centres that operators close, under the same
+            prefix.
     """
 
     prefix: str
     key: str
     parse: Callable[[bytes], queues.Config]
     apply_s: float = 2.0
+    closure_source: closures.ClosureSource = closures.ClosureSource()
 
 
 class PoolEntry:
@@ -112,6 +117,11 @@
             source.key, source.parse, source.apply_s, self.clock, metrics
         )
         self.configuration.listeners.append(self._apply_config_to_owners)
+        self.closures = closures.Closures(
+            source.closure_source, self.clock, metrics
+        )
+        self.closures.listeners.append(self._apply_closures_to_owners)
+        self._operators_prefix = source.prefix
         direct_store = observed_store.ObservedStore(store, self.clock.steady)
         self._observed_store = direct_store
         self._store: key_value.KeyValueStore = direct_store
@@ -159,13 +169,14 @@
         self._relay = relay.RelayedStore(direct_store, self.peers)
         self.config_refresher = config_refresh.ConfigRefresher(
             self.configuration,
-            direct_store.read,
+            self._read_operator_records,
             self._relay.read_by_peers,
             lambda: bool(self.pool_owners),
             direct_store.is_down,
             self._config_watch.restart_watch,
             self.clock,
             metrics,
+            self._find_closures_due,
         )
         self.job_api = job_api.JobApi(
             self._relay,
@@ -176,6 +187,17 @@
             metrics,
         )
         self._nursery: trio.Nursery | None = None
+        metrics.register_gauge(
+            "crocusrouter_closed_data_centres",
+            lambda: len(self.closures.data_centres),
+        )
+        metrics.register_gauge(
+            "crocusrouter_runs_in_closed_data_centres",
+            lambda: sum(
+                work.count_runs_in_closed(pool_owner.pool_state)
+                for pool_owner in self.pool_owners.values()
+            ),
+        )
 
     def choose_retry_after(self) -> float:
         """Return the seconds after which a refused caller should ask again.
@@ -217,9 +239,35 @@
     def _handle_operator_events(
         self, events: tuple[records.Event, ...]
     ) -> None:
+        self.closures.apply_events(events)
         self.configuration.apply_events(events)
         self._open_waves.apply_events(events)
 
+    async def _read_operator_records(self, key: str) -> records.Record | None:
+        """Return one of the operators' records, and apply all closures.
+
+        Raises:
+            StoreUnavailableError: The store gives no answer.
+        """
+        asked_at = self.clock.steady()
+        snapshot = await self._observed_store.read_prefix(
+            self._operators_prefix
+        )
+        self.closures.apply_snapshot(snapshot, asked_at)
+        return next(
+            (record for record in snapshot.records if record.key == key), None
+        )
+
+    def _find_closures_due(self) -> float:
+        """Return when closures must be read again; only owners need them."""
+        if not self.pool_owners:
+            return float("inf")
+        return self.closures.find_next_check()
+
+    def _apply_closures_to_owners(self, _: frozenset[str]) -> None:
+        for pool_owner in self.pool_owners.values():
+            pool_owner.apply_closures()
+
     def _apply_config_to_owners(self, config: queues.Config) -> None:
         for pool_owner in self.pool_owners.values():
             pool_owner.set_config(config)
@@ -235,6 +283,9 @@
             self._ownership.list_heartbeat_rows(),
             not self._observed_store.is_failing(),
             self._system_watch.last_event_revision,
+            tuple(sorted(self.closures.data_centres)),
+            self.closures.revision,
+            self.closures.measure_age(now),
         )
 
     def _handle_heartbeat_answer(
@@ -252,14 +303,32 @@
             self.configuration.confirm_newest(
                 asked_at - heartbeat.confirmed_age_s
             )
-        self._handle_heartbeat(heartbeat)
+        self._handle_heartbeat(heartbeat, asked_at)
 
-    def _handle_heartbeat(self, heartbeat: messages.Beat) -> None:
+    def _handle_heartbeat(
+        self, heartbeat: messages.Beat, asked_at: float | None
+    ) -> None:
         """Process the parts of a heartbeat that are valid at any age.
 
-        They only move forward: the configuration version, the latest event and
-        the owners' epochs.
+        They only move forward: the configuration version, the latest event,
+        the closures and the owners' epochs.
+
+        Args:
+            heartbeat: The peer's heartbeat.
+            asked_at: Steady time at which it was requested; None if it was
+                not.
         """
+        confirmed_at = None
+        if asked_at is not None and heartbeat.closures_age_s is not None:
+            confirmed_at = asked_at - heartbeat.closures_age_s
+        self.closures.apply_peer_list(
+            closures.ClosureList(
+                frozenset(heartbeat.closed_data_centres),
+                heartbeat.closures_revision,
+                confirmed_at,
+            ),
+            heartbeat.name,
+        )
         self._system_watch.check_for_missed(heartbeat.last_change_revision)
         is_behind = heartbeat.config_version > self.configuration.version
         if is_behind and self._nursery is not None:
@@ -276,7 +345,7 @@
         match message:
             case messages.Beat():
                 self.peers.note_unrequested(message, self.clock.steady())
-                self._handle_heartbeat(message)
+                self._handle_heartbeat(message, None)
                 return self._build_heartbeat()
             case messages.AskConfig():
                 return messages.ConfigReply(self.configuration.document)
@@ -405,13 +474,16 @@
             self.clock,
             self.metrics,
             lambda: self.peers.would_know_successor(self.clock.steady()),
+            self.closures,
         )
         self._ownership.note_owner(
             owner_lease.pool, self.name, owner_lease.epoch
         )
         if self.configuration.current is not None:
             pool_owner.set_config(self.configuration.current)
+        pool_owner.apply_closures()
         self.pool_owners[owner_lease.pool] = pool_owner
+        self.config_refresher.request_check()
         pool_upkeep = upkeep_controller.UpkeepController(
             owner_lease,
             self.name,
--- a/crocusrouter/pools/owner.py
+++ b/crocusrouter/pools/owner.py
@@ -12,6 +12,7 @@
 from crocusrouter.pools import advisor
 from crocusrouter.pools import backlog
 from crocusrouter.pools import clocks
+from crocusrouter.pools import closures
 from crocusrouter.pools import connections
 from crocusrouter.pools import job_expiry
 from crocusrouter.pools import journal as journals
@@ -90,6 +91,7 @@
         clock: clocks.Clock,
         metrics: Metrics,
         may_renew: Callable[[], bool],
+        known_closures: closures.Closures,
     ) -> None:
         """Prepare an owner; `run` starts it.
 
@@ -101,6 +103,7 @@
             metrics: Counts events.
             may_renew: Returns whether worker leases may be renewed although the
                 owner lease is not known to be valid.
+            known_closures: The data centres that are closed to new work.
         """
         self.pool = owner_lease.pool
         self.epoch = owner_lease.epoch
@@ -113,6 +116,8 @@
         self._clock = clock
         self._metrics = metrics
         self._may_renew = may_renew
+        self._closures = known_closures
+        self._shortfall = 0
         self._backlog = backlog.Backlog(
             store, owner_lease.pool, self.pool_state, clock, metrics, self.wake
         )
@@ -168,6 +173,13 @@
         }
         self.wake()
 
+    def apply_closures(self) -> None:
+        """Apply the closures that this entry knows now."""
+        work.set_closed_data_centres(
+            self.pool_state, self._closures.data_centres
+        )
+        self.wake()
+
     def wake(self) -> None:
         """Schedule a decision because something may have changed."""
         self._wake_event.set()
@@ -338,10 +350,11 @@
         return self._owner_lease.is_valid() or self._may_renew()
 
     def _may_start_tasks(self, now: float) -> bool:
-        """Return whether workers and jobs are known well enough for starts."""
+        """Return whether everything that can forbid a start is known."""
         workers_fresh = self._worker_list.freshness.is_fresh(now)
         jobs_fresh = self._backlog.freshness.is_fresh(now)
-        return workers_fresh and jobs_fresh
+        closures_fresh = self._closures.is_fresh(now)
+        return workers_fresh and jobs_fresh and closures_fresh
 
     # Decisions.
 
@@ -366,6 +379,7 @@
     def _decide(self, now: float, wall: float) -> None:
         self.pool_state.open_due_occurrences(wall, now)
         self._check_recovered(now)
+        self._check_shortfall()
         if self._owner_lease.is_valid() and not self._is_draining:
             if self._may_start_tasks(now):
                 self._run_plan(now, wall)
@@ -407,6 +421,21 @@
             runs=len(self.pool_state.runs),
         )
 
+    def _check_shortfall(self) -> None:
+        """Report when the open data centres can't hold all guarantees."""
+        shortfall = work.measure_shortfall(self.pool_state)
+        if shortfall == self._shortfall:
+            return
+        if shortfall > self._shortfall:
+            self._metrics.count_event("guarantees-short")
+        self._shortfall = shortfall
+        log(
+            "guarantees:short" if shortfall else "guarantees:whole",
+            pool=self.pool,
+            missing_accelerators=shortfall,
+            closed=sorted(self.pool_state.closed_data_centres),
+        )
+
     def _start_reserved_steps(self, now: float) -> None:
         for placement in self._reservations.take_ready(self.pool_state, now):
             self._start_step(placement, now)
--- a/crocusrouter/pools/reservations.py
+++ b/crocusrouter/pools/reservations.py
@@ -48,6 +48,9 @@
             placement = reservation.placement
             if not _is_still_waiting(pool_state, placement):
                 del self._reservations[step_key]
+            elif _is_any_closed(pool_state, placement):
+                pool_state.note("reservation:closed", step=step_key)
+                del self._reservations[step_key]
             elif _has_room(pool_state, placement, now):
                 ready.append(placement)
                 del self._reservations[step_key]
@@ -67,6 +70,14 @@
     return set(placement.spots) <= step_work.waiting_indices
 
 
+def _is_any_closed(
+    pool_state: work.PoolState, placement: work.Placement
+) -> bool:
+    """Tell whether a worker's data centre has been closed to new work."""
+    workers = map(pool_state.workers.get, placement.spots.values())
+    return any(worker is not None and worker.closed for worker in workers)
+
+
 def _has_room(
     pool_state: work.PoolState, placement: work.Placement, now: float
 ) -> bool:
--- a/crocusrouter/pools/tests/test_reservations.py
+++ b/crocusrouter/pools/tests/test_reservations.py
@@ -41,3 +41,16 @@
     reserved.add(work.Placement(work.StepKey("j", 0, 0), {0: "w0"}), 0.0)
     reserved.take_ready(pool_state, now)
     assert bool(list(reserved.list_spots())) is is_kept
+
+
+# Guards against a start in a data centre that was closed while victims of the
+# start were ending, and against a step that goes on waiting for room there.
+def test_reservation_ends_when_its_data_centre_is_closed():
+    job = build.make_job("j", build.make_step(2, gpu=8, gang=True))
+    pool_state = build.make_pool_state(job)
+    reserved = reservations.Reservations()
+    placement = work.Placement(work.StepKey("j", 0, 0), {0: "w0", 1: "w1"})
+    reserved.add(placement, 0.0)
+    work.set_closed_data_centres(pool_state, frozenset({"liege"}))
+    assert reserved.take_ready(pool_state, 0.1) == []
+    assert list(reserved.list_spots()) == []
--- a/crocusrouter/pools/tests/test_worker_links.py
+++ b/crocusrouter/pools/tests/test_worker_links.py
@@ -134,6 +134,32 @@
         assert run.stop_reason == "its start was not answered"
 
 
+# Guards against a start that is repeated for two seconds after operators have
+# closed its worker's data centre, and against a worker that is avoided since.
+@pytest.mark.parametrize(
+    ("answer", "waits_again"), [(_NOT_SENT, True), (_SILENT, False)]
+)
+async def test_start_is_not_repeated_in_a_closed_data_centre(
+    answer, waits_again, autojump_clock
+):
+    port = _Port(*[answer] * 50)
+    pool_state, link = _make_link(port)
+    job = build.make_job("00000000000000aa", build.make_step(1))
+    build.add_job(pool_state, job)
+    key = work.TaskKey(job.id, 0, 0, 0)
+    pool_state.add_run(key, 1, _WORKER, 0.0)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(link.start, worker_port.Start(key, 1, "", "", ""))
+        await trio.sleep(0.02)
+        sent_before = len(port.sent)
+        work.set_closed_data_centres(pool_state, frozenset({"liege"}))
+    assert len(port.sent) == sent_before
+    step = pool_state.find_tracked_step(key)
+    assert (key.position in step.waiting_indices) is waits_again
+    assert step.avoided_workers == set()
+    assert bool(pool_state.outbox) is not waits_again
+
+
 @pytest.mark.parametrize("drains", [False, True])
 async def test_start_accepted_by_a_draining_worker_is_logged(
     drains, autojump_clock
--- a/crocusrouter/pools/worker_links.py
+++ b/crocusrouter/pools/worker_links.py
@@ -241,9 +241,9 @@
     def _may_send(self, order: worker_port.Start) -> bool:
         """Return whether a start may be sent, or sent again.
 
-        A worker that drains or shrinks in the meantime must not get it: a start
-        is repeated for up to 2 s after the decision, which is later than the
-        worker may get anything new.
+        A worker that drains or shrinks in the meantime, or whose data centre
+        is closed, must not get it: a start is repeated for up to 2 s after the
+        decision, which is later than the worker may get anything new.
         """
         run = self._pool_state.runs.get(order.key)
         worker_state = self._pool_state.workers.get(self.incarnation)
@@ -253,6 +253,7 @@
             and run.phase is tracking.Phase.ORDERED
             and worker_state is not None
             and not worker_state.was_draining
+            and not worker_state.closed
             and run.tracked_step is not None
             and not worker_state.is_overcommitted(run.tracked_step.step.charge)
             and self._may_start(self._clock.steady())
@@ -286,7 +287,12 @@
         if run is None or run.number != order.run:
             return
         if not maybe_begun and run.phase is tracking.Phase.ORDERED:
-            self._note_rejected(order, "unreachable")
+            worker_state = self._pool_state.workers.get(self.incarnation)
+            is_closed = worker_state is not None and worker_state.closed
+            self._note_rejected(
+                order,
+                tracking.DATA_CENTRE_CLOSED if is_closed else "unreachable",
+            )
             return
         if run.phase is tracking.Phase.ORDERED:
             now = self._clock.steady()
--- a/crocusrouter/settings/entry_settings.py
+++ b/crocusrouter/settings/entry_settings.py
@@ -76,6 +76,12 @@
         description="Milliseconds within which a confirmed change of the "
         "configuration must take effect.",
     )
+    closure_apply_ms: float = pydantic.Field(
+        5000.0,
+        gt=0,
+        description="Milliseconds after which no task may start in a data "
+        "centre whose closure is confirmed.",
+    )
 
     @pydantic.field_validator("name")
     @classmethod
--- a/crocusrouter/work/__init__.py
+++ b/crocusrouter/work/__init__.py
@@ -1,5 +1,8 @@
 """Scheduling core: the state of a pool, and the decisions based on it."""
 
+from crocusrouter.work.closures import count_runs_in_closed
+from crocusrouter.work.closures import measure_shortfall
+from crocusrouter.work.closures import set_closed_data_centres
 from crocusrouter.work.crashes import note_lapsed
 from crocusrouter.work.crashes import note_replaced
 from crocusrouter.work.crashes import note_silent
@@ -44,12 +47,15 @@
     "add_successor",
     "choose_paces",
     "choose_question",
+    "count_runs_in_closed",
     "dump_progress",
     "map_incarnations",
+    "measure_shortfall",
     "note_lapsed",
     "note_replaced",
     "note_silent",
     "parse_progress",
     "plan",
+    "set_closed_data_centres",
     "apply_report",
 ]
--- a/crocusrouter/work/planner.py
+++ b/crocusrouter/work/planner.py
@@ -344,7 +344,13 @@
         return chosen
 
     def _may_leave_rack(self, waiting_step: waiting_steps.WaitingStep) -> bool:
-        """Tell whether a step has waited long enough for its rack."""
+        """Tell whether a step has waited long enough for its rack.
+
+        A rack that operators have closed is not waited for: the closure has no
+        known end.
+        """
+        if self._racks.is_closed(waiting_step.tracked_step.step.rack):
+            return True
         waiting_since = waiting_step.tracked_step.waiting_since
         waited_s = (
             self._now - waiting_since if waiting_since is not None else 0.0
--- a/crocusrouter/work/pool_state.py
+++ b/crocusrouter/work/pool_state.py
@@ -32,6 +32,7 @@
         dirty: Ids of the jobs whose progress must be journaled.
         outbox: Stop orders to send, with the worker that each goes to.
         guaranteed: Guaranteed accelerators by customer.
+        closed_data_centres: Data centres that are closed to new work.
         stop_durations: Estimate of how long stops take.
         contended_at: When the first priority last had to stop other work to
             find room, on the steady clock; None if it never had to.
@@ -47,6 +48,7 @@
         self.dirty: set[str] = set()
         self.outbox: list[WorkerStop] = []
         self.guaranteed: dict[str, int] = {}
+        self.closed_data_centres: frozenset[str] = frozenset()
         self.stop_durations = stop_durations.StopDurations()
         self.contended_at: float | None = None
         self.events: collections.deque[tuple[str, dict[str, object]]] = (
@@ -238,13 +240,16 @@
         worker = self.workers.get(entry.id)
         if worker is None:
             self.workers[entry.id] = tracking.Worker(
-                entry, was_draining=entry.draining
+                entry,
+                was_draining=entry.draining,
+                closed=entry.data_centre in self.closed_data_centres,
             )
             self.note("worker:listed", worker=entry.id)
             return True
         if worker.entry.draining != entry.draining:
             self.note("worker:state", worker=entry.id, draining=entry.draining)
         worker.entry = entry
+        worker.closed = entry.data_centre in self.closed_data_centres
         worker.listed = True
         worker.was_draining = worker.was_draining or entry.draining
         if entry.stays_s is not None:
@@ -520,7 +525,7 @@
         )
         if reason == worker_port.RejectionReason.NO_TICKET:
             tracked_step.permits.drop_ticket(run.worker_id)
-        else:
+        elif reason != tracking.DATA_CENTRE_CLOSED:
             tracked_step.avoided_workers.add(run.worker_id)
 
     def withdraw_run(self, key: model.TaskKey, number: int) -> None:
--- a/crocusrouter/work/racks.py
+++ b/crocusrouter/work/racks.py
@@ -33,6 +33,7 @@
             if (
                 worker.listed
                 and not worker.was_draining
+                and not worker.closed
                 and not worker.replaced
             ):
                 workers_by_rack[packing.find_rack(worker.entry.labels)].append(
@@ -56,6 +57,21 @@
             > _CROWDED_SHARE * total
         )
 
+    @functools.cached_property
+    def _closed_racks(self) -> frozenset[str]:
+        """Racks all of whose workers are in closed data centres."""
+        racks_by_closed: dict[bool, set[str]] = {True: set(), False: set()}
+        for worker in self._pool_state.workers.values():
+            if worker.listed:
+                racks_by_closed[worker.closed].add(
+                    packing.find_rack(worker.entry.labels)
+                )
+        return frozenset(racks_by_closed[True] - racks_by_closed[False])
+
+    def is_closed(self, rack: str) -> bool:
+        """Tell whether a rack is in a data centre closed to new work."""
+        return rack in self._closed_racks
+
     def can_hold(self, step: model.Step) -> bool:
         """Tell whether a step fits into one rack if that rack is empty."""
         if step not in self._can_hold_by_step:
--- a/crocusrouter/work/tracking.py
+++ b/crocusrouter/work/tracking.py
@@ -12,6 +12,8 @@
 # worker is polled once a second while it has runs, so a run that was seen to
 # work for less time may have crashed its worker by its start.
 TRIAL_S = 2.0
+# Why a start was not sent: its worker's data centre is closed to new work.
+DATA_CENTRE_CLOSED = "data-centre-closed"
 
 
 class Phase(enum.StrEnum):
@@ -46,9 +48,9 @@
         tracked_step: Step of the task; None if its job is unknown.
         pace: Percent of its speed that the worker was last told to give it.
         paced_at: Steady time at which the worker confirmed `pace`.
+        is_trial: Whether its start was a trial of a suspected task.
     """
 
-        is_trial: Whether its start was a trial of a suspected task.
     key: model.TaskKey
     number: int
     worker_id: str
@@ -65,9 +67,9 @@
     tracked_step: "TrackedStep | None" = None
     pace: int = 100
     paced_at: float = 0.0
+    is_trial: bool = False
 
 
-    is_trial: bool = False
 @dataclasses.dataclass
 class Worker:
     """One incarnation of a worker.
@@ -93,6 +95,7 @@
             None if it does not say.
         was_draining: Whether the worker has ever been draining; it never gets
             new tasks again.
+        closed: Whether its data centre is closed to new work.
         evacuating: Whether it is being emptied for the upkeep of its VM.
         was_evacuated: Whether it was ever emptied for upkeep, in which case its
             end is expected and no crash.
@@ -118,6 +121,7 @@
     last_end_number: int = 0
     leaves_at: float | None = None
     was_draining: bool = False
+    closed: bool = False
     evacuating: bool = False
     was_evacuated: bool = False
     trial_until: float = 0.0
@@ -150,6 +154,7 @@
             self.listed
             and self.reached
             and not self.was_draining
+            and not self.closed
             and not self.evacuating
             and not self.replaced
             # A stray run takes room until it has ended. A worker that does not
--- a/standins/emulator/__init__.py
+++ b/standins/emulator/__init__.py
@@ -6,6 +6,7 @@
 observe.
 """
 
+from standins.emulator import closure_oracle
 from standins.emulator import cluster
 from standins.emulator import config_oracle
 from standins.emulator import oracle
@@ -19,7 +20,13 @@
 from standins.emulator.store import StoreFault
 
 # The rules that are checked on emulated days.
-CHECKED = oracle.RULES | config_oracle.RULES | cluster.RULES | vms.RULES
+CHECKED = (
+    oracle.RULES
+    | config_oracle.RULES
+    | closure_oracle.RULES
+    | cluster.RULES
+    | vms.RULES
+)
 
 __all__ = [
     "CHECKED",
--- a/standins/emulator/cluster.py
+++ b/standins/emulator/cluster.py
@@ -3,6 +3,7 @@
 import collections
 from collections.abc import Callable
 import dataclasses
+import math
 import random
 from typing import Any
 from typing import cast
@@ -20,6 +21,7 @@
 from crocusrouter.telemetry import Metrics
 from crocusrouter.work import incarnations
 from crocusrouter.work import worker_port
+from standins.emulator import closure_oracle as closure_oracles
 from standins.emulator import config_oracle as config_oracles
 from standins.emulator import impairment_log as impairment_logs
 from standins.emulator import operators
@@ -38,6 +40,8 @@
 WORKERS_PREFIX = "listed/"
 OPERATORS_PREFIX = "op/"
 CONFIG_KEY = OPERATORS_PREFIX + "config"
+CLOSURES_PREFIX = OPERATORS_PREFIX + "evacuate/"
+DATA_CENTRES = ("liege", "namur")
 ROUTE_HOST = "h"
 ROUTE_PREFIX = "/q/"
 WORKER_ROOM = work.Room(32_000, 131_072, 8)
@@ -80,6 +84,12 @@
         return None
 
 
+def _find_data_centre(rack: str) -> str:
+    """Return the data centre of a rack, whose name ends in its number."""
+    number = int(rack.rpartition("-")[2])
+    return DATA_CENTRES[number % len(DATA_CENTRES)]
+
+
 def _build_config(guaranteed: dict[str, int]) -> dict[str, Any]:
     """Return a configuration of one queue, without a version.
 
@@ -184,6 +194,9 @@
         self._replaced_workers: set[str] = set()
         self.impairments = impairment_logs.ImpairmentLog()
         self.config_oracle = config_oracles.ConfigOracle(self.impairments)
+        self.closure_oracle = closure_oracles.ClosureOracle()
+        self._suspended_at: dict[str, float] = {}
+        self._closing_counts: collections.Counter[str] = collections.Counter()
         guaranteed = {"a": 16, "b": 8}
         self.operators = operators.Operators(
             self.store,
@@ -202,6 +215,38 @@
         now = trio.current_time()
         self.operators.set_base(_build_config(guaranteed), now)
 
+    # Data centres.
+
+    def close_data_centre(self, name: str, value: bytes = b"{}") -> None:
+        """Close a data centre to new work, as operators do."""
+        self.store.put(CLOSURES_PREFIX + name, value)
+        self._closing_counts[name] += 1
+        if self._closing_counts[name] == 1:
+            self.closure_oracle.note_closed(name, trio.current_time())
+
+    def open_data_centre(self, name: str) -> None:
+        """Open a data centre once all its closures have ended."""
+        self._closing_counts[name] -= 1
+        if self._closing_counts[name] == 0:
+            self.store.remove(CLOSURES_PREFIX + name)
+            self.closure_oracle.note_opened(name, trio.current_time())
+
+    def list_entries_in(self, data_centre: str) -> list[str]:
+        """Return the names of a data centre's entries."""
+        return [
+            name
+            for number, name in enumerate(self.entry_names)
+            if DATA_CENTRES[number % len(DATA_CENTRES)] == data_centre
+        ]
+
+    def list_workers_in(self, data_centre: str) -> list[str]:
+        """Return the names of a data centre's workers that are up."""
+        return [
+            name
+            for name, worker in self.workers.items()
+            if worker.alive and worker.entry.data_centre == data_centre
+        ]
+
     # Workers.
 
     def add_worker(self, name: str, rack: str) -> None:
@@ -220,7 +265,7 @@
             name,
             POOL,
             f"{name}:1",
-            "liege",
+            _find_data_centre(rack),
             False,
             WORKER_ROOM,
             frozenset({"a", rack}),
@@ -285,7 +330,12 @@
             pools.Identity(name, f"{name}:7000"),
             self._build_store_view(name),
             pools.ConfigSource(
-                OPERATORS_PREFIX, CONFIG_KEY, platform.parse_config
+                OPERATORS_PREFIX,
+                CONFIG_KEY,
+                platform.parse_config,
+                closure_source=pools.ClosureSource(
+                    platform.find_closed_data_centre
+                ),
             ),
             pools.Platform(
                 WORKERS_PREFIX,
@@ -471,6 +521,20 @@
                         f"{worker.draining_since:.3f}"
                     )
 
+    def _check_closures(self, now: float) -> None:
+        """Have all starts checked against the closures of data centres."""
+        for name in self.entry_names:
+            if self.suspensions.is_suspended(name):
+                self._suspended_at[name] = now
+        for worker in self.workers.values():
+            starts, worker.recent_starts = worker.recent_starts, []
+            for start in starts:
+                calm_since = start.at - impairment_logs.STABLE_WINDOW_S
+                suspended_at = self._suspended_at.get(start.sender, -math.inf)
+                self.closure_oracle.check_start(
+                    start, is_sender_calm=suspended_at < calm_since
+                )
+
     async def run(
         self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
     ) -> None:
@@ -490,5 +554,6 @@
                 )
                 self.store.note_silences(self.entry_names, now)
                 self._check_drains(now)
+                self._check_closures(now)
                 self.store.expire_leases(now)
                 await trio.sleep(_CLOCK_STEP_S)
--- a/standins/emulator/faults.py
+++ b/standins/emulator/faults.py
@@ -31,6 +31,10 @@
 _LATE_SHARE = 0.5
 _ANSWER_LOSS_S = 0.1
 _STOP_GRACE_S = 6.0
+# The longest time for which a data centre is closed or open by turns, and by
+# how much a closure outlasts another fault of the same drawn duration.
+_MAX_TURN_S = 0.5
+_CLOSURE_FACTOR = 2.5
 _WATCHED_PREFIXES = (
     clusters.OPERATORS_PREFIX,
     clusters.WORKERS_PREFIX,
@@ -88,6 +92,13 @@
     STALL_WORKER = (
         "stall-worker"  # its tasks stop progressing; it still answers
     )
+    # Closures of data centres to new work.
+    CLOSE_ONE = "close-one"
+    CLOSE_ALL = "close-all"
+    CLOSE_BY_TURNS = "close-by-turns"  # closed and opened within one poll
+    # All entries and workers of one data centre, the owner's first.
+    LOSE_DATA_CENTRE = "lose-data-centre"  # its power, for a second or two
+    CUT_DATA_CENTRE = "cut-data-centre"  # from the others and from the store
 
 
 _STORE_FAULTS = {
@@ -114,18 +125,32 @@
     Fault.RESTART_BEHIND_CUT,
     Fault.RESTART_BESIDE_LATE,
 )
+CLOSURE_FAULTS = (
+    Fault.CLOSE_ONE,
+    Fault.CLOSE_ALL,
+    Fault.CLOSE_BY_TURNS,
+)
+DATA_CENTRE_FAULTS = (Fault.LOSE_DATA_CENTRE, Fault.CUT_DATA_CENTRE)
+# The kinds that existed before data centres were closed or lost.
+FAULTS_BEFORE_CLOSURES = tuple(
+    fault
+    for fault in Fault
+    if fault not in (*CLOSURE_FAULTS, *DATA_CENTRE_FAULTS)
+)
 # Speed of a worker's tasks under a fault, as a share of the usual speed.
 SPEED_BY_FAULT = {Fault.SLOW_WORKER: 0.25, Fault.STALL_WORKER: 0.0}
 # The kinds that existed before restarts and speeds, for days and histories kept
 # from then.
 FAULTS_BEFORE_RESTARTS = tuple(
-    fault for fault in Fault if fault not in (*RESTART_FAULTS, *SPEED_BY_FAULT)
+    fault
+    for fault in FAULTS_BEFORE_CLOSURES
+    if fault not in (*RESTART_FAULTS, *SPEED_BY_FAULT)
 )
 # The kinds of drawn days. A seed picks them by position in this list, so kept
 # seeds would play other days if it changed.
 DEFAULT_FAULTS = tuple(
     fault
-    for fault in Fault
+    for fault in FAULTS_BEFORE_CLOSURES
     if fault
     not in (
         Fault.COMPACT_LATE,
@@ -231,6 +256,7 @@
         cluster.oracle.check_final_states(await cluster.read_states())
         cluster.oracle.broken += cluster.list_owner_failures()
         cluster.oracle.broken += cluster.config_oracle.broken
+        cluster.oracle.broken += cluster.closure_oracle.broken
         nursery.cancel_scope.cancel()
     return cluster
 
@@ -302,12 +328,12 @@
         await cluster.suspensions.suspend(owner, event.duration_s)
     elif fault is Fault.CANCEL_MANY:
         await _cancel_many(cluster)
-    elif fault in SINGLE_ENTRY_FAULTS:
-        await _inject_entry_fault(cluster, event)
-    elif fault in RESTART_FAULTS:
-        await _inject_restarts(cluster, event)
     else:
-        await _inject_worker_fault(cluster, event)
+        inject = next(
+            (inject for kinds, inject in _INJECTORS_BY_KINDS if fault in kinds),
+            _inject_worker_fault,
+        )
+        await inject(cluster, event)
 
 
 async def _inject_entry_fault(
@@ -339,6 +365,82 @@
                         )
 
 
+async def _close_data_centres(
+    cluster: clusters.Cluster, event: FaultEvent
+) -> None:
+    names = list(clusters.DATA_CENTRES)
+    if event.fault is not Fault.CLOSE_ALL:
+        names = [cluster.random.choice(names)]
+    turn_count = 1
+    if event.fault is Fault.CLOSE_BY_TURNS:
+        turn_count = cluster.random.randint(2, 6)
+    for _ in range(turn_count - 1):
+        for name in names:
+            cluster.close_data_centre(name)
+        await trio.sleep(cluster.random.uniform(0.0, _MAX_TURN_S))
+        for name in names:
+            cluster.open_data_centre(name)
+    for name in names:
+        cluster.close_data_centre(name)
+    await trio.sleep(_CLOSURE_FACTOR * event.duration_s)
+    for name in names:
+        cluster.open_data_centre(name)
+
+
+async def _inject_data_centre_fault(
+    cluster: clusters.Cluster, event: FaultEvent
+) -> None:
+    """Lose or cut the data centre of the owner; of no owner, a drawn one."""
+    owner = cluster.find_owner()
+    name = next(
+        (
+            data_centre
+            for data_centre in clusters.DATA_CENTRES
+            if owner in cluster.list_entries_in(data_centre)
+        ),
+        cluster.random.choice(clusters.DATA_CENTRES),
+    )
+    if event.fault is Fault.LOSE_DATA_CENTRE:
+        await _lose_data_centre(cluster, name)
+    else:
+        await _cut_data_centre(cluster, name, event.duration_s)
+
+
+async def _lose_data_centre(cluster: clusters.Cluster, name: str) -> None:
+    async with trio.open_nursery() as nursery:
+        for worker in cluster.list_workers_in(name):
+            nursery.start_soon(
+                _replace_worker, cluster, worker, _RESTART_DELAY_S
+            )
+        nursery.start_soon(
+            _restart_entries, cluster, cluster.list_entries_in(name)
+        )
+
+
+async def _cut_data_centre(
+    cluster: clusters.Cluster, name: str, duration_s: float
+) -> None:
+    """Cut a data centre off; its entries reach only its own workers."""
+    inside = cluster.list_entries_in(name)
+    outside = set(cluster.entry_names) - set(inside)
+    cut_workers = {
+        worker_name: set(inside) if worker_name not in within else outside
+        for within in [cluster.list_workers_in(name)]
+        for worker_name in cluster.workers
+    }
+    for entry in inside:
+        cluster.store.entry_faults[entry] = stores.StoreFault.SILENT
+    cluster.partitioned_entries.update(inside)
+    for worker_name, entries in cut_workers.items():
+        cluster.workers[worker_name].unreachable_from |= entries
+    await trio.sleep(duration_s)
+    for entry in inside:
+        cluster.store.entry_faults.pop(entry, None)
+    cluster.partitioned_entries.difference_update(inside)
+    for worker_name, entries in cut_workers.items():
+        cluster.workers[worker_name].unreachable_from -= entries
+
+
 async def _cut_from_peers(
     cluster: clusters.Cluster, name: str, duration_s: float
 ) -> None:
@@ -543,3 +645,11 @@
     await trio.sleep(after_s)
     base = name.partition("+")[0]
     cluster.add_worker(f"{base}+{cluster.random.getrandbits(16)}", rack)
+
+
+_INJECTORS_BY_KINDS = (
+    (SINGLE_ENTRY_FAULTS, _inject_entry_fault),
+    (RESTART_FAULTS, _inject_restarts),
+    (CLOSURE_FAULTS, _close_data_centres),
+    (DATA_CENTRE_FAULTS, _inject_data_centre_fault),
+)
--- a/standins/emulator/rules.py
+++ b/standins/emulator/rules.py
@@ -11,6 +11,7 @@
     BUDGET = "budget"
     CONFIG = "config"
     DRAIN = "drain"
+    EVAC = "evac"
     GANG = "gang"
     HARM = "harm"
     LIMIT_ROOMS = "limit-rooms"
--- a/standins/emulator/store.py
+++ b/standins/emulator/store.py
@@ -48,6 +48,7 @@
             sent during it, so that a watch without changes survives it.
         rejected_prefixes: Prefixes whose watches are rejected, as calls beyond
             the rate limit are.
+        unread_prefixes: Prefixes under which reads are rejected as well.
         calls: How many calls entries have made.
     """
 
@@ -65,6 +66,7 @@
         self._last_silence_at: dict[str, float] = {}
         self.spares_idle_watches = False
         self.rejected_prefixes: set[str] = set()
+        self.unread_prefixes: set[str] = set()
         self.calls = 0
         self.random = random.Random(seed)
         self._changed = trio.Event()
@@ -219,14 +221,20 @@
             await trio.sleep(1.0)
             raise client.StoreUnavailableError("silent")
 
+    def _check_readable(self, key: str) -> None:
+        if key.startswith(tuple(self._store.unread_prefixes)):
+            raise client.StoreUnavailableError("status 429")
+
     async def read(self, key: str) -> records.Record | None:
         """Return a key's record, if any."""
         await self._begin_call()
+        self._check_readable(key)
         return self._store.read(key) if key in self._store.items else None
 
     async def read_prefix(self, prefix: str) -> records.Snapshot:
         """Return all records under a prefix."""
         await self._begin_call()
+        self._check_readable(prefix)
         found = (k for k in sorted(self._store.items) if k.startswith(prefix))
         return records.Snapshot(
             tuple(map(self._store.read, found)), self._store.revision
--- a/standins/emulator/tests/test_histories.py
+++ b/standins/emulator/tests/test_histories.py
@@ -14,11 +14,23 @@
     strategies.builds(
         faults.FaultEvent,
         at=strategies.integers(4, 48).map(lambda quarter: quarter / 4),
-        fault=strategies.sampled_from(list(emulator.Fault)),
+        fault=strategies.sampled_from(faults.FAULTS_BEFORE_CLOSURES),
         duration_s=strategies.integers(2, 20).map(lambda quarter: quarter / 4),
     ),
     max_size=7,
 )
+_CLOSURES = strategies.lists(
+    strategies.builds(
+        faults.FaultEvent,
+        at=strategies.integers(4, 48).map(lambda quarter: quarter / 4),
+        fault=strategies.sampled_from(
+            (*faults.CLOSURE_FAULTS, *faults.DATA_CENTRE_FAULTS)
+        ),
+        duration_s=strategies.integers(2, 20).map(lambda quarter: quarter / 4),
+    ),
+    min_size=1,
+    max_size=3,
+)
 _LOADS = strategies.builds(
     emulator.Load,
     per_s=strategies.sampled_from((0.5, 1.0, 2.0)),
@@ -98,3 +110,26 @@
         clock=trio.testing.MockClock(autojump_threshold=0),
     )
     assert cluster.oracle.broken == []
+
+
+# A task starts in a data centre that operators have closed, or the loss of a
+# data centre breaks another rule, in any history of other failures.
+@fuzzing.build_settings(10)
+@hypothesis.given(
+    seed=strategies.integers(0, 1000),
+    load=_LOADS,
+    events=EVENTS,
+    closures=_CLOSURES,
+)
+def test_machine_of_days_with_closures_keeps_the_rules(
+    seed, load, events, closures
+):
+    played = sorted([*events, *closures], key=lambda event: event.at)
+    cluster = trio.run(
+        emulator.play,
+        seed,
+        load,
+        played,
+        clock=trio.testing.MockClock(autojump_threshold=0),
+    )
+    assert cluster.oracle.broken == []
--- a/standins/emulator/tests/test_restarts.py
+++ b/standins/emulator/tests/test_restarts.py
@@ -34,7 +34,7 @@
         seed, 4, load.length_s, faults.RESTART_FAULTS
     )
     events += emulator.choose_faults(
-        seed + _FAULT_COUNT, 4, load.length_s, list(emulator.Fault)
+        seed + _FAULT_COUNT, 4, load.length_s, faults.FAULTS_BEFORE_CLOSURES
     )
     cluster = await emulator.play(seed, load, events)
     assert cluster.oracle.broken == []
--- a/standins/emulator/worker.py
+++ b/standins/emulator/worker.py
@@ -8,6 +8,7 @@
 
 from crocusrouter import work
 from crocusrouter.work import worker_port
+from standins.emulator import closure_oracle as closure_oracles
 from standins.emulator import oracle as oracles
 from standins.emulator import policy as policies
 
@@ -112,6 +113,7 @@
         self.misdirected_starts = 0
         self.started_runs = 0
         self.draining_since: float | None = None
+        self.recent_starts: list[closure_oracles.ObservedStart] = []
         self.starts_while_draining: list[tuple[work.TaskKey, float]] = []
         self.fails_all = False
         # Speed of all tasks here, as a share of the usual speed.
@@ -284,6 +286,7 @@
         until_ms: int,
         *,
         late: bool = False,
+        sender: str = "",
     ) -> worker_port.Accepted | worker_port.Rejected:
         """Carry out a start order.
 
@@ -292,6 +295,7 @@
             order: The order.
             until_ms: When the lease ends, on this worker's clock.
             late: Whether the order was delayed by seconds on its way.
+            sender: Entry that sent it; empty if unknown.
         """
         rejection = self.check_epoch(epoch)
         if rejection is not None:
@@ -330,6 +334,16 @@
         if not self.checks_room and not late:
             self._check_room(order.key, step.charge)
         self._add_run(order, job, step)
+        if not late:
+            self.recent_starts.append(
+                closure_oracles.ObservedStart(
+                    order.key,
+                    trio.current_time(),
+                    self.entry.id,
+                    self.entry.data_centre,
+                    sender,
+                )
+            )
         if self.draining_since is not None and not late:
             self.starts_while_draining.append((order.key, trio.current_time()))
         return worker_port.Accepted(int(clock))
@@ -624,7 +638,9 @@
             self.is_open = False
             await trio.sleep(timeout_s)
             return worker_port.NoAnswer("late")
-        outcome = self._worker.start_run(epoch, order, until_ms)
+        outcome = self._worker.start_run(
+            epoch, order, until_ms, sender=self._entry
+        )
         if self._worker.crash_before_answer(order.key):
             return await self._wait_without_answer(timeout_s, sent=True)
         await trio.sleep(_ORDER_DELAY_S)
--- a/standins/soak/run.py
+++ b/standins/soak/run.py
@@ -13,6 +13,7 @@
 
 from crocusrouter import platform
 from crocusrouter import queues
+from standins.emulator import closure_oracle as closure_oracles
 from standins.emulator import config_oracle as config_oracles
 from standins.emulator import oracle as oracles
 from standins.emulator import rules
@@ -28,6 +29,7 @@
     oracles.RULES
     | config_oracles.RULES
     | cut_requests.RULES
+    | closure_oracles.RULES
     | {rules.Rule.DRAIN}
 )
 
@@ -68,8 +70,15 @@
     FAIL_ALL = "fail-all"  # a worker fails each task that it starts
     SLOW_WORKER = "slow-worker"
     STALL_WORKER = "stall-worker"  # no progress of tasks, but answers
+    CLOSE_DATA_CENTRE = "close-data-centre"  # to new work
 
 
+# The kinds that seeds draw from by place, so that kept seeds stay as they are.
+_DEFAULT_FAULTS = tuple(
+    fault for fault in Fault if fault is not Fault.CLOSE_DATA_CENTRE
+)
+# Long enough to see starts that come too late.
+_MIN_CLOSURE_S = 7.0
 # Relative speed of the tasks on a worker.
 _TASK_SPEEDS = {Fault.SLOW_WORKER: 0.25, Fault.STALL_WORKER: 0.0}
 
@@ -95,7 +104,7 @@
     length_s: float = 15.0
     fault_count: int = 5
     jobs_per_crashing_job: int = 20
-    fault_kinds: tuple[Fault, ...] = tuple(Fault)
+    fault_kinds: tuple[Fault, ...] = _DEFAULT_FAULTS
 
 
 @dataclasses.dataclass
@@ -108,6 +117,7 @@
         crashes: How often a task crashed its worker.
         faults: The injected faults, in order.
         config_oracle: Findings about changes of the configuration.
+        starts_while_closed: Starts that were judged by a closure.
         cut_checker: Findings about requests that were cut.
     """
 
@@ -117,6 +127,7 @@
     faults: list[str]
     config_oracle: config_oracles.ConfigOracle
     cut_checker: cut_requests.CutRequestChecker
+    starts_while_closed: int = 0
 
     @property
     def verdict(self) -> str:
@@ -132,6 +143,7 @@
             "crashes": self.crashes,
             "changes": self.config_oracle.judged,
             "cut requests": self.cut_checker.judged,
+            "closures": self.starts_while_closed,
         }
         return [check for check, count in cases.items() if not count]
 
@@ -159,12 +171,14 @@
     return Result(
         world.oracle.broken
         + world.config_oracle.broken
+        + world.closure_oracle.broken
         + world.cut_checker.broken,
         len(world.oracle.accepted),
         len(world.oracle.task_crashes),
         soak_run.faults,
         world.config_oracle,
         world.cut_checker,
+        world.closure_oracle.judged,
     )
 
 
@@ -362,6 +376,11 @@
             case Fault.RESTART_WORKER:
                 process_end = self.rng.choice(list(proxies.ProcessEnd))
                 await self.world.restart_worker(worker, process_end, duration_s)
+            case Fault.CLOSE_DATA_CENTRE:
+                await self.world.close_data_centre(
+                    self.world.workers[worker].entry.data_centre,
+                    _MIN_CLOSURE_S + duration_s,
+                )
             case Fault.FAIL_ALL | Fault.SLOW_WORKER | Fault.STALL_WORKER:
                 await self._impair_tasks(
                     self.world.workers[worker], fault, duration_s
--- a/standins/soak/tests/test_soak.py
+++ b/standins/soak/tests/test_soak.py
@@ -39,6 +39,25 @@
 _FEW_RESTARTS = dataclasses.replace(_MANY_RESTARTS, length_s=8.0, fault_count=2)
 
 
+_CLOSURES = soak.Shape(
+    entry_count=3,
+    worker_count=6,
+    jobs_per_s=4.0,
+    length_s=14.0,
+    fault_count=5,
+    jobs_per_crashing_job=0,
+    fault_kinds=(
+        soak.Fault.CLOSE_DATA_CENTRE,
+        soak.Fault.CLOSE_DATA_CENTRE,
+        soak.Fault.KILL,
+        soak.Fault.STOP,
+        soak.Fault.PAUSE,
+        soak.Fault.LOSE_ANSWERS,
+        soak.Fault.REFUSE_WATCHES,
+    ),
+)
+
+
 # Guards against jobs that are lost, run twice, or rejected although they ran.
 # Entries are killed, paused and stopped, and their links to store and workers
 # fail, at times drawn from the seed.
@@ -73,6 +92,15 @@
     assert result.accepted > 3
 
 
+# Guards against tasks that real processes start in a closed data centre, also
+# while the owner is killed, stopped, paused, or cut off from the store.
+@pytest.mark.parametrize("seed", [3, 6])
+async def test_no_task_starts_in_a_closed_data_centre(seed, tmp_path):
+    result = await soak.soak(seed, _CLOSURES, tmp_path)
+    assert result.broken == []
+    assert result.accepted > 3
+
+
 @pytest.mark.parametrize(
     ("broken", "accepted", "verdict"),
     [
--- a/standins/soak/world.py
+++ b/standins/soak/world.py
@@ -14,6 +14,7 @@
 from crocusrouter.work import worker_port
 from demo import processes
 from standins import ports
+from standins.emulator import closure_oracle as closure_oracles
 from standins.emulator import config_oracle as config_oracles
 from standins.emulator import impairment_log as impairment_logs
 from standins.emulator import operators
@@ -63,6 +64,8 @@
         self.oracle = oracles.JobOracle()
         self.impairments = impairment_logs.ImpairmentLog()
         self.config_oracle = config_oracles.ConfigOracle(self.impairments)
+        self.closure_oracle = closure_oracles.ClosureOracle()
+        self._closing_counts: collections.Counter[str] = collections.Counter()
         # Like `impairments`, but without planned stops.
         self.unplanned_impairments = impairment_logs.ImpairmentLog()
         self.cut_checker = cut_requests.CutRequestChecker(
@@ -96,11 +99,13 @@
         self._worker_ports: dict[str, int] = {}
         for number in range(worker_count):
             labels = frozenset({"a", f"r0-{number // 3}"})
-            self._add_worker(f"w{number}", labels)
+            self._add_worker(f"w{number}", f"dc-{number // 3}", labels)
 
-    def _add_worker(self, name: str, labels: frozenset[str]) -> None:
+    def _add_worker(
+        self, name: str, data_centre: str, labels: frozenset[str]
+    ) -> None:
         worker_entry = worker_port.WorkerEntry(
-            name, POOL, "", "dc", False, _FULL_ROOM, labels
+            name, POOL, "", data_centre, False, _FULL_ROOM, labels
         )
         self._seed += 1
         worker = workers.Worker(
@@ -188,7 +193,7 @@
             {
                 "service": POOL,
                 "address": f"127.0.0.1:{port}",
-                "zone": "dc",
+                "zone": worker_entry.data_centre,
                 "state": "draining" if worker_entry.draining else "ready",
                 "capacity": room,
                 "labels": sorted(worker_entry.labels),
@@ -209,6 +214,7 @@
                     )
             self._record_impairments(now)
             self._check_starts_while_draining()
+            self._check_closures()
             self.oracle.check_incomplete_gangs(
                 self.impairments.is_unimpaired_since
             )
@@ -266,6 +272,33 @@
                         f"been draining since {draining_since:.3f}"
                     )
 
+    def _check_closures(self) -> None:
+        """Check starts in closed data centres.
+
+        Orders don't name the entry that sent them, so a start counts only if
+        nothing at all was impaired.
+        """
+        for worker in self.workers.values():
+            starts, worker.recent_starts = worker.recent_starts, []
+            for start in starts:
+                is_calm = self.impairments.is_unimpaired_since(
+                    start.at - impairment_logs.STABLE_WINDOW_S
+                )
+                self.closure_oracle.check_start(start, is_sender_calm=is_calm)
+
+    async def close_data_centre(self, name: str, duration_s: float) -> None:
+        """Close a data centre to new work for some seconds."""
+        key = f"op/evacuate/{name}"
+        self.store.put(key, b"{}")
+        self._closing_counts[name] += 1
+        if self._closing_counts[name] == 1:
+            self.closure_oracle.note_closed(name, trio.current_time())
+        await trio.sleep(duration_s)
+        self._closing_counts[name] -= 1
+        if self._closing_counts[name] == 0:
+            self.store.remove(key)
+            self.closure_oracle.note_opened(name, trio.current_time())
+
     async def drain_worker(self, name: str) -> None:
         """Drain a worker until it exits, and replace it by a new worker."""
         worker = self.workers[name]
@@ -304,7 +337,7 @@
         proxy.start_process()
         if self.workers.get(name) is not worker:
             return
-        self._add_worker(name, worker.entry.labels)
+        self._add_worker(name, worker.entry.data_centre, worker.entry.labels)
         new_worker = self.workers[name]
         new_worker.become_new_process(trio.current_time())
         self._platform.workers[self._worker_ports[name]] = _build_worker_view(
@@ -327,7 +360,9 @@
         port = self._worker_ports[name]
         self._worker_ports[new_name] = port
         self.worker_proxies[new_name] = proxy
-        self._add_worker(new_name, worker.entry.labels)
+        self._add_worker(
+            new_name, worker.entry.data_centre, worker.entry.labels
+        )
         self._platform.workers[port] = _build_worker_view(
             self.workers[new_name]
         )
