Close and open data centres in our own interface

Cause: operators of `serve` could not empty a data centre; the capability exists on the users' platform only.

Ways weighed: records of their own, watched by each owner; closures as part of the catalog, which has compare-and-swap, watch, heartbeats and a revision that never goes back. The second is built: no belief of its own can be stale.

Change: `crocusrouter data-centre close|open|list` and PUT, DELETE /v1/data-centres/NAME/closure; `status` shows closures, since when, and what still runs there, asked of the owner. While its data centre is closed a scheduler places nothing, and an attempt that would reserve or start a task ends instead and waits in the queue (EndReason.CLOSED, counted as a retry), so no way leads to a start. New jobs are refused with data-centre-closed and not moved: a repeated submission could then be accepted by two owners. The loop that swaps the catalog is shared with edits of templates (catalog_edits.py).

--- a/crocusrouter/cli/main.py
+++ b/crocusrouter/cli/main.py
@@ -6,6 +6,7 @@
 
 import crocusrouter
 from crocusrouter.cli import client
+from crocusrouter.cli import data_centre
 from crocusrouter.cli import entry
 from crocusrouter.cli import exit_codes
 from crocusrouter.cli import job
@@ -24,6 +25,7 @@
 )
 app.add_typer(template.app, name="template")
 app.add_typer(job.app, name="job")
+app.add_typer(data_centre.app, name="data-centre")
 
 _STATUS_FIELDS = (
     "entry",
@@ -66,6 +68,19 @@
             for name, owner in document["owners"].items()
         ],
     )
+    if document["closed"]:
+        print()
+        output.print_table(
+            ["closed data centre", "since", "running jobs"],
+            [
+                (
+                    name,
+                    output.format_time(closure["closed_since"]),
+                    closure["running_jobs"],
+                )
+                for name, closure in document["closed"].items()
+            ],
+        )
     print()
     output.print_table(["count", "value"], document["counts"].items())
 
--- a/crocusrouter/controllers/entry.py
+++ b/crocusrouter/controllers/entry.py
@@ -201,7 +201,9 @@
             case messages.CancelJob(_, job_id) | messages.FindJob(_, job_id):
                 data_centre = jobs.parse_data_centre(job_id)
                 return await self.job_router.answer_peer(data_centre, message)
-            case messages.ListJobs(_, data_centre):
+            case messages.ListJobs(_, data_centre) | messages.CountRuns(
+                data_centre
+            ):
                 return await self.job_router.answer_peer(data_centre, message)
             case _:
                 raise TypeError(
--- a/crocusrouter/controllers/job_router.py
+++ b/crocusrouter/controllers/job_router.py
@@ -114,6 +114,8 @@
                 return owner.find_view(customer, job_id)
             case messages.ListJobs(customer, _):
                 return messages.JobViews(owner.list_views(customer))
+            case messages.CountRuns():
+                return owner.count_runs()
             case _:
                 raise TypeError(
                     f"no handler for message {type(message).__name__}"
--- a/crocusrouter/controllers/owner.py
+++ b/crocusrouter/controllers/owner.py
@@ -206,6 +206,14 @@
         customer_jobs.sort(key=lambda job: (job.submitted_at, job.id))
         return tuple(map(self._build_view, customer_jobs))
 
+    def count_runs(self) -> mesh_messages.RunCounts:
+        """Return how many jobs run here, and on how many accelerators."""
+        gangs = self.scheduler_state.gangs.values()
+        return mesh_messages.RunCounts(
+            len(gangs),
+            sum(member.size for gang in gangs for member in gang.members),
+        )
+
     def _build_view(self, job: jobs.Job) -> mesh_messages.JobView:
         explanation = self.scheduler_state.explain(job.id)
         if explanation is None or job.is_final:
--- a/crocusrouter/controllers/template_edits.py
+++ b/crocusrouter/controllers/template_edits.py
@@ -1,10 +1,9 @@
 """Changes of customers' templates by operators: checks, writes, history."""
 
-import dataclasses
-
 from crocusrouter import fleet
 from crocusrouter import jobs
 from crocusrouter import store
+from crocusrouter.controllers import catalog_edits
 from crocusrouter.controllers import configuration as configurations
 from crocusrouter.outcomes import Refusal
 from crocusrouter.outcomes import RefusalReason
@@ -13,29 +12,13 @@
 from crocusrouter.templates import TemplateVersion
 from crocusrouter.templates import build_version_name
 from crocusrouter.templates import compare_templates
-from crocusrouter.templates import dump_catalog
 from crocusrouter.templates import dump_version
-from crocusrouter.templates import parse_catalog
 from crocusrouter.templates import parse_version
 from crocusrouter.templates import replace_template
 
-_MAX_ATTEMPTS = 5
 _RETRY_AFTER_S = 1.0
 
 
-@dataclasses.dataclass(frozen=True)
-class AppliedEdit:
-    """An edit that the key-value service has stored.
-
-    Attributes:
-        revision: Catalog revision that contains the edit.
-        catalog: The catalog after the edit.
-    """
-
-    revision: int
-    catalog: Catalog
-
-
 def check_edit(
     catalog: Catalog,
     template: Template,
@@ -69,13 +52,12 @@
     expected_revision: int | None,
     current_fleet: fleet.Fleet,
     now: float,
-) -> AppliedEdit | Refusal:
-    """Write a template by compare-and-swap on the whole catalog.
+) -> catalog_edits.AppliedEdit | Refusal:
+    """Write a template into the catalog.
 
-    The catalog is read again from the key-value service, so that an entry
-    whose watch lags behind can't overwrite changes that it has not seen. If
-    another edit was stored in the meantime, this edit is checked again against
-    the new catalog. A change of another customer's template is no conflict.
+    If another edit was stored in the meantime, this edit is checked again
+    against the new catalog. A change of another customer's template is no
+    conflict.
 
     Args:
         configuration: Gives the keys and the catalog in force.
@@ -85,19 +67,8 @@
         current_fleet: As in `check_edit`.
         now: Unix time of the edit.
     """
-    for _ in range(_MAX_ATTEMPTS):
-        try:
-            record = await store_client.read(configuration.catalog_key)
-        except store.StoreUnavailableError as error:
-            return Refusal(
-                RefusalReason.STORE_UNAVAILABLE, str(error), _RETRY_AFTER_S
-            )
-        catalog = parse_catalog(record.value) if record else Catalog()
-        if catalog.revision < configuration.catalog.revision:
-            # The store lost recent writes, for example when it was restored
-            # from a backup. Base the edit on the catalog in force, so that
-            # the lost edits are written again and no revision is used twice.
-            catalog = configuration.catalog
+
+    async def change(catalog: Catalog) -> Catalog | Refusal:
         refusal = check_edit(
             catalog, template, expected_revision, current_fleet
         )
@@ -108,22 +79,9 @@
         )
         if isinstance(version_name, Refusal):
             return version_name
-        new_catalog = replace_template(catalog, template, version_name)
-        outcome = await store_client.compare_and_swap(
-            configuration.catalog_key, record, dump_catalog(new_catalog)
-        )
-        if isinstance(outcome, store.Committed):
-            configuration.adopt_catalog(new_catalog)
-            return AppliedEdit(new_catalog.revision, new_catalog)
-        if isinstance(outcome, store.Superseded):
-            return AppliedEdit(new_catalog.revision, new_catalog)
-        if isinstance(outcome, store.Unavailable):
-            return _build_unavailable_refusal(outcome)
-    return Refusal(
-        RefusalReason.REVISION_CONFLICT,
-        "too many concurrent edits",
-        _RETRY_AFTER_S,
-    )
+        return replace_template(catalog, template, version_name)
+
+    return await catalog_edits.edit_catalog(configuration, store_client, change)
 
 
 async def _store_version(
@@ -177,15 +135,6 @@
     return versions
 
 
-def _build_unavailable_refusal(outcome: store.Unavailable) -> Refusal:
-    if outcome.maybe_written:
-        detail = f"{outcome.cause}; read the template to see if it changed"
-        return Refusal(RefusalReason.COMMIT_UNKNOWN, detail, _RETRY_AFTER_S)
-    return Refusal(
-        RefusalReason.STORE_UNAVAILABLE, outcome.cause, _RETRY_AFTER_S
-    )
-
-
 def _build_conflict_refusal(
     catalog: Catalog, template: Template, expected_revision: int
 ) -> Refusal:
--- a/crocusrouter/http/app.py
+++ b/crocusrouter/http/app.py
@@ -9,6 +9,7 @@
 from starlette import routing
 
 from crocusrouter import controllers
+from crocusrouter.http import data_centre_endpoints
 from crocusrouter.http import job_endpoints
 from crocusrouter.http import operator_endpoints
 from crocusrouter.http import request_endpoint
@@ -24,6 +25,8 @@
     request_api = request_endpoint.RequestEndpoint(entry)
     job_api = job_endpoints.JobEndpoints(entry)
     operator_api = operator_endpoints.OperatorEndpoints(entry)
+    data_centre_api = data_centre_endpoints.DataCentreEndpoints(entry)
+    closure_path = "/v1/data-centres/{data_centre}/closure"
     route_table: list[tuple[str, str, Handler]] = [
         ("POST", "/v1/requests/{kind}", request_api.handle),
         ("POST", "/v1/jobs", job_api.submit),
@@ -35,6 +38,9 @@
         ("GET", "/v1/templates/{customer}", operator_api.get_template),
         ("PUT", "/v1/templates/{customer}", operator_api.put_template),
         ("GET", "/v1/templates/{customer}/history", operator_api.list_history),
+        ("GET", "/v1/data-centres", data_centre_api.list),
+        ("PUT", closure_path, data_centre_api.close),
+        ("DELETE", closure_path, data_centre_api.open),
         ("GET", "/v1/status", operator_api.status),
         ("GET", "/metrics", operator_api.metrics),
         ("GET", "/healthz", operator_api.healthz),
--- a/crocusrouter/http/job_endpoints.py
+++ b/crocusrouter/http/job_endpoints.py
@@ -5,7 +5,6 @@
 from typing import Any
 import uuid
 
-import orjson
 import pydantic
 from starlette import requests as starlette_requests
 
@@ -15,6 +14,7 @@
 from crocusrouter import jobs
 from crocusrouter import requests
 from crocusrouter.http import job_documents
+from crocusrouter.http import rendering
 from crocusrouter.http import request_parsing
 from crocusrouter.mesh import messages
 from crocusrouter.outcomes import Refusal
@@ -62,17 +62,19 @@
         view = await self._ask_owner(
             job.data_centre, messages.SubmitJob(codec.pack(job))
         )
-        return _render_json(job_documents.describe_job(view), _HTTP_CREATED)
+        return rendering.render_json(
+            job_documents.describe_job(view), _HTTP_CREATED
+        )
 
     async def show(self, request: starlette_requests.Request) -> Rendered:
         """Show one job."""
-        return _render_json(
+        return rendering.render_json(
             job_documents.describe_job(await self._find_job(request))
         )
 
     async def explain(self, request: starlette_requests.Request) -> Rendered:
         """Show one job and its events."""
-        return _render_json(
+        return rendering.render_json(
             job_documents.describe_job_with_events(
                 await self._find_job(request)
             )
@@ -86,7 +88,7 @@
             jobs.parse_data_centre(job_id),
             messages.CancelJob(template.customer, job_id),
         )
-        return _render_json(job_documents.describe_job(view))
+        return rendering.render_json(job_documents.describe_job(view))
 
     async def list(self, request: starlette_requests.Request) -> Rendered:
         """List the customer's jobs in all data centres."""
@@ -97,7 +99,7 @@
                 data_centre, messages.ListJobs(template.customer, data_centre)
             )
             shown_jobs += map(job_documents.describe_job, views.jobs)
-        return _render_json({"jobs": shown_jobs})
+        return rendering.render_json({"jobs": shown_jobs})
 
     async def _find_job(
         self, request: starlette_requests.Request
@@ -163,9 +165,3 @@
         raise refuse(
             RefusalReason.INVALID_DOCUMENT, describe_errors(error)
         ) from error
-
-
-def _render_json(document: dict[str, Any], status: int = _HTTP_OK) -> Rendered:
-    return Rendered(
-        status, {"Content-Type": "application/json"}, orjson.dumps(document)
-    )
--- a/crocusrouter/http/operator_endpoints.py
+++ b/crocusrouter/http/operator_endpoints.py
@@ -11,6 +11,8 @@
 from crocusrouter import controllers
 from crocusrouter import requests
 from crocusrouter import store
+from crocusrouter.http import data_centre_endpoints
+from crocusrouter.http import rendering
 from crocusrouter.http import request_parsing
 from crocusrouter.outcomes import Refusal
 from crocusrouter.outcomes import RefusalReason
@@ -64,7 +66,7 @@
             name: versioned.revision
             for name, versioned in catalog.templates.items()
         }
-        return _render_json(
+        return rendering.render_json(
             {"revision": catalog.revision, "templates": revisions}
         )
 
@@ -94,7 +96,7 @@
         )
         if isinstance(outcome, Refusal):
             raise RefusedError(outcome)
-        rendered = _render_json({"revision": outcome.revision})
+        rendered = rendering.render_json({"revision": outcome.revision})
         rendered.headers["ETag"] = f'"{outcome.revision}"'
         return rendered
 
@@ -119,7 +121,7 @@
                 str(error),
                 _STORE_RETRY_AFTER_S,
             ) from error
-        return _render_json({"versions": _render_versions(versions)})
+        return rendering.render_json({"versions": _render_versions(versions)})
 
     async def status(self, request: starlette_requests.Request) -> Rendered:
         """Show this entry, its peers and the data centres that it owns."""
@@ -148,7 +150,7 @@
             dataclasses.asdict(controllers.describe_owner(owner))
             for owner in entry.local_owners.values()
         ]
-        return _render_json(
+        return rendering.render_json(
             {
                 "entry": entry.settings.name,
                 "data_centre": entry.settings.data_centre,
@@ -160,6 +162,7 @@
                 "store_failing": entry.store.failing_since is not None,
                 "owners": owners,
                 "owned": owned,
+                "closed": await data_centre_endpoints.describe_closures(entry),
                 "counts": dict(sorted(entry.metrics.counts.items())),
             }
         )
@@ -171,7 +174,7 @@
 
     async def healthz(self, _: starlette_requests.Request) -> Rendered:
         """Report that the process is alive."""
-        return _render_json({"alive": True})
+        return rendering.render_json({"alive": True})
 
     async def readyz(self, _: starlette_requests.Request) -> Rendered:
         """Report whether this entry accepts work, and the conditions for it."""
@@ -182,7 +185,7 @@
             "vms_read": entry.vm_list.fleet.read_at is not None,
             "stopping": entry.is_stopping,
         }
-        return _render_json(
+        return rendering.render_json(
             document, _HTTP_OK if entry.is_ready else _HTTP_UNAVAILABLE
         )
 
@@ -200,7 +203,7 @@
         )
         if refusal is not None:
             raise RefusedError(refusal)
-        return _render_json({"revision": catalog.revision})
+        return rendering.render_json({"revision": catalog.revision})
 
 
 def _render_versions(versions: list[TemplateVersion]) -> list[dict[str, Any]]:
@@ -234,9 +237,3 @@
             "in the path",
         )
     return template
-
-
-def _render_json(document: dict[str, Any], status: int = _HTTP_OK) -> Rendered:
-    return Rendered(
-        status, {"Content-Type": _JSON_TYPE}, orjson.dumps(document)
-    )
--- a/crocusrouter/http/tests/test_reasons.py
+++ b/crocusrouter/http/tests/test_reasons.py
@@ -199,6 +199,28 @@
     return await _submit(world)
 
 
+async def _close_data_centre(world, query=""):
+    return await world.ask(
+        "PUT", f"/v1/data-centres/dc/closure{query}", key=worlds.OPERATOR_KEY
+    )
+
+
+async def _cause_unknown_data_centre(world):
+    return await world.ask(
+        "PUT", "/v1/data-centres/none/closure", key=worlds.OPERATOR_KEY
+    )
+
+
+async def _cause_no_room_left(world):
+    return await _close_data_centre(world)
+
+
+async def _cause_data_centre_closed(world):
+    await world.wait_owned()
+    await _close_data_centre(world, "?force")
+    return await _submit(world)
+
+
 async def _cause_revision_conflict(world):
     return await world.ask(
         "PUT",
@@ -258,6 +280,11 @@
     RefusalReason.UNKNOWN_KIND: (_cause_unknown_kind, 404, "not-run"),
     RefusalReason.UNKNOWN_CUSTOMER: (_cause_unknown_customer, 404, None),
     RefusalReason.UNKNOWN_JOB: (_cause_unknown_job, 404, None),
+    RefusalReason.UNKNOWN_DATA_CENTRE: (
+        _cause_unknown_data_centre,
+        404,
+        None,
+    ),
     RefusalReason.DEADLINE_PASSED: (_cause_deadline_passed, 408, "not-run"),
     RefusalReason.DEADLINE_UNMEETABLE: (
         _cause_deadline_unmeetable,
@@ -278,6 +305,8 @@
     RefusalReason.OWNER_UNAVAILABLE: (_cause_owner_unavailable, 503, None),
     RefusalReason.NEVER_FITS: (_cause_never_fits, 422, None),
     RefusalReason.QUEUE_FULL: (_cause_queue_full, 429, None),
+    RefusalReason.DATA_CENTRE_CLOSED: (_cause_data_centre_closed, 503, None),
+    RefusalReason.NO_ROOM_LEFT: (_cause_no_room_left, 409, None),
     RefusalReason.REVISION_CONFLICT: (_cause_revision_conflict, 412, None),
     RefusalReason.GUARANTEES_DO_NOT_FIT: (
         _cause_guarantees_do_not_fit,
@@ -403,6 +432,19 @@
     await _wait_for_retry(world, RetryReason.TASK_FAILED)
 
 
+async def _cause_retry_data_centre_closed(world):
+    await world.wait_owned()
+    for worker_stub in world.workers.values():
+        worker_stub.fault = worker.Fault.BUSY
+    await _submit(world)
+    owner = world.entries["e1"].entry.local_owners["dc"]
+    await world.wait_for(lambda: owner.scheduler_state.gangs)
+    await _close_data_centre(world, "?force")
+    for worker_stub in world.workers.values():
+        worker_stub.fault = worker.Fault.NONE
+    await _wait_for_retry(world, RetryReason.DATA_CENTRE_CLOSED)
+
+
 async def _wait_for_retry(world, reason):
     counts = world.entries["e1"].entry.metrics.counts
     await world.wait_for(lambda: counts[f"retried:{reason}"])
@@ -417,12 +459,17 @@
     RetryReason.WORKER_LOST: _cause_worker_lost,
     RetryReason.WORKER_DECLINED: _cause_worker_declined,
     RetryReason.TASK_FAILED: _cause_task_failed,
+    RetryReason.DATA_CENTRE_CLOSED: _cause_retry_data_centre_closed,
 }
 
 
 @pytest.mark.parametrize("reason", list(RetryReason))
 async def test_retry_is_counted(reason):
-    async with worlds.open_world() as world:
+    options = {}
+    if reason is RetryReason.DATA_CENTRE_CLOSED:
+        # Workers that are busy for a while must not count as lost.
+        options = {"task_lease_s": 10.0, "owner_ttl_s": 5.0}
+    async with worlds.open_world(**options) as world:
         await world.put_template()
         await _RETRIES[reason](world)
         counts = world.entries["e1"].entry.metrics.counts
--- a/crocusrouter/jobs/gang.py
+++ b/crocusrouter/jobs/gang.py
@@ -37,6 +37,7 @@
     DECLINED = "declined"  # a worker declined the reservation
     RECLAIMED = "reclaimed"  # its loan was reclaimed
     CANCELLED = "cancelled"
+    CLOSED = "closed"  # its data centre was closed before all tasks started
 
 
 @dataclasses.dataclass(frozen=True)
@@ -241,6 +242,21 @@
     return _end_if_released(gang), commands
 
 
+def withhold_starts(transition: Transition) -> Transition:
+    """End an attempt that would reserve or start a task, instead of doing so.
+
+    Its tasks that run already are stopped: a part of a gang can't go on alone.
+    """
+    gang, commands = transition
+    sent_types = {type(command.message) for command in commands}
+    if messages.Reserve in sent_types:
+        # No worker has been asked yet.
+        gang = dataclasses.replace(gang, holding_workers=frozenset())
+    elif messages.Start not in sent_types:
+        return transition
+    return end_gang(gang, EndReason.CLOSED, "the data centre is closed")
+
+
 def build_stop(gang: Gang, worker: str) -> Command:
     """Build the command that stops one worker's task."""
     checkpoint = gang.end_reason is EndReason.RECLAIMED
--- a/crocusrouter/jobs/placement.py
+++ b/crocusrouter/jobs/placement.py
@@ -25,6 +25,7 @@
     NO_FREE_SPOT = "no-free-spot"
     GUARANTEE_IN_THE_WAY = "guarantee-in-the-way"
     WORKERS_UNCERTAIN = "workers-uncertain"
+    CLOSED = "data-centre-closed"
 
 
 @dataclasses.dataclass(frozen=True)
--- a/crocusrouter/jobs/scheduler.py
+++ b/crocusrouter/jobs/scheduler.py
@@ -19,6 +19,9 @@
 from crocusrouter.jobs.scheduler_state import build_placement_request
 
 _MAX_DECISIONS_PER_PASS = 8
+_CLOSED = placement.NoPlacement(
+    placement.WaitReason.CLOSED, "operators have closed the data centre"
+)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -57,6 +60,10 @@
     ready_jobs = _list_ready_jobs(scheduler_state, now)
     if not ready_jobs:
         return effects
+    if scheduler_state.is_closed:
+        for job in ready_jobs:
+            _record_wait(scheduler_state, job, _CLOSED, now)
+        return effects
     failed_shapes: set[tuple[str, str, int, tuple[str, ...]]] = set()
     decisions = 0
     snapshot = get_snapshot(scheduler_state, now)
--- a/crocusrouter/jobs/scheduler_state.py
+++ b/crocusrouter/jobs/scheduler_state.py
@@ -38,10 +38,13 @@
 # A worker that ends right after a start is known to be lost only when its
 # lease has expired.
 _EARLY_LOSS_S = 20.0
+# Nobody knows when operators open a data centre; evacuations last minutes.
+_CLOSED_RETRY_AFTER_S = 30.0
 _RETRY_REASONS = {
     gangs.EndReason.FAILED: RetryReason.TASK_FAILED,
     gangs.EndReason.LOST: RetryReason.WORKER_LOST,
     gangs.EndReason.DECLINED: RetryReason.WORKER_DECLINED,
+    gangs.EndReason.CLOSED: RetryReason.DATA_CENTRE_CLOSED,
 }
 
 
@@ -92,6 +95,11 @@
         self._catalog = catalog
         self.invalidate_snapshot()
 
+    @property
+    def is_closed(self) -> bool:
+        """Whether operators have closed the data centre to new work."""
+        return self._catalog.is_closed(self.data_centre)
+
     def invalidate_snapshot(self) -> None:
         """Invalidate the cached snapshot after a change of capacity or cells.
 
@@ -119,7 +127,11 @@
             if existing_job.digest != job.digest:
                 return Refusal(RefusalReason.KEY_REUSED, f"job {job.id}")
             return Effects()
-        refusal = self._check_queue_limit(job) or self._check_fits(job)
+        refusal = (
+            self._check_open(job)
+            or self._check_queue_limit(job)
+            or self._check_fits(job)
+        )
         if refusal is not None:
             return refusal
         self.store_job(job)
@@ -167,6 +179,20 @@
             tuple(self._events.get(job_id, ())),
         )
 
+    def _check_open(self, job: model.Job) -> Refusal | None:
+        """Refuse a new job while the data centre is closed.
+
+        It isn't passed on to another data centre: a repeated submission could
+        then be accepted by both.
+        """
+        if not self.is_closed:
+            return None
+        return Refusal(
+            RefusalReason.DATA_CENTRE_CLOSED,
+            f"{self.data_centre}; job {job.id} was not accepted",
+            _CLOSED_RETRY_AFTER_S,
+        )
+
     def _check_queue_limit(self, job: model.Job) -> Refusal | None:
         """Refuse a job if its customer has too many unfinished jobs."""
         template = self.catalog.find_template(job.customer)
@@ -309,7 +335,13 @@
     def apply(
         self, transition: gangs.Transition, now: float, effects: Effects
     ) -> None:
-        """Store a changed gang; update its job if the attempt has ended."""
+        """Store a changed gang; update its job if the attempt has ended.
+
+        While the data centre is closed, no gang gets a start; one that needs
+        it ends, and its job waits in the queue again.
+        """
+        if self.is_closed:
+            transition = gangs.withhold_starts(transition)
         gang, commands = transition
         if gang.phase in (gangs.Phase.ENDING, gangs.Phase.ENDED):
             self.job_allocations.pop(gang.job_id, None)
--- a/crocusrouter/mesh/messages.py
+++ b/crocusrouter/mesh/messages.py
@@ -67,6 +67,26 @@
     data_centre: str
 
 
+@dataclasses.dataclass(frozen=True)
+class CountRuns:
+    """Asks the owner of a data centre what runs there."""
+
+    data_centre: str
+
+
+@dataclasses.dataclass(frozen=True)
+class RunCounts:
+    """Answers `CountRuns`.
+
+    Attributes:
+        jobs: Jobs with an attempt that has not ended.
+        accelerators: Accelerators that these attempts hold.
+    """
+
+    jobs: int
+    accelerators: int
+
+
 @dataclasses.dataclass(frozen=True)
 class JobView:
     """A job as shown to its customer.
@@ -137,6 +157,10 @@
         has_store_access: Whether the key-value service answers the sender.
         last_change_revision: Revision of the latest change of members or
             owners that the sender has seen.
+        closed_data_centres: The data centres that operators have closed.
+        closures_revision: Revision up to which the sender knows all closures.
+        closures_age_s: Seconds since that list was certainly complete; None if
+            it never was.
     """
 
     name: str
@@ -145,6 +169,9 @@
     owners: tuple[tuple[str, int, str], ...]
     has_store_access: bool
     last_change_revision: int = 0
+    closed_data_centres: tuple[str, ...] = ()
+    closures_revision: int = 0
+    closures_age_s: float | None = None
 
 
 @dataclasses.dataclass(frozen=True)
@@ -157,10 +184,6 @@
     """The configuration document of the operators; empty if there is none."""
 
     document: bytes
-        closed_data_centres: The data centres that operators have closed.
-        closures_revision: Revision up to which the sender knows all closures.
-        closures_age_s: Seconds since that list was certainly complete; None if
-            it never was.
 
 
 @dataclasses.dataclass(frozen=True)
@@ -169,9 +192,6 @@
 
     pool: str
     job_id: str
-    closed_data_centres: tuple[str, ...] = ()
-    closures_revision: int = 0
-    closures_age_s: float | None = None
 
 
 @dataclasses.dataclass(frozen=True)
@@ -256,6 +276,8 @@
     CancelJob,
     FindJob,
     ListJobs,
+    CountRuns,
+    RunCounts,
     JobView,
     JobViews,
     RefusalReply,
--- a/crocusrouter/outcomes/reasons.py
+++ b/crocusrouter/outcomes/reasons.py
@@ -17,6 +17,7 @@
     UNKNOWN_QUEUE = "unknown-queue"
     UNKNOWN_CUSTOMER = "unknown-customer"
     UNKNOWN_JOB = "unknown-job"
+    UNKNOWN_DATA_CENTRE = "unknown-data-centre"
     DEADLINE_PASSED = "deadline-passed"
     DEADLINE_UNMEETABLE = "deadline-unmeetable"
     KEY_REUSED = "idempotency-key-reused"
@@ -29,6 +30,8 @@
     OWNER_UNAVAILABLE = "owner-unavailable"
     NEVER_FITS = "never-fits"
     QUEUE_FULL = "queue-full"
+    DATA_CENTRE_CLOSED = "data-centre-closed"
+    NO_ROOM_LEFT = "no-room-left"
     REVISION_CONFLICT = "revision-conflict"
     GUARANTEES_DO_NOT_FIT = "guarantees-do-not-fit"
     ANSWER_LOST = "answer-lost"
@@ -48,6 +51,7 @@
     WORKER_LOST = "worker-lost"
     WORKER_DECLINED = "worker-declined"
     TASK_FAILED = "task-failed"
+    DATA_CENTRE_CLOSED = "data-centre-closed"
 
 
 @dataclasses.dataclass(frozen=True)
@@ -98,6 +102,11 @@
     RefusalReason.UNKNOWN_JOB: _ReasonDetails(
         404, "There is no such job", "List them: crocusrouter job list"
     ),
+    RefusalReason.UNKNOWN_DATA_CENTRE: _ReasonDetails(
+        404,
+        "There is no such data centre",
+        "List them: crocusrouter data-centre list",
+    ),
     RefusalReason.DEADLINE_PASSED: _ReasonDetails(
         408,
         "The deadline passed before the request was dispatched",
@@ -151,6 +160,17 @@
         "The job can never run in this fleet",
         "Ask for a smaller gang or a wider adjacency.",
     ),
+    RefusalReason.DATA_CENTRE_CLOSED: _ReasonDetails(
+        503,
+        "The data centre is closed to new work",
+        "Come back after Retry-After, or submit it as a new job with "
+        "'data_centre' set to an open one.",
+    ),
+    RefusalReason.NO_ROOM_LEFT: _ReasonDetails(
+        409,
+        "No other open data centre has workers",
+        "Open another one first, or close this one with --force.",
+    ),
     RefusalReason.QUEUE_FULL: _ReasonDetails(
         429,
         "The customer has too many unfinished jobs",
--- a/crocusrouter/templates/__init__.py
+++ b/crocusrouter/templates/__init__.py
@@ -2,7 +2,9 @@
 
 from crocusrouter.templates.catalog import Catalog
 from crocusrouter.templates.catalog import VersionedTemplate
+from crocusrouter.templates.catalog import close_data_centre
 from crocusrouter.templates.catalog import dump_catalog
+from crocusrouter.templates.catalog import open_data_centre
 from crocusrouter.templates.catalog import parse_catalog
 from crocusrouter.templates.catalog import replace_template
 from crocusrouter.templates.differences import Difference
@@ -36,12 +38,14 @@
     "TemplateVersion",
     "VersionedTemplate",
     "PlacementWeights",
+    "close_data_centre",
     "compare_templates",
     "describe_errors",
     "dump_catalog",
     "dump_template",
     "dump_version",
     "build_version_name",
+    "open_data_centre",
     "parse_catalog",
     "parse_template",
     "parse_version",
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -26,6 +26,7 @@
     NONE = "none"
     FAIL_TASKS = "fail-tasks"  # every task fails at once
     SILENT = "silent"  # reads messages and never answers
+    BUSY = "busy"  # reads messages only once the fault has ended
 
 
 @dataclasses.dataclass
@@ -251,6 +252,8 @@
                 # would leave a task that no owner knows of.
                 await self._send(connection, messages.Fenced(self.worker.epoch))
                 return
+            while self.worker.fault is Fault.BUSY:
+                await trio.sleep(self._interval_s)
             if self.worker.fault is Fault.SILENT:
                 continue
             message = messages.REGISTRY.decode(frame)
