Move figures on how values were chosen to docs/design

Change: figures leave seven modules for tables in docs/design/steps.md and docs/design/platform.md; reasons stay.

--- a/crocusrouter/platform/calls.py
+++ b/crocusrouter/platform/calls.py
@@ -116,8 +116,7 @@
     """Calls one address over a connection pool of its own.
 
     Each address has its own pool because httpcore scans all connections of a
-    pool at each request: one pool for all workers cost 1.9 cores, separate
-    pools 0.15.
+    pool at each request.
     """
 
     def __init__(self, address: str, max_connections: int) -> None:
--- a/crocusrouter/pools/freshness.py
+++ b/crocusrouter/pools/freshness.py
@@ -8,10 +8,8 @@
 
 # Tasks start only by data that was received this recently. A worker that
 # announces that it drains must get nothing new from 2 s on, a cancelled job
-# from 3 s on, and any watch may miss changes without a sign. Without this bound
-# an owner gave 8 tasks to a worker 9 s after its announcement, and started 48
-# tasks of a job after its confirmed cancel. One lost answer takes 1.4 s and
-# delays no start.
+# from 3 s on, and any watch may miss changes without a sign. One lost answer
+# takes 1.4 s and delays no start.
 MAX_AGE_S = 1.8
 
 
--- a/crocusrouter/pools/known_workers.py
+++ b/crocusrouter/pools/known_workers.py
@@ -136,10 +136,8 @@
 ) -> worker_port.WorkerEntry:
     """Return an entry for a worker of which only the address is known.
 
-    The worker is unlisted and gets no work, but is not marked as draining:
-    after an outage in which all entries lapsed, 17 of 22 workers were taken for
-    draining, and 15 never got work again although they were listed again within
-    a second.
+    The worker is unlisted and gets no work, but is not marked as draining: it
+    may be listed again, and a worker that has drained never gets work again.
     """
     return worker_port.WorkerEntry(
         incarnation, pool, address, "", False, work.Room(), frozenset()
--- a/crocusrouter/pools/prefix_follower.py
+++ b/crocusrouter/pools/prefix_follower.py
@@ -11,10 +11,8 @@
 from crocusrouter.telemetry import log
 
 # How long a watch waits for a change. A lost answer is noticed only after this
-# plus `WATCH_GRACE_S`, since its connection stays open and keeps
-# answering keep-alive probes. With watches of 15 s an owner received no new job
-# for 13 s after a silent outage of 4 s, and a day earned only 0.23 of its
-# target value.
+# plus `WATCH_GRACE_S`, since its connection stays open and keeps answering
+# keep-alive probes.
 _SHORT_WAIT_S = 0.6
 # Where peers report missed changes, watches wait longer, since each watch is
 # one call however long it waits. This is shorter than the history that the
@@ -57,8 +55,7 @@
             metrics: Measures how long the service gave no answer.
             on_contact: Called whenever the service has answered.
             answer_pause_s: Pause after each answer with changes. If keys change
-                all the time, changes then share calls: with 24 workers that
-                write every 1.5 s, 0.4 s costs 2.5 calls/s instead of 16.
+                all the time, changes then share calls.
             may_wait_long: Whether watches may wait long while no change is
                 believed missed.
         """
--- a/crocusrouter/pools/reservations.py
+++ b/crocusrouter/pools/reservations.py
@@ -7,8 +7,7 @@
 
 # A reservation whose room is not free after the expected stop time times this
 # factor, plus the time of a repeated order, is dropped and its step planned
-# again. With a fixed limit of one second, where stops take up to 0.9 s, 6
-# reservations were dropped in a day of 34 s.
+# again.
 _STOP_FACTOR = 1.5
 _REPEATED_ORDER_S = 0.7
 
--- a/crocusrouter/work/planner_policy.py
+++ b/crocusrouter/work/planner_policy.py
@@ -7,14 +7,13 @@
 class PlannerPolicy:
     """All weights and limits of the planner.
 
+    docs/design/steps.md compares other values.
+
     Attributes:
         rack_patience: Multiple of the expected run time that a step waits for
             its rack while more than half of the pool is in use. Outside its
             rack a task takes three times as long and holds its room as long, at
-            the expense of all waiting work. Compared to 2, in 80 replayed days
-            a site, the mark changed by -0.001, 0.003 and 0.033 (standard errors
-            0.003, 0.002, 0.008), and by 0.028 with 270 workers and a third more
-            work than usual.
+            the expense of all waiting work.
         idle_rack_patience: The same while no other work needs the room, or
             where no rack is large enough: after waiting for twice the expected
             run time, the step itself can no longer end earlier by waiting.
@@ -28,16 +27,10 @@
             this multiple of its own core-seconds of other work. It is worth
             four times as much as what it stops and has no slack.
         second_loss_factor: The same for the second priority: almost nothing, so
-            that only work that resumes from a checkpoint makes room. In
-            replayed days, gangs of the second priority earned 2 to 3 points of
-            100 more and the third priority 1 to 9 less; the total is within the
-            noise.
+            that only work that resumes from a checkpoint makes room.
         hold_back_s: After the first priority had to stop other work, nothing of
-            lower priority starts for this long unless it is late. In 120
-            replayed days with stops of 0.9 s, 94 runs a day were stopped
-            instead of 117. The first priority earned 0.766 instead of 0.756 of
-            what it was owed, the second 0.626 instead of 0.647, the third 0.647
-            instead of 0.652.
+            lower priority starts for this long unless it is late. More urgent
+            work is likely to follow, and would stop it again.
     """
 
     rack_patience: float = 5.0
--- a/crocusrouter/work/preemption.py
+++ b/crocusrouter/work/preemption.py
@@ -13,8 +13,7 @@
 _NEVER_S = 1e9
 # Limits of one search, so that the duration of a decision doesn't grow with the
 # pool. Victims in the racks or on the workers with the most free room are
-# usually the cheapest. With 1,400 workers, the limits reduce the median
-# duration of a decision from 142 ms to 87 ms.
+# usually the cheapest.
 _MAX_RACKS = 24
 _MAX_WORKERS = 256
 
