--- a/bench/losses.py
+++ b/bench/losses.py
@@ -1,8 +1,8 @@
 """Shows from the log lines of all entries why jobs missed their objectives.
 
 python -m bench.losses LOG... reads JSON lines, with or without a prefix, and
-prints for each priority how many jobs ended late, by the phase with the longest
-unplanned delay.
+prints how many jobs ended late by the phase with the longest unplanned delay:
+for each priority, and for each two seconds in which they were accepted.
 """
 
 import collections
@@ -16,6 +16,8 @@
 
 import orjson
 
+_WINDOW_S = 2.0
+
 
 class Reason(enum.StrEnum):
     """Result of a job, or the phase with its longest unplanned delay."""
@@ -28,6 +30,7 @@
     STOPPED = "started again after a stop for others"
     FAILED = "started again after a failure"
     SLOW = "ran longer than declared"
+    NOT_SHOWN = "ended, but not stored yet"
 
 
 @dataclasses.dataclass
@@ -44,6 +47,7 @@
         stops: Reasons for which runs of the job were stopped.
         failures: Number of runs that failed or were lost.
         ended: When the job got its final state.
+        shown: When that state was stored; callers don't see it before.
         cancelled: Whether the caller cancelled the job.
     """
 
@@ -56,6 +60,7 @@
     stops: list[str] = dataclasses.field(default_factory=list)
     failures: int = 0
     ended: float | None = None
+    shown: float | None = None
     cancelled: bool = False
 
 
@@ -70,6 +75,10 @@
     """
     histories: dict[str, JobHistory] = collections.defaultdict(JobHistory)
     for fields in parse_lines(lines):
+        if fields["message_type"] == "jobs:shown":
+            for job in fields["jobs"]:
+                _note_shown(histories[job], float(fields["timestamp"]))
+            continue
         job = str(fields.get("job") or _find_job(fields))
         if job:
             _add_event(histories[job], fields)
@@ -117,13 +126,18 @@
             history.ended = min(history.ended or timestamp, timestamp)
 
 
+def _note_shown(history: JobHistory, timestamp: float) -> None:
+    history.shown = min(history.shown or timestamp, timestamp)
+
+
 def explain_delay(history: JobHistory) -> tuple[Reason, float]:
     """Return why a job was late and by how many seconds."""
     if history.cancelled:
         return Reason.CANCELLED, 0.0
     if history.ended is None or history.accepted is None:
         return Reason.NOT_ENDED, 0.0
-    late_s = history.ended - history.accepted - history.objective_s
+    shown = history.shown if history.shown is not None else history.ended
+    late_s = shown - history.accepted - history.objective_s
     if late_s <= 0:
         return Reason.IN_TIME, 0.0
     seen = history.seen if history.seen is not None else history.ended
@@ -137,6 +151,7 @@
         Reason.WAITED: first_start - seen,
         restart_reason: last_start - first_start,
         Reason.SLOW: history.ended - last_start - history.expected_s,
+        Reason.NOT_SHOWN: shown - history.ended,
     }
     return max(delays_s, key=lambda reason: delays_s[reason]), late_s
 
@@ -158,6 +173,36 @@
     ]
 
 
+def build_window_table(histories: Iterable[JobHistory]) -> list[str]:
+    """Return a line per window of acceptance: jobs, late jobs, main reason.
+
+    Times count from the first acceptance. Cancelled jobs are left out.
+    """
+    accepted_jobs = [
+        history
+        for history in histories
+        if history.accepted is not None and not history.cancelled
+    ]
+    began_at = min(
+        (history.accepted or 0.0 for history in accepted_jobs), default=0.0
+    )
+    windows: dict[int, list[Reason]] = collections.defaultdict(list)
+    for history in accepted_jobs:
+        number = int(((history.accepted or 0.0) - began_at) // _WINDOW_S)
+        windows[number].append(explain_delay(history)[0])
+    rows = []
+    for number, reasons in sorted(windows.items()):
+        late = collections.Counter(
+            reason for reason in reasons if reason is not Reason.IN_TIME
+        )
+        main_reason = max(late, key=lambda reason: late[reason], default="")
+        rows.append(
+            f"{number * _WINDOW_S:>8.0f}  {len(reasons):>5}  "
+            f"{late.total():>5}  {main_reason}"
+        )
+    return rows
+
+
 def main(paths: list[str]) -> None:
     """Print the table of some log files."""
     lines = (
@@ -165,9 +210,11 @@
         for path in paths
         for line in pathlib.Path(path).read_bytes().splitlines()
     )
+    histories = read_histories(lines).values()
     print("priority   jobs  late by s  longest part beyond plan")
-    for row in build_table(read_histories(lines).values()):
-        print(row)
+    print(*build_table(histories), sep="\n")
+    print("\naccepted   jobs   late  most often because")
+    print(*build_window_table(histories), sep="\n")
 
 
 if __name__ == "__main__":
--- a/bench/tests/test_losses.py
+++ b/bench/tests/test_losses.py
@@ -33,6 +33,10 @@
     return at, "job:final", {"job": "aa", "state": "done"}
 
 
+def _shown(at):
+    return at, "jobs:shown", {"jobs": ["aa", "bb"]}
+
+
 @pytest.mark.parametrize(
     ("events", "expected"),
     [
@@ -40,6 +44,11 @@
         ([_start(100.2), _final(106.0)], (losses.Reason.SLOW, 2.0)),
         ([_start(104.0), _final(106.0)], (losses.Reason.WAITED, 2.0)),
         ([_start(100.2)], (losses.Reason.NOT_ENDED, 0.0)),
+        # Ended in time, but the store was away.
+        (
+            [_start(100.2), _final(103.0), _shown(107.0)],
+            (losses.Reason.NOT_SHOWN, 3.0),
+        ),
         (
             [
                 _start(100.2),
@@ -82,3 +91,14 @@
     lines = _build_lines(_ACCEPT, _SEEN, _start(104.0), _final(106.0))
     [row] = losses.build_table(losses.read_histories(lines).values())
     assert row.split(None, 3) == ["0", "1", "2.0", "waited for room"]
+
+
+def test_window_table_counts_late_jobs_by_acceptance():
+    lines = _build_lines(_ACCEPT, _SEEN, _start(104.0), _final(106.0))
+    other = {"job": "cc", "outcome": "stored"}
+    lines += _build_lines((104.5, "job:accept", other))
+    rows = losses.build_window_table(losses.read_histories(lines).values())
+    assert [row.split(None, 3) for row in rows] == [
+        ["0", "1", "1", "waited for room"],
+        ["4", "1", "1", "not ended in these logs"],
+    ]
--- a/crocusrouter/pools/journal.py
+++ b/crocusrouter/pools/journal.py
@@ -124,6 +124,8 @@
                 for job_id in values:
                     self._revisions[job_id] = outcome.revision
                 self._pool_state.note_durable(finished_ids)
+                if finished_ids:
+                    log("jobs:shown", jobs=finished_ids)
                 self._pool_state.note_crashes_journaled(
                     values.keys() - self._pool_state.dirty
                 )
