--- a/bench/deciding.py
+++ b/bench/deciding.py
@@ -51,23 +51,23 @@
     return jobs.Job(f"dc.{number:016x}", f"team-{team}", spec, float(number))
 
 
-def _build_book(workers: int, teams: int) -> jobs.SchedulerState:
-    book = scheduler_states.SchedulerState("dc")
-    book.catalog = _build_catalog(teams, "dc")
+def _build_scheduler_state(workers: int, teams: int) -> jobs.SchedulerState:
+    scheduler_state = scheduler_states.SchedulerState("dc")
+    scheduler_state.catalog = _build_catalog(teams, "dc")
     for number in range(workers):
         name = f"w{number}"
-        book.set_worker(
+        scheduler_state.set_worker(
             name,
             f"r{number // _WORKERS_PER_RACK}",
             _SLOTS_PER_WORKER,
             live=True,
         )
-        jobs.handle_message(book, name, messages.Inventory(()), 0.0)
-    return book
+        jobs.handle_message(scheduler_state, name, messages.Inventory(()), 0.0)
+    return scheduler_state
 
 
 def _fill_slots(
-    book: jobs.SchedulerState, workers: int, rng: random.Random
+    scheduler_state: jobs.SchedulerState, workers: int, rng: random.Random
 ) -> int:
     """Start small jobs until most slots are in use; return their number."""
     wanted_slots = int(workers * _SLOTS_PER_WORKER * 0.8)
@@ -76,10 +76,10 @@
     while used_slots < wanted_slots:
         size = rng.choice((1, 1, 1, 2, 4))
         job = _build_job(job_count, rng.randrange(_TEAMS), size, Level.WORKER)
-        book.submit(job, 0.0)
+        scheduler_state.submit(job, 0.0)
         job_count += 1
         used_slots += size
-    while jobs.schedule(book, 0.0).changed_jobs:
+    while jobs.schedule(scheduler_state, 0.0).changed_jobs:
         pass
     return job_count
 
@@ -89,10 +89,13 @@
     measured = []
     for workers in _WORKER_COUNTS:
         rng = random.Random(_SEED)
-        book = _build_book(workers, min(_TEAMS, workers // 4))
-        job_count = _fill_slots(book, workers, rng)
-        took_ms = _time_decisions(book, job_count, rng)
-        size = f"{workers} workers, {len(book.gangs)} tasks in one data centre"
+        scheduler_state = _build_scheduler_state(
+            workers, min(_TEAMS, workers // 4)
+        )
+        job_count = _fill_slots(scheduler_state, workers, rng)
+        took_ms = _time_decisions(scheduler_state, job_count, rng)
+        task_count = len(scheduler_state.gangs)
+        size = f"{workers} workers, {task_count} tasks in one data centre"
         measured.append(
             figures.Figure(
                 "decision_p99_ms",
@@ -113,7 +116,7 @@
 
 
 def _time_decisions(
-    book: jobs.SchedulerState, first_number: int, rng: random.Random
+    scheduler_state: jobs.SchedulerState, first_number: int, rng: random.Random
 ) -> list[float]:
     took_ms = []
     for number in range(first_number, first_number + _DECISIONS):
@@ -122,21 +125,21 @@
             ((1, Level.WORKER), (4, Level.WORKER), (16, Level.RACK))
         )
         job = _build_job(number, team, size, level)
-        book.submit(job, 0.0)
+        scheduler_state.submit(job, 0.0)
         started_at = time.perf_counter()
-        jobs.schedule(book, 0.0)
+        jobs.schedule(scheduler_state, 0.0)
         took_ms.append(1000 * (time.perf_counter() - started_at))
-        book.cancel(job.id, 0.0)
-        _stop_all(book, job.id)
+        scheduler_state.cancel(job.id, 0.0)
+        _stop_all(scheduler_state, job.id)
     return took_ms
 
 
-def _stop_all(book: jobs.SchedulerState, job_id: str) -> None:
-    gang = book.gangs.get(job_id)
+def _stop_all(scheduler_state: jobs.SchedulerState, job_id: str) -> None:
+    gang = scheduler_state.gangs.get(job_id)
     if gang is not None:
         for name in sorted(gang.holding_workers):
             stopped = messages.Stopped(job_id, gang.attempt)
-            jobs.handle_message(book, name, stopped, 0.0)
+            jobs.handle_message(scheduler_state, name, stopped, 0.0)
 
 
 def measure_journal() -> list[figures.Figure]:
--- a/bench/policy.py
+++ b/bench/policy.py
@@ -1,8 +1,8 @@
 """Compares the job scheduler with baselines by completion and fragmentation.
 
-The book decides on a simulated clock. Workers obey commands immediately and
-run each job for the time that the seeded load gives. The baselines schedule the
-same loads in order of arrival, without guarantees.
+The scheduler decides on a simulated clock. Workers obey commands immediately
+and run each job for the time that the seeded load gives. The baselines schedule
+the same loads in order of arrival, without guarantees.
 """
 
 from collections.abc import Callable
@@ -104,8 +104,8 @@
     return arrivals
 
 
-def build_book(load: Load) -> scheduler_states.SchedulerState:
-    """Return a book in which two customers have a guaranteed rack cell each."""
+def build_scheduler_state(load: Load) -> scheduler_states.SchedulerState:
+    """Return a state in which two customers have a guaranteed rack cell each."""
     catalog = templates.Catalog()
     rack = load.workers_per_rack * _ACCELERATORS
     for number, customer in enumerate(_CUSTOMERS):
@@ -119,13 +119,17 @@
             weights=load.weights,
         )
         catalog = templates.replace_template(catalog, template)
-    book = scheduler_states.SchedulerState("dc")
-    book.catalog = catalog
+    scheduler_state = scheduler_states.SchedulerState("dc")
+    scheduler_state.catalog = catalog
     for number in range(_WORKERS):
         rack_name = f"r{number // load.workers_per_rack}"
-        book.set_worker(f"w{number}", rack_name, _ACCELERATORS, live=True)
-        jobs.handle_message(book, f"w{number}", messages.Inventory(()), 0.0)
-    return book
+        scheduler_state.set_worker(
+            f"w{number}", rack_name, _ACCELERATORS, live=True
+        )
+        jobs.handle_message(
+            scheduler_state, f"w{number}", messages.Inventory(()), 0.0
+        )
+    return scheduler_state
 
 
 Schedule = Callable[[scheduler_states.SchedulerState, float], jobs.Effects]
@@ -148,10 +152,10 @@
 
 
 class Run:
-    """Schedules a load with one book on a simulated clock."""
+    """Schedules a load with one scheduler state on a simulated clock."""
 
     def __init__(self, load: Load, seed: int, schedule: Schedule) -> None:
-        self._book = build_book(load)
+        self._scheduler_state = build_scheduler_state(load)
         self._schedule = schedule
         self._arrivals = build_arrivals(load, seed)
         self._run_times = {a.job.id: a.run_time_s for a in self._arrivals}
@@ -173,7 +177,7 @@
                 else float("inf"),
             )
             while future_arrivals and future_arrivals[-1].at <= now:
-                self._book.submit(future_arrivals.pop().job, now)
+                self._scheduler_state.submit(future_arrivals.pop().job, now)
             while self._scheduled_ends and self._scheduled_ends[0][0] <= now:
                 _, job_id, attempt = heapq.heappop(self._scheduled_ends)
                 self._finish_job(job_id, attempt, now)
@@ -189,7 +193,7 @@
 
     def _schedule_until_stable(self, now: float) -> None:
         while True:
-            effects = self._schedule(self._book, now)
+            effects = self._schedule(self._scheduler_state, now)
             if not effects.changed_jobs:
                 return
             self._execute_commands(effects.commands, now)
@@ -204,7 +208,7 @@
             answer = self._answer(command, now)
             if answer is not None:
                 effects = jobs.handle_message(
-                    self._book, command.worker, answer, now
+                    self._scheduler_state, command.worker, answer, now
                 )
                 queue += effects.commands
 
@@ -216,7 +220,7 @@
         if isinstance(message, messages.Stop):
             return messages.Stopped(*key)
         if isinstance(message, messages.Start):
-            gang = self._book.gangs[message.job_id]
+            gang = self._scheduler_state.gangs[message.job_id]
             if command.worker == min(gang.workers):
                 end = now + self._run_times[message.job_id]
                 heapq.heappush(self._scheduled_ends, (end, *key))
@@ -224,27 +228,29 @@
         return None
 
     def _finish_job(self, job_id: str, attempt: int, now: float) -> None:
-        gang = self._book.gangs.get(job_id)
+        gang = self._scheduler_state.gangs.get(job_id)
         if gang is None or gang.attempt != attempt:
             return  # the attempt was preempted; the job starts over
         for worker in sorted(gang.workers):
             finished = messages.Finished(job_id, attempt, True, "")
-            effects = jobs.handle_message(self._book, worker, finished, now)
+            effects = jobs.handle_message(
+                self._scheduler_state, worker, finished, now
+            )
             self._execute_commands(effects.commands, now)
         self._completion_times_s.append(
-            now - self._book.jobs[job_id].submitted_at
+            now - self._scheduler_state.jobs[job_id].submitted_at
         )
-        self._book.forget_job(job_id)
+        self._scheduler_state.forget_job(job_id)
 
     def _sample_state(self, now: float) -> None:
-        state = scheduler.build_snapshot(self._book, now)
+        state = scheduler.build_snapshot(self._scheduler_state, now)
         if not isinstance(
             cells.embed(state.demands, state.capacities), cells.Embedding
         ):
             self._broken_samples += 1
         needs = [
             cells.CellDemand("", job.spec.level, job.spec.accelerators)
-            for job in self._book.list_queued()
+            for job in self._scheduler_state.list_queued()
         ]
         needs += [need for need in state.demands if not need.claimed_members]
         if needs:
@@ -273,9 +279,11 @@
 
 
 def _list_by_submission(
-    book: scheduler_states.SchedulerState,
+    scheduler_state: scheduler_states.SchedulerState,
 ) -> Iterator[model.Job]:
-    yield from sorted(book.list_queued(), key=lambda job: job.submitted_at)
+    yield from sorted(
+        scheduler_state.list_queued(), key=lambda job: job.submitted_at
+    )
 
 
 def _find_spot(
@@ -300,17 +308,21 @@
     """
 
     def schedule(
-        book: scheduler_states.SchedulerState, now: float
+        scheduler_state: scheduler_states.SchedulerState, now: float
     ) -> jobs.Effects:
         effects = jobs.Effects()
         floor = {
             name: space._replace(reclaimable_mask=0)
-            for name, space in scheduler.build_capacities(book, now).items()
+            for name, space in scheduler.build_capacities(
+                scheduler_state, now
+            ).items()
         }
         unplaceable_shapes: set[tuple[Level, int]] = set()
-        queued_jobs = list(_list_by_submission(book))
+        queued_jobs = list(_list_by_submission(scheduler_state))
         if quota:
-            queued_jobs.sort(key=lambda job: not _is_within_quota(book, job))
+            queued_jobs.sort(
+                key=lambda job: not _is_within_quota(scheduler_state, job)
+            )
         for job in queued_jobs:
             shape = (job.spec.level, job.spec.accelerators)
             if shape in unplaceable_shapes:
@@ -322,20 +334,20 @@
                 continue
             floor = cells.subtract_allocation(floor, spot)
             placed = jobs.Placement(spot)
-            scheduler.assign_job(book, job, placed, now, effects)
+            scheduler.assign_job(scheduler_state, job, placed, now, effects)
         return effects
 
     return schedule
 
 
 def _is_within_quota(
-    book: scheduler_states.SchedulerState, job: model.Job
+    scheduler_state: scheduler_states.SchedulerState, job: model.Job
 ) -> bool:
-    template = book.catalog.templates[job.customer].template
+    template = scheduler_state.catalog.templates[job.customer].template
     quota = sum(c.accelerators * c.count for c in template.guarantee)
     used = sum(
         holding.size
-        for holding in book.job_allocations.values()
+        for holding in scheduler_state.job_allocations.values()
         if holding.customer == job.customer
     )
     return used + job.spec.accelerators <= quota
--- a/bench/replay/day.py
+++ b/bench/replay/day.py
@@ -1,4 +1,4 @@
-"""Simulates one day: the pool's book and planner with modelled workers."""
+"""Simulates one day: a pool's state and planner with modelled workers."""
 
 import collections
 from collections.abc import Callable
@@ -81,7 +81,7 @@
         self.policy = policy
         self.rng = random.Random(seed)
         self.read_clock = read_clock
-        self.book = work.PoolState(1)
+        self.pool_state = work.PoolState(1)
         self.reserved = reservations.Reservations()
         self.running: dict[work.TaskKey, _SimulatedRun] = {}
         self.unreported_ends: dict[str, list[worker_port.RunEnd]] = {}
@@ -94,7 +94,7 @@
         self.stops = 0
         self.next_run_number = 1
         self.decisions_s: list[float] = []
-        self.book.guaranteed = {
+        self.pool_state.guaranteed = {
             f"c{n}": site.guaranteed for n in range(site.customers)
         }
         self.seed = seed
@@ -106,8 +106,8 @@
         entry = worker_port.WorkerEntry(
             name, "pool", "", "dc", False, self.site.room, labels
         )
-        self.book.set_worker(entry, now)
-        self.book.workers[name].reached = True
+        self.pool_state.set_worker(entry, now)
+        self.pool_state.workers[name].reached = True
         self.unreported_ends[name] = []
         self.last_end_numbers[name] = 0
         self.speeds[name] = loads.draw_speed(self.site, self.seed, name)
@@ -145,13 +145,13 @@
         for disruption in self.disruptions:
             if not disruption.leaves:
                 continue
-            entry = self.book.workers[disruption.worker].entry
+            entry = self.pool_state.workers[disruption.worker].entry
             if now - _TICK_S < disruption.start <= now:
                 stays_s = disruption.end - disruption.start
                 leaving = dataclasses.replace(
                     entry, draining=True, stays_s=stays_s
                 )
-                self.book.set_worker(leaving, now)
+                self.pool_state.set_worker(leaving, now)
                 changed = True
             if now - _TICK_S < disruption.end <= now:
                 self._remove_worker(disruption.worker, now)
@@ -168,21 +168,21 @@
         for run in list(self.running.values()):
             if run.worker == name and self.running.get(run.key) is run:
                 self._end_run(run, worker_port.RunOutcome.BROKEN)
-        self.book.unlist_worker(name)
-        replacement.note_incarnation_replaced(self.book, name, now)
+        self.pool_state.unlist_worker(name)
+        replacement.note_incarnation_replaced(self.pool_state, name, now)
 
     def _submit_arrivals(self, now: float) -> bool:
         changed = False
         while self.future_arrivals and self.future_arrivals[0].at <= now:
             job = self.future_arrivals.pop(0).job
-            self.book.put_job(job, work.Progress(), 2, now)
+            self.pool_state.put_job(job, work.Progress(), 2, now)
             changed = True
-        self.book.open_due_occurrences(_WALL_CLOCK_START_S + now, now)
+        self.pool_state.open_due_occurrences(_WALL_CLOCK_START_S + now, now)
         for arrival in self.arrivals.values():
             cancelled_at = arrival.cancelled_at
             if cancelled_at is not None and now - _TICK_S < cancelled_at <= now:
                 cancelled_job = dataclasses.replace(arrival.job, cancelled=True)
-                self.book.put_job(cancelled_job, work.Progress(), 2, now)
+                self.pool_state.put_job(cancelled_job, work.Progress(), 2, now)
                 changed = True
         return changed
 
@@ -270,7 +270,7 @@
         self, run: _SimulatedRun, how: worker_port.RunOutcome
     ) -> str:
         """Return why a run was wasted, with job ids masked."""
-        book_run = self.book.runs.get(run.key)
+        book_run = self.pool_state.runs.get(run.key)
         if (
             how is worker_port.RunOutcome.STOPPED
             and book_run is not None
@@ -306,25 +306,25 @@
             )
             changed |= bool(self.unreported_ends[name])
             self.unreported_ends[name] = []
-            work.apply_report(self.book, name, report, now, now)
+            work.apply_report(self.pool_state, name, report, now, now)
         self._record_final_times(now)
         return changed
 
     def _record_final_times(self, now: float) -> None:
-        for job_id in sorted(self.book.dirty):
-            book_job = self.book.jobs[job_id]
-            if book_job.progress.final_state is not None:
+        for job_id in sorted(self.pool_state.dirty):
+            tracked_job = self.pool_state.jobs[job_id]
+            if tracked_job.progress.final_state is not None:
                 self.ended_at.setdefault(job_id, now)
-        self.book.dirty.clear()
+        self.pool_state.dirty.clear()
 
     # Decisions.
 
     def _make_decision(self, now: float) -> None:
-        for placement in self.reserved.take_ready(self.book, now):
+        for placement in self.reserved.take_ready(self.pool_state, now):
             self._start_runs(placement, now)
         started_at = self.read_clock()
         plan = work.plan(
-            self.book,
+            self.pool_state,
             now,
             _WALL_CLOCK_START_S + now,
             reserved=self.reserved.list_spots(),
@@ -334,23 +334,23 @@
         for placement in plan.placements:
             self._start_runs(placement, now)
         if plan.contended:
-            self.book.note_contention(now)
+            self.pool_state.note_contention(now)
         for run, why in plan.stops:
-            self.book.stop_run(run, why, now)
+            self.pool_state.stop_run(run, why, now)
             self.stops += 1
         for placement in plan.reservations:
             self.reserved.add(placement, now)
-        for _, order in self.book.outbox:
+        for _, order in self.pool_state.outbox:
             simulated = self.running.get(order.key)
             if simulated is not None and simulated.number == order.run:
                 simulated.stops_at = now + self.rng.uniform(0.5, 1.0) * (
                     self.site.stop_s
                 )
-        self.book.outbox.clear()
-        self.book.events.clear()
+        self.pool_state.outbox.clear()
+        self.pool_state.events.clear()
 
     def _start_runs(self, placement: work.Placement, now: float) -> None:
-        step_work = self.book.find_tracked_step(placement.step)
+        step_work = self.pool_state.find_tracked_step(placement.step)
         assert step_work is not None
         arrival = self.arrivals[placement.step.job]
         slowdown = self._find_slowdown(step_work, placement)
@@ -362,8 +362,8 @@
                 number = self.next_run_number
                 self.next_run_number += 1
             key = work.TaskKey(*placement.step, index)
-            run = self.book.add_run(key, number, worker, now)
-            self.book.note_started(key, number, now)
+            run = self.pool_state.add_run(key, number, worker, now)
+            self.pool_state.note_started(key, number, now)
             total_s = arrival.task_s[index] * slowdown
             self.running[key] = _SimulatedRun(
                 key,
@@ -382,7 +382,7 @@
         racks = {
             label
             for worker in placement.spots.values()
-            for label in self.book.workers[worker].entry.labels
+            for label in self.pool_state.workers[worker].entry.labels
             if "-" in label
         }
         return (
@@ -409,9 +409,11 @@
         for job_id, arrival in self.arrivals.items():
             if arrival.cancelled_at is not None:
                 continue
-            book_job = self.book.jobs.get(job_id)
+            tracked_job = self.pool_state.jobs.get(job_id)
             state = (
-                book_job.progress.final_state if book_job is not None else None
+                tracked_job.progress.final_state
+                if tracked_job is not None
+                else None
             )
             wanted = work.State.FAILED if arrival.poisoned else work.State.DONE
             ended_at = self.ended_at.get(job_id) if state is wanted else None
--- a/bench/steps.py
+++ b/bench/steps.py
@@ -90,17 +90,17 @@
 def measure_large_decisions() -> list[figures.Figure]:
     """Time decisions at letter 1's size, while runs end and jobs arrive."""
     rng = random.Random(_FIRST_SEED)
-    book = _build_large_book(rng)
+    pool_state = _build_large_pool_state(rng)
     now = 0.0
-    _time_decision(book, now, lambda _: None)
+    _time_decision(pool_state, now, lambda _: None)
     durations_s: list[float] = []
     for number in range(_DECISIONS):
         now += 0.1
-        for key in rng.sample(sorted(book.runs), 20):
-            _end_run(book, key, now)
-        _put_job(book, rng, f"{number:016x}", now)
-        _time_decision(book, now, durations_s.append)
-    size = f"{_LARGE_WORKER_COUNT} workers, {len(book.runs)} runs"
+        for key in rng.sample(sorted(pool_state.runs), 20):
+            _end_run(pool_state, key, now)
+        _put_job(pool_state, rng, f"{number:016x}", now)
+        _time_decision(pool_state, now, durations_s.append)
+    size = f"{_LARGE_WORKER_COUNT} workers, {len(pool_state.runs)} runs"
     name = "steps_large_decision"
     return [
         figures.Figure(
@@ -114,24 +114,24 @@
     ]
 
 
-def _build_large_book(rng: random.Random) -> work.PoolState:
-    book = work.PoolState(1)
+def _build_large_pool_state(rng: random.Random) -> work.PoolState:
+    pool_state = work.PoolState(1)
     for number in range(_LARGE_WORKER_COUNT):
         labels = frozenset({"a", f"r0-{number // 14}"})
         room = work.Room(64_000, 262_144, 16)
         entry = worker_port.WorkerEntry(
             f"w{number:04}", "pool", "", "dc", False, room, labels
         )
-        book.set_worker(entry, 0.0)
-        book.workers[entry.id].reached = True
+        pool_state.set_worker(entry, 0.0)
+        pool_state.workers[entry.id].reached = True
     tasks = 0
     while tasks < 1.05 * _LARGE_TASK_COUNT:
-        tasks += _put_job(book, rng, f"{tasks:015x}f", 0.0)
-    return book
+        tasks += _put_job(pool_state, rng, f"{tasks:015x}f", 0.0)
+    return pool_state
 
 
 def _put_job(
-    book: work.PoolState, rng: random.Random, job_id: str, now: float
+    pool_state: work.PoolState, rng: random.Random, job_id: str, now: float
 ) -> int:
     count = rng.choice((1, 4, 8, 16, 32, 64, 128))
     step = work.Step(
@@ -154,19 +154,19 @@
         (step,),
         now,
     )
-    book.put_job(job, work.Progress(), 2, now)
-    book.open_due_occurrences(now, now)
+    pool_state.put_job(job, work.Progress(), 2, now)
+    pool_state.open_due_occurrences(now, now)
     return count
 
 
-def _end_run(book: work.PoolState, key: work.TaskKey, now: float) -> None:
+def _end_run(pool_state: work.PoolState, key: work.TaskKey, now: float) -> None:
     """Report the success of a run as its worker would."""
-    run = book.runs.get(key)
+    run = pool_state.runs.get(key)
     if run is None:
         return
-    worker = book.workers[run.worker_id]
+    worker = pool_state.workers[run.worker_id]
     rows = tuple(
-        worker_port.ReportedRun(other, book.runs[other].number)
+        worker_port.ReportedRun(other, pool_state.runs[other].number)
         for other in worker.runs
         if other != key
     )
@@ -174,22 +174,22 @@
         worker.last_end_number + 1, key, run.number, worker_port.RunOutcome.DONE
     )
     report = worker_port.Report(0, rows, (ended,))
-    work.apply_report(book, run.worker_id, report, now, now)
+    work.apply_report(pool_state, run.worker_id, report, now, now)
 
 
 def _time_decision(
-    book: work.PoolState, now: float, record_s: Callable[[float], object]
+    pool_state: work.PoolState, now: float, record_s: Callable[[float], object]
 ) -> None:
     started_at = time.perf_counter()
-    plan = work.plan(book, now, now)
+    plan = work.plan(pool_state, now, now)
     record_s(time.perf_counter() - started_at)
     for placement in plan.placements:
         for index, worker in placement.spots.items():
             key = work.TaskKey(*placement.step, index)
-            number = len(book.runs) + 1
-            book.add_run(key, number, worker, now)
-            book.note_started(key, number, now)
+            number = len(pool_state.runs) + 1
+            pool_state.add_run(key, number, worker, now)
+            pool_state.note_started(key, number, now)
     for run, why in plan.stops:
-        book.stop_run(run, why, now)
-    book.outbox.clear()
-    book.events.clear()
+        pool_state.stop_run(run, why, now)
+    pool_state.outbox.clear()
+    pool_state.events.clear()
