--- a/bench/policy.py
+++ b/bench/policy.py
@@ -105,7 +105,7 @@
 
 
 def build_scheduler_state(load: Load) -> scheduler_states.SchedulerState:
-    """Return a state in which two customers have a guaranteed rack cell each."""
+    """Return a state with a guaranteed rack cell for each of two customers."""
     catalog = templates.Catalog()
     rack = load.workers_per_rack * _ACCELERATORS
     for number, customer in enumerate(_CUSTOMERS):
--- a/bench/replay/day.py
+++ b/bench/replay/day.py
@@ -270,13 +270,13 @@
         self, run: _SimulatedRun, how: worker_port.RunOutcome
     ) -> str:
         """Return why a run was wasted, with job ids masked."""
-        book_run = self.pool_state.runs.get(run.key)
+        tracked_run = self.pool_state.runs.get(run.key)
         if (
             how is worker_port.RunOutcome.STOPPED
-            and book_run is not None
-            and book_run.stop_reason
+            and tracked_run is not None
+            and tracked_run.stop_reason
         ):
-            return _JOB_ID.sub("JOB", book_run.stop_reason)
+            return _JOB_ID.sub("JOB", tracked_run.stop_reason)
         if run.worker not in self.unreported_ends:
             return "its worker left"
         return str(how)
