--- a/crocusrouter/pools/owner.py
+++ b/crocusrouter/pools/owner.py
@@ -422,7 +422,12 @@
         )
 
     def _check_shortfall(self) -> None:
-        """Report when the open data centres can't hold all guarantees."""
+        """Report when the open data centres can't hold all guarantees.
+
+        A new owner first has to hear from all workers.
+        """
+        if not self.is_recovered:
+            return
         shortfall = work.measure_shortfall(self.pool_state)
         if shortfall == self._shortfall:
             return
--- a/standins/emulator/faults.py
+++ b/standins/emulator/faults.py
@@ -252,7 +252,9 @@
                 day.start_soon(_submit, cluster, at, job)
             for event in faults:
                 day.start_soon(inject_fault, cluster, event)
-        await _wait_until_idle(cluster)
+        await _wait_until_idle(
+            cluster, _END_LIMIT_S + _sum_full_closures(faults)
+        )
         cluster.oracle.check_final_states(await cluster.read_states())
         cluster.oracle.broken += cluster.list_owner_failures()
         cluster.oracle.broken += cluster.config_oracle.broken
@@ -287,14 +289,25 @@
             await trio.sleep(_CALL_INTERVAL_S)
 
 
-async def _wait_until_idle(cluster: clusters.Cluster) -> None:
+def _sum_full_closures(events: list[FaultEvent]) -> float:
+    """Return for how many seconds nothing may start at all."""
+    return sum(
+        _CLOSURE_FACTOR * event.duration_s
+        for event in events
+        if event.fault is Fault.CLOSE_ALL
+    )
+
+
+async def _wait_until_idle(
+    cluster: clusters.Cluster, end_limit_s: float
+) -> None:
     """Wait until nothing runs and every job has ended, or until a time limit.
 
     That nothing runs isn't enough: a job whose workers are suspected waits some
     seconds with nothing running.
     """
     await trio.sleep(_CALM_S)
-    with trio.move_on_after(_END_LIMIT_S):
+    with trio.move_on_after(end_limit_s):
         while any(worker.tasks for worker in cluster.workers.values()):
             await trio.sleep(1.0)
         while not _FINAL_STATES.issuperset(
--- a/standins/emulator/tests/test_closures.py
+++ b/standins/emulator/tests/test_closures.py
@@ -166,6 +166,30 @@
         nursery.cancel_scope.cancel()
 
 
+# Guards against workers that are taken for broken because they are slow for a
+# while after their data centre was closed.
+async def test_cold_workers_are_used_after_the_opening(autojump_clock):
+    cluster = clusters.Cluster(5)
+    async with trio.open_nursery() as nursery:
+        await nursery.start(cluster.run)
+        await trio.sleep(_LEAD_S)
+        cluster.close_data_centre("namur")
+        await trio.sleep(2.0)
+        for name in cluster.list_workers_in("namur"):
+            cluster.workers[name].speed = 0.4
+        cluster.open_data_centre("namur")
+        load = emulator.Load(per_s=3.0, length_s=8.0, gangs=0.0, poison=0.0)
+        await _submit_all(cluster, nursery, load)
+        await trio.sleep(6.0)
+        before = _count_starts(cluster, "namur")
+        await trio.sleep(4.0)
+        assert _count_starts(cluster, "namur") > before > 0
+        await trio.sleep(60.0)
+        states = await cluster.read_states()
+        assert set(states.values()) == {"done"}
+        nursery.cancel_scope.cancel()
+
+
 # Guards against a closure that is missed because its answer is lost, its
 # history is dropped, it has an unusual value, or it comes among many.
 @pytest.mark.parametrize(
