Let a call wait a part of its caller's time for the store

A write whose answer was lost was told as 504 although its caller still waited.

Ways: A, in force: answered at once. B: a job that is certainly not stored waits for the store for 0.3 of the time for which its caller waits (X-Deadline-Ms), one in doubt is written again under the same guard until 0.6.

Change: JobApi.accept tries again once the store serves; RelayedStore asks with one read each quarter of a second for all calls that wait; ObservedStore wakes them at any call that is served. A "not stored" is said only if no try was in doubt. Calls of unknown patience are answered as before.

Ruled out: to show ends before they are stored (docs/design/shifted-work.md).

--- a/crocusrouter/http/queue_endpoints.py
+++ b/crocusrouter/http/queue_endpoints.py
@@ -42,12 +42,14 @@
             no known key.
         job_id: Path after the queue's prefix; empty for the queue itself.
         basis: The configuration by which the call was authorised.
+        patience_s: Seconds for which the caller still waits; 0 if unknown.
     """
 
     queue: queues.Queue
     customer: str
     job_id: str
     basis: pools.ConfigBasis
+    patience_s: float = 0.0
 
 
 async def authorize_call(
@@ -58,9 +60,11 @@
     Raises:
         RefusedError: The entry isn't ready, or the queue or key is unknown.
     """
+    arrived_at = entry.clock.steady()
     may_decide = await entry.config_refresher.ensure_current()
     config = entry.configuration.current
-    basis = entry.configuration.describe(entry.clock.steady())
+    now = entry.clock.steady()
+    basis = entry.configuration.describe(now)
     if config is None or not may_decide:
         raise refuse(RefusalReason.NOT_READY, "", entry.choose_retry_after())
     entry.metrics.record_config_age(basis.age_s or 0.0)
@@ -73,8 +77,15 @@
     if customer is None and not queue.public:
         raise refuse(RefusalReason.UNAUTHENTICATED, f"header {KEY_HEADER}")
     customer_name = customer.name if customer is not None else ""
+    patience_s = platform.parse_patience(
+        request.headers.get(platform.DEADLINE_HEADER, "")
+    )
     return QueueCall(
-        queue, customer_name, queues.strip_prefix(queue, path), basis
+        queue,
+        customer_name,
+        queues.strip_prefix(queue, path),
+        basis,
+        max(0.0, patience_s - (now - arrived_at)),
     )
 
 
@@ -138,7 +149,9 @@
             call.customer,
             self._entry.clock.wall(),
         )
-        match await self._entry.job_api.accept(job, call.basis):
+        match await self._entry.job_api.accept(
+            job, call.basis, call.patience_s
+        ):
             case pools.AcceptOutcome.STORED:
                 return Rendered(200, dict(_JSON), b"{}")
             case pools.AcceptOutcome.NOT_STORED:
--- a/crocusrouter/platform/__init__.py
+++ b/crocusrouter/platform/__init__.py
@@ -11,7 +11,9 @@
 from crocusrouter.platform.configuration import parse_config
 from crocusrouter.platform.kv import PlatformStore
 from crocusrouter.platform.policy import PlatformPolicy
+from crocusrouter.platform.submissions import DEADLINE_HEADER
 from crocusrouter.platform.submissions import is_job_id
+from crocusrouter.platform.submissions import parse_patience
 from crocusrouter.platform.submissions import parse_submission
 from crocusrouter.platform.submissions import render_job_state
 from crocusrouter.platform.submissions import render_pending_count
@@ -26,6 +28,7 @@
 __all__ = [
     "CONFIG_KEY",
     "CONFIG_PREFIX",
+    "DEADLINE_HEADER",
     "WAVES_PREFIX",
     "WORKERS_PREFIX",
     "HttpClient",
@@ -38,6 +41,7 @@
     "find_closed_data_centre",
     "is_job_id",
     "parse_config",
+    "parse_patience",
     "parse_submission",
     "parse_wave",
     "parse_worker_entry",
--- a/crocusrouter/platform/submissions.py
+++ b/crocusrouter/platform/submissions.py
@@ -1,5 +1,6 @@
 """Decoding of submitted jobs and encoding of their states for callers."""
 
+import math
 import re
 from typing import Annotated
 
@@ -11,6 +12,7 @@
 from crocusrouter.outcomes import refuse
 from crocusrouter.work import model
 
+DEADLINE_HEADER = "X-Deadline-Ms"
 _JOB_ID = re.compile(r"[0-9a-f]{16}")
 _MAX_SPEC_BYTES = 4000
 _MAX_STEPS = 1000
@@ -151,6 +153,25 @@
     )
 
 
+def parse_patience(text: str) -> float:
+    """Return for how many seconds a caller waits for an answer.
+
+    Args:
+        text: Value of the deadline header.
+
+    Returns:
+        The seconds; 0 if the header is absent or no positive number.
+
+    >>> parse_patience("3000"), parse_patience(""), parse_patience("nan")
+    (3.0, 0.0, 0.0)
+    """
+    try:
+        patience_s = float(text) / 1000
+    except ValueError:
+        return 0.0
+    return patience_s if 0.0 < patience_s < math.inf else 0.0
+
+
 def render_job_state(state: model.State) -> bytes:
     """Encode a job's state for its caller."""
     return orjson.dumps({"state": _STATE_NAMES[state]})
--- a/crocusrouter/pools/job_api.py
+++ b/crocusrouter/pools/job_api.py
@@ -3,6 +3,9 @@
 from collections.abc import Callable
 import dataclasses
 import enum
+import math
+
+import trio
 
 from crocusrouter import codec
 from crocusrouter import work
@@ -20,6 +23,15 @@
 from crocusrouter.telemetry import log
 
 _MAX_CANCEL_TRIES = 3
+# Shares of the time for which a caller waits. A job that is certainly not
+# stored is refused after the first, so that its caller can still ask again; one
+# whose write may be carried out is tried again until the second, since its
+# caller could only be told that nobody knows; no try outlasts the third.
+_MAX_OUTAGE_SHARE = 0.3
+_MAX_DOUBT_SHARE = 0.6
+_MAX_TRY_SHARE = 0.9
+# Pause between two tries, for a store that answers but takes no writes.
+_RETRY_PAUSE_S = 0.1
 
 
 class AcceptOutcome(enum.StrEnum):
@@ -103,7 +115,10 @@
     # Acceptance.
 
     async def accept(
-        self, job: work.Job, basis: configurations.ConfigBasis | None = None
+        self,
+        job: work.Job,
+        basis: configurations.ConfigBasis | None = None,
+        patience_s: float = 0.0,
     ) -> AcceptOutcome:
         """Store a job.
 
@@ -115,12 +130,11 @@
             job: The submitted job.
             basis: The configuration by which the call was decided; None if
                 there was none.
+            patience_s: Seconds for which the caller waits for an answer; 0 if
+                unknown.
         """
-        key = keys.build_job_key(job.id)
-        outcome = await self._store.write(
-            key_value.Guard(key, 0), key_value.Write(key, codec.pack(job))
-        )
-        accept_outcome = _classify_outcome(outcome)
+        began_at = self._clock.steady()
+        accept_outcome = await self._try_to_store(job, patience_s)
         self._metrics.count_job(f"accept-{accept_outcome}")
         log(
             "job:accept",
@@ -128,10 +142,51 @@
             queue=job.queue,
             customer=job.customer,
             outcome=str(accept_outcome),
+            took_s=round(self._clock.steady() - began_at, 3),
             **(basis.build_log_fields() if basis is not None else {}),
         )
         return accept_outcome
 
+    async def _try_to_store(
+        self, job: work.Job, patience_s: float
+    ) -> AcceptOutcome:
+        """Store a job, again once the store serves if its caller still waits.
+
+        Callers ask only a few times and within seconds. Answered at once in an
+        outage, they have given up before it ends.
+        """
+        key = keys.build_job_key(job.id)
+        value = codec.pack(job)
+        began_at = self._clock.steady()
+        is_in_doubt = False
+        while True:
+            outcome = AcceptOutcome.UNKNOWN
+            left_s = began_at + _MAX_TRY_SHARE * patience_s
+            left_s -= self._clock.steady()
+            with trio.move_on_after(left_s if patience_s else math.inf):
+                outcome = _classify_outcome(
+                    await self._store.write(
+                        key_value.Guard(key, 0), key_value.Write(key, value)
+                    )
+                )
+            if outcome is AcceptOutcome.STORED:
+                return outcome
+            is_in_doubt |= outcome is AcceptOutcome.UNKNOWN
+            share = _MAX_DOUBT_SHARE if is_in_doubt else _MAX_OUTAGE_SHARE
+            give_up_at = began_at + share * patience_s
+            if not await self._wait_for_store(key, give_up_at):
+                return AcceptOutcome.UNKNOWN if is_in_doubt else outcome
+
+    async def _wait_for_store(self, key: str, give_up_at: float) -> bool:
+        """Return whether the store serves before a steady time."""
+        left_s = give_up_at - self._clock.steady()
+        if left_s <= _RETRY_PAUSE_S:
+            return False
+        with trio.move_on_after(left_s) as scope:
+            await trio.sleep(_RETRY_PAUSE_S)
+            await self._store.wait_until_served(key)
+        return not scope.cancelled_caught
+
     # Cancelling.
 
     async def cancel(self, job_id: str) -> CancelOutcome:
--- a/crocusrouter/pools/relay.py
+++ b/crocusrouter/pools/relay.py
@@ -5,6 +5,8 @@
 store their job within milliseconds.
 """
 
+import trio
+
 from crocusrouter.mesh import messages
 from crocusrouter.pools import peers as peer_links
 from crocusrouter.store import client
@@ -16,6 +18,9 @@
 # Callers wait 3 s, which allows one direct try and two through peers.
 _STORE_TIMEOUT_S = 0.6
 _MAX_PEER_TRIES = 2
+# While calls wait for the store it is asked this often; watches whose answers
+# are lost take up to a second to notice that it serves again.
+_PROBE_INTERVAL_S = 0.25
 
 
 class RelayedStore:
@@ -28,6 +33,32 @@
     ) -> None:
         self._store = store
         self._peers = peers
+        self._is_probing = False
+
+    async def wait_until_served(self, probe_key: str) -> None:
+        """Wait until the store serves this entry.
+
+        Waiting calls share one probe at a time.
+
+        Args:
+            probe_key: A key that is read to find out.
+        """
+        while self._store.is_failing():
+            with trio.move_on_after(_PROBE_INTERVAL_S):
+                if self._is_probing:
+                    await self._store.wait_until_served()
+                else:
+                    await self._probe(probe_key)
+
+    async def _probe(self, key: str) -> None:
+        """Read a key; wait for the rest of the interval if that fails."""
+        self._is_probing = True
+        try:
+            await self._store.read(key)
+        except client.StoreUnavailableError:
+            await trio.sleep_forever()
+        finally:
+            self._is_probing = False
 
     async def read(self, key: str) -> records.Record | None:
         """Return a key's record, or None if there is none.
--- a/crocusrouter/store/observed_store.py
+++ b/crocusrouter/store/observed_store.py
@@ -51,6 +51,7 @@
         self._failing_since: float | None = None
         self._slowest_answer_s = 0.0
         self._watch_scopes: set[trio.CancelScope] = set()
+        self._served = trio.Event()
 
     def is_failing(self) -> bool:
         """Tell whether the latest completed call failed."""
@@ -68,6 +69,11 @@
         since = self._failing_since
         return 0.0 if since is None else self._read_clock() - since
 
+    async def wait_until_served(self) -> None:
+        """Wait until a call succeeds, unless the latest one has."""
+        if self.is_failing():
+            await self._served.wait()
+
     def end_watches(self) -> None:
         """End all open watches, since their answers may have been lost."""
         for scope in list(self._watch_scopes):
@@ -81,6 +87,8 @@
     def _record_result(self, served: bool) -> None:
         if served:
             self._failing_since = None
+            self._served.set()
+            self._served = trio.Event()
         elif self._failing_since is None:
             self._failing_since = self._read_clock()
             self.end_watches()
