Count a crash against a task only if nothing else explains it

Cause: an owner counted each crash of a worker against every run that had just begun there (three) or had worked for under a minute (four). Nothing asked whether another task there, or the workers themselves, were the likelier cause.

Explained crashes count only against bounds that hold in any case (four early ones, five in all, five starts of a gang that crash). Crashes that a given-up job explains are withdrawn from tasks beside it. What is explained is journaled.

--- a/crocusrouter/work/crashes.py
+++ b/crocusrouter/work/crashes.py
@@ -8,11 +8,14 @@
 
 An innocent task may be running on a crashing worker too, so a task is not given
 up after one crash. A worker that falls silent may only be cut off. It then
-reports its runs once it is back, and the recorded crash is withdrawn.
+reports its runs once it is back, and the recorded crash is withdrawn. Crashes
+that something else explains (`crash_causes`) are not counted against a task,
+except against a bound on its starts that holds in any case.
 """
 
 from collections.abc import Iterable
 
+from crocusrouter.work import crash_causes
 from crocusrouter.work import model
 from crocusrouter.work import pool_state as pool_states
 from crocusrouter.work import progress as progresses
@@ -22,6 +25,9 @@
 
 # A run that has worked for this long did not cause a crash of its worker.
 _CLEARED_AFTER_S = 60.0
+# A run that had worked for this much longer than another one when their worker
+# was last heard is the less likely cause of its crash.
+_LONGER_WORK_S = 1.0
 
 
 def note_silent(
@@ -72,6 +78,10 @@
     )
     for run in suspected_runs:
         _record_crash(pool_state, run, worker)
+    # The platform still lists a worker that is only cut off from this entry.
+    _note_worker_crash(
+        pool_state, worker, suspected_runs, now, is_certain=not worker.listed
+    )
     pool_state.note_lapsed(worker_id, reason, now)
     _fail_crashing_tasks(pool_state, suspected_runs, now)
 
@@ -100,6 +110,10 @@
     )
     for run in suspected_runs:
         _record_crash(pool_state, run, worker)
+    if not worker.replaced:
+        _note_worker_crash(
+            pool_state, worker, suspected_runs, now, is_certain=True
+        )
     _log_crash(pool_state, worker, suspected_runs)
     replacement.note_incarnation_replaced(
         pool_state, worker_id, now, successor, late_stops
@@ -107,6 +121,102 @@
     _fail_crashing_tasks(pool_state, suspected_runs, now)
 
 
+def _note_worker_crash(
+    pool_state: pool_states.PoolState,
+    worker: tracking.Worker,
+    suspected_runs: list[tracking.Run],
+    now: float,
+    *,
+    is_certain: bool,
+) -> None:
+    """Record a worker's crash, and which of its suspects it speaks against."""
+    if worker.was_draining or worker.was_evacuated:
+        return
+    silent_since = worker.silent_since
+    crash = tracking.WorkerCrash(
+        worker.entry.id,
+        silent_since if silent_since is not None else now,
+        _build_suspects(worker, suspected_runs),
+        is_certain and worker.reached,
+    )
+    for suspect, run in zip(crash.suspects, suspected_runs, strict=True):
+        if not suspect.early:
+            _record_late_crash(pool_state, run)
+    crash_causes.note_worker_crash(pool_state, crash)
+    for run in suspected_runs:
+        _update_explained_runs(pool_state, run)
+
+
+def _build_suspects(
+    worker: tracking.Worker, suspected_runs: list[tracking.Run]
+) -> tuple[tracking.Suspect, ...]:
+    """Return the suspects of a crash.
+
+    A run counts as started early only if no other job's run there had worked
+    for clearly less time when the worker was last heard.
+    """
+    early_work_times = [
+        (run.key.job, _measure_known_work_time(run, worker))
+        for run in suspected_runs
+        if _is_early(run, worker)
+    ]
+    return tuple(
+        tracking.Suspect(
+            run.key,
+            run.number,
+            _is_early(run, worker)
+            and not any(
+                job != run.key.job and worked_s + _LONGER_WORK_S <= own_worked_s
+                for job, worked_s in early_work_times
+            ),
+        )
+        for run in suspected_runs
+        for own_worked_s in [_measure_known_work_time(run, worker)]
+    )
+
+
+def _record_late_crash(
+    pool_state: pool_states.PoolState, run: tracking.Run
+) -> None:
+    """Record that a crash came some time after the start of a run."""
+    if run.tracked_step is None:
+        return
+    crashes = run.tracked_step.progress.crashes.get(run.key.position, [])
+    for position, crash in enumerate(crashes):
+        if crash.run == run.number and crash.early:
+            crashes[position] = crash._replace(early=False)
+            pool_state.dirty.add(run.key.job)
+
+
+def _update_explained_runs(
+    pool_state: pool_states.PoolState, run: tracking.Run
+) -> None:
+    """Record which crashes under a task have another likely cause."""
+    if run.tracked_step is None or len(_list_crashes(run)) < 2:
+        return
+    progress = run.tracked_step.progress
+    causes = crash_causes.find_other_causes(pool_state, run.key)
+    for number, cause in causes.items():
+        if cause is crash_causes.OtherCause.REPEATED_TASK:
+            withdraw_crash(pool_state, run.key, number)
+    previous_runs = progress.explained_runs.get(run.key.position, set())
+    known_runs = {
+        suspect.run
+        for crash in pool_state.worker_crashes.values()
+        for suspect in crash.suspects
+        if suspect.key == run.key
+    }
+    runs = set(causes) | (previous_runs - known_runs)
+    if runs != previous_runs:
+        pool_state.note(
+            "task:crashes-explained",
+            task=run.key,
+            causes={str(number): str(causes[number]) for number in causes},
+        )
+        progress.explained_runs[run.key.position] = runs
+        pool_state.dirty.add(run.key.job)
+
+
 def _log_crash(
     pool_state: pool_states.PoolState,
     worker: tracking.Worker,
@@ -176,6 +286,7 @@
         and run.key.position in tracked_step.progress.crashes
     ):
         del tracked_step.progress.crashes[run.key.position]
+        tracked_step.progress.explained_runs.pop(run.key.position, None)
         pool_state.dirty.add(run.key.job)
     clear_working_step(pool_state, tracked_step, run.key.position)
 
@@ -211,6 +322,27 @@
     return max(0.0, worker.last_report_at - run.confirmed_at)
 
 
+def _measure_known_work_time(
+    run: tracking.Run, worker: tracking.Worker
+) -> float:
+    """Return for how long a run had worked when its worker last answered.
+
+    The answers to later starts count here, as the worker had survived until
+    then.
+    """
+    if run.confirmed_at is None:
+        return 0.0
+    answered_at = max(
+        worker.last_report_at or 0.0,
+        *(
+            other.confirmed_at
+            for other in worker.runs.values()
+            if other.confirmed_at is not None
+        ),
+    )
+    return max(0.0, answered_at - run.confirmed_at)
+
+
 def _is_early(run: tracking.Run, worker: tracking.Worker) -> bool:
     return _measure_work_time(run, worker) < tracking.TRIAL_S
 
@@ -246,11 +378,33 @@
     crashed_runs: list[tracking.Run],
     now: float,
 ) -> None:
-    """Fail the jobs of tasks under which too many workers have crashed."""
-    for run in crashed_runs:
+    """Fail the jobs of tasks under which too many workers have crashed.
+
+    The most suspicious task comes first, since crashes that it explains no
+    longer count against the others.
+    """
+    for run in sorted(
+        crashed_runs, key=lambda run: len(_list_crashes(run)), reverse=True
+    ):
         assert run.tracked_step is not None
-        if run.tracked_step.progress.has_crashed_too_often(run.key.position):
+        if run.tracked_step.progress.has_crashed_too_often(
+            run.key.position, is_gang=run.tracked_step.step.gang
+        ):
             _fail_job(pool_state, run, now)
+            _clear_tasks_beside(pool_state, run.key.job)
+
+
+def _clear_tasks_beside(pool_state: pool_states.PoolState, job: str) -> None:
+    """Withdraw the crashes that a given-up job explains from all others."""
+    for crash in pool_state.worker_crashes.values():
+        if not any(
+            suspect.key.job == job and suspect.early
+            for suspect in crash.suspects
+        ):
+            continue
+        for suspect in crash.suspects:
+            if suspect.key.job != job:
+                withdraw_crash(pool_state, suspect.key, suspect.run)
 
 
 def _record_crash(
--- a/crocusrouter/work/pool_state.py
+++ b/crocusrouter/work/pool_state.py
@@ -36,6 +36,8 @@
         stop_durations: Estimate of how long stops take.
         contended_at: When the first priority last had to stop other work to
             find room, on the steady clock; None if it never had to.
+        worker_crashes: Latest crashes of workers, by incarnation, in the order
+            in which they became known.
         events: Log lines that the controller has yet to write.
     """
 
@@ -51,6 +53,7 @@
         self.closed_data_centres: frozenset[str] = frozenset()
         self.stop_durations = stop_durations.StopDurations()
         self.contended_at: float | None = None
+        self.worker_crashes: dict[str, tracking.WorkerCrash] = {}
         self.events: collections.deque[tuple[str, dict[str, object]]] = (
             collections.deque(maxlen=2000)
         )
@@ -85,7 +88,7 @@
                 tracked_job.over_since = now
                 return
             self.live_jobs[job.id] = tracked_job
-            if progress.has_crashed_too_often:
+            if tracked_job.has_crashing_task:
                 # A previous owner was lost before it could journal the failure.
                 self.finish(tracked_job, model.State.FAILED, now)
             return
@@ -309,6 +312,16 @@
             return tracked_job.accepted_revision <= self.epoch
         return tracked_job.job.id in blocked_jobs
 
+    def count_live_workers(self) -> int:
+        """Return how many listed workers no other incarnation has replaced.
+
+        The platform lists a worker for some seconds after it has crashed.
+        """
+        return sum(
+            worker.listed and not worker.replaced
+            for worker in self.workers.values()
+        )
+
     def unlist_worker(self, worker_id: str) -> None:
         """Record that the platform no longer lists a worker.
 
--- a/crocusrouter/work/progress.py
+++ b/crocusrouter/work/progress.py
@@ -5,6 +5,7 @@
 """
 
 import dataclasses
+from typing import Any
 from typing import NamedTuple
 
 import cbor2
@@ -17,9 +18,15 @@
 # right after its start, and crashes at any time. The first crash may have been
 # caused by another task, by the worker itself or by a lost connection. The next
 # two happen during trials, so an innocent task would have to meet two more
-# crashes within seconds of its starts.
+# crashes within seconds of its starts. Crashes that have another likely cause
+# are not among these numbers.
 _MAX_EARLY_CRASHES = 3
 _MAX_CRASHES = 4
+# The same numbers if crashes that have another likely cause are counted too.
+# The users allow two more starts after the third crash that a task has caused,
+# and one crash may go unnoticed.
+_MAX_EARLY_CRASHES_OF_ANY_CAUSE = 4
+_MAX_CRASHES_OF_ANY_CAUSE = 5
 
 
 class Crash(NamedTuple):
@@ -51,12 +58,17 @@
         crashes: Worker crashes by index of the task that ran there, also for
             gangs, whose other members only ended as a consequence. A new owner
             that did not know of them would start the task as many times again.
+        explained_runs: Numbers of the runs in `crashes` whose worker's crash
+            has another likely cause than the task, by index of the task.
     """
 
     done: set[int] = dataclasses.field(default_factory=set)
     failed_runs: dict[int, list[int]] = dataclasses.field(default_factory=dict)
     checkpoints: dict[int, str] = dataclasses.field(default_factory=dict)
     crashes: dict[int, list[Crash]] = dataclasses.field(default_factory=dict)
+    explained_runs: dict[int, set[int]] = dataclasses.field(
+        default_factory=dict
+    )
 
     @property
     def is_suspect(self) -> bool:
@@ -67,11 +79,55 @@
             for crashes in self.crashes.values()
         )
 
-    def has_crashed_too_often(self, index: int) -> bool:
-        """Tell whether a task has met too many crashes to start again."""
+    def has_crashed_too_often(
+        self, index: int, *, is_gang: bool = False
+    ) -> bool:
+        """Tell whether a task has met too many crashes to start again.
+
+        Args:
+            index: Index of the task.
+            is_gang: Whether the tasks start together. A crash under any of them
+                then costs the others a start as well.
+        """
         crashes = self.crashes.get(index, [])
-        early_count = sum(crash.early for crash in crashes)
-        return early_count >= _MAX_EARLY_CRASHES or len(crashes) >= _MAX_CRASHES
+        explained_runs = self.explained_runs.get(index, set())
+        unexplained_crashes = [
+            crash for crash in crashes if crash.run not in explained_runs
+        ]
+        if (
+            _count_early(unexplained_crashes) >= _MAX_EARLY_CRASHES
+            or len(unexplained_crashes) >= _MAX_CRASHES
+            or _count_early(crashes) >= _MAX_EARLY_CRASHES_OF_ANY_CAUSE
+            or len(crashes) >= _MAX_CRASHES_OF_ANY_CAUSE
+        ):
+            return True
+        return (
+            is_gang
+            and self.is_on_last_starts
+            and self._count_crashed_runs() >= _MAX_CRASHES_OF_ANY_CAUSE
+        )
+
+    def _count_crashed_runs(self) -> int:
+        return len(
+            {
+                crash.run
+                for crashes in self.crashes.values()
+                for crash in crashes
+            }
+        )
+
+    @property
+    def is_on_last_starts(self) -> bool:
+        """Whether a task has met as many crashes as usually give it up."""
+        return any(
+            len(crashes) >= _MAX_EARLY_CRASHES
+            and any(crash.early for crash in crashes)
+            for crashes in self.crashes.values()
+        )
+
+
+def _count_early(crashes: list[Crash]) -> int:
+    return sum(crash.early for crash in crashes)
 
 
 @dataclasses.dataclass
@@ -90,15 +146,6 @@
     final_state: model.State | None = None
     finished_at: float = 0.0
 
-    @property
-    def has_crashed_too_often(self) -> bool:
-        """Whether one of the job's tasks has met too many worker crashes."""
-        return any(
-            step_progress.has_crashed_too_often(index)
-            for step_progress in self.steps.values()
-            for index in step_progress.crashes
-        )
-
     def get(self, occurrence: int, step: int) -> StepProgress:
         """Return the progress of a step, adding an empty one if necessary."""
         return self.steps.setdefault((occurrence, step), StepProgress())
@@ -125,6 +172,10 @@
                     index: list(map(list, step_progress.crashes[index]))
                     for index in step_progress.crashes
                 },
+                {
+                    index: sorted(runs)
+                    for index, runs in step_progress.explained_runs.items()
+                },
             ]
             for (occurrence, step), step_progress in progress.steps.items()
         ]
@@ -149,9 +200,17 @@
                     set(done),
                     dict(failed),
                     dict(saved),
-                    _parse_crashes(crashes),
+                    _parse_crashes(crash_columns),
+                    _parse_explained_runs(crash_columns),
                 )
-                for occurrence, step, done, failed, saved, *crashes in steps
+                for (
+                    occurrence,
+                    step,
+                    done,
+                    failed,
+                    saved,
+                    *crash_columns,
+                ) in steps
             },
             model.State(final) if final is not None else None,
             finished_at,
@@ -160,13 +219,18 @@
         raise ValueError(f"not a progress record: {error}") from error
 
 
-def _parse_crashes(
-    rows: list[dict[int, list[tuple[int, bool]]]],
-) -> dict[int, list[Crash]]:
+def _parse_crashes(columns: list[Any]) -> dict[int, list[Crash]]:
     """Decode crashes by index; records of an earlier version have none."""
-    if not rows:
+    if not columns:
         return {}
     return {
         index: [Crash(*crash) for crash in crashes]
-        for index, crashes in rows[0].items()
+        for index, crashes in columns[0].items()
     }
+
+
+def _parse_explained_runs(columns: list[Any]) -> dict[int, set[int]]:
+    """Decode runs by index; records of an earlier version have none."""
+    if len(columns) < 2:
+        return {}
+    return {index: set(runs) for index, runs in columns[1].items()}
--- a/crocusrouter/work/tracking.py
+++ b/crocusrouter/work/tracking.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import enum
+from typing import NamedTuple
 
 from crocusrouter.work import model
 from crocusrouter.work import permit
@@ -70,6 +71,38 @@
     is_trial: bool = False
 
 
+class Suspect(NamedTuple):
+    """A run that may have crashed its worker.
+
+    Attributes:
+        key: The task.
+        run: Number of the run.
+        early: Whether the crash came right after the start.
+    """
+
+    key: model.TaskKey
+    run: int
+    early: bool
+
+
+@dataclasses.dataclass(frozen=True)
+class WorkerCrash:
+    """The end of a worker that had not announced it.
+
+    Attributes:
+        worker_id: The incarnation that has ended.
+        at: Since when it did not answer, on the steady clock.
+        suspects: The runs that may have caused it.
+        is_certain: Whether its process has certainly ended, rather than being
+            cut off, and all runs there were known.
+    """
+
+    worker_id: str
+    at: float
+    suspects: tuple[Suspect, ...]
+    is_certain: bool
+
+
 @dataclasses.dataclass
 class Worker:
     """One incarnation of a worker.
@@ -241,6 +274,17 @@
         """Whether no task of the job will start any more."""
         return self.job.cancelled or self.progress.final_state is not None
 
+    @property
+    def has_crashing_task(self) -> bool:
+        """Whether a task has met too many worker crashes to start again."""
+        return any(
+            step_progress.has_crashed_too_often(
+                index, is_gang=self.job.steps[step].gang
+            )
+            for (_, step), step_progress in self.progress.steps.items()
+            for index in step_progress.crashes
+        )
+
     def show_state(self) -> model.State:
         """Return the state that callers see.
 
