Turn claims into loans that block another customer's guaranteed cell

What callers saw: a customer's guaranteed rack could not be reclaimed for as long as another customer's job went on.

Cause: while a worker is away, the cells on it have no place. A claim placed meanwhile (bound anew "outside all bindings", so also where an unbound cell belongs) stays a claim once the worker is back, and a claim can't be reclaimed.

Evidence: the shortened history of with begin(filled=False): at 110.5 s w4 is frozen, job dc.4 of b claims two accelerators of w5 by a new binding of cell (b, 2); at 113.0 s w4 is back, and cell (a, 1) needs w4 and w5 whole.

Ruled out: to forbid new bindings while workers are missing. Cells that lose their own workers are bound elsewhere too (`_bind_as_many_as_possible`), so claims would get there all the same.

Change: once all workers are known and a cell has no place, claims that stand in the way become loans, of urgent jobs last, the latest first, no more than needed and none if that doesn't help. The jobs go on and can be reclaimed; their customers' cells are bound again.

--- a/crocusrouter/jobs/scheduler.py
+++ b/crocusrouter/jobs/scheduler.py
@@ -10,6 +10,7 @@
 from crocusrouter.jobs import cells
 from crocusrouter.jobs import claims
 from crocusrouter.jobs import gang as gangs
+from crocusrouter.jobs import lending
 from crocusrouter.jobs import model
 from crocusrouter.jobs import placement
 from crocusrouter.jobs import quarantine
@@ -131,16 +132,22 @@
 
 def build_snapshot(scheduler_state: SchedulerState, now: float) -> Snapshot:
     """Build a snapshot and bind all cells that lost their binding."""
+    all_demands = claims.list_demands(
+        scheduler_state.catalog, scheduler_state.data_centre
+    )
     demands, loans = claims.assign_claims(
-        claims.list_demands(
-            scheduler_state.catalog, scheduler_state.data_centre
-        ),
-        scheduler_state.job_allocations.values(),
+        all_demands, scheduler_state.job_allocations.values()
     )
     capacities = build_capacities(scheduler_state, now, loans)
     scheduler_state.bindings = cell_bindings.bind_cells(
         demands, capacities, scheduler_state.bindings
     )
+    if (
+        len(scheduler_state.bindings) < len(demands)
+        and len(capacities) == len(scheduler_state.workers)
+        and _lend_claims(scheduler_state, all_demands, capacities, now)
+    ):
+        return build_snapshot(scheduler_state, now)
     quarantine_ends = [
         worker.failure_history.quarantined_until
         for worker in scheduler_state.workers.values()
@@ -152,6 +159,38 @@
     )
 
 
+def _lend_claims(
+    scheduler_state: SchedulerState,
+    demands: claims.CellDemands,
+    capacities: cells.Capacities,
+    now: float,
+) -> bool:
+    """Turn claims into loans if that lets all cells embed.
+
+    Returns:
+        Whether a claim has become a loan.
+    """
+    jobs = scheduler_state.jobs
+    job_allocations = sorted(
+        scheduler_state.job_allocations.values(),
+        key=lambda job_allocation: (
+            jobs[job_allocation.job_id].spec.urgent,
+            -scheduler_state.run_started_at.get(job_allocation.job_id, now),
+        ),
+    )
+    lent_jobs = lending.choose_claims_to_lend(
+        demands, job_allocations, capacities
+    )
+    for job_id in lent_jobs:
+        scheduler_state.job_allocations[job_id] = dataclasses.replace(
+            scheduler_state.job_allocations[job_id], claims=()
+        )
+        scheduler_state.record_event(
+            job_id, now, "goes on as a loan: another cell needs its place"
+        )
+    return bool(lent_jobs)
+
+
 def _update_snapshot(
     scheduler_state: SchedulerState,
     job: model.Job,
--- a/crocusrouter/jobs/tests/test_book_machine.py
+++ b/crocusrouter/jobs/tests/test_book_machine.py
@@ -10,6 +10,7 @@
 
 from hypothesis import stateful
 from hypothesis import strategies
+import pytest
 
 from crocusrouter import jobs
 from crocusrouter.fleet import lease
@@ -495,5 +496,25 @@
         assert not history.find_early_starts(record_fields, sizes)
 
 
+def _play_while_worker_is_frozen(machine):
+    machine.submit_and_run([("b", (2, "worker"), 30.0)])
+    machine.submit([("a", (9, "data-centre"), 30.0)])
+    machine.submit([("a", (8, "rack"), 4.0)])
+    machine.fail(kind="freeze", index=16)
+    machine.submit_and_run([("b", (2, "worker"), 30.0)])
+    machine.advance(16)
+    machine.run_on(7)
+
+
+@pytest.mark.parametrize("filled", [False, True])
+def test_guarantees_embed_after_a_worker_was_away(filled):
+    """A claim placed meanwhile stands where another customer's cell belongs."""
+    machine = BookMachine()
+    machine.begin(filled)
+    _play_while_worker_is_frozen(machine)
+    machine.check_guarantees_embed()
+    machine.teardown()
+
+
 BookMachine.TestCase.settings = fuzzing.build_settings(25, 40)
 TestBookMachine = BookMachine.TestCase
