Let a gang use workers on which it failed if the others can't hold it

Cause: workers on which a step failed or was rejected were left out as soon as any other worker was left, whether or not the others can hold the step.

Change: such workers are left out only if the others could hold the task, or the whole gang, were they empty.

--- a/crocusrouter/work/planner.py
+++ b/crocusrouter/work/planner.py
@@ -250,7 +250,7 @@
     ) -> list[packing.Space]:
         """Return the workers that may run a step.
 
-        Workers on which the step failed are left out if there are any others.
+        Workers on which the step failed are left out if the others can hold it.
         """
         tracked_step = waiting_step.tracked_step
         allowed_spaces = [
@@ -265,7 +265,25 @@
             for space in allowed_spaces
             if space.worker not in tracked_step.avoided_workers
         ]
-        return preferred_spaces or allowed_spaces
+        if self._could_hold(tracked_step.step, preferred_spaces):
+            return preferred_spaces
+        return allowed_spaces
+
+    def _could_hold(
+        self, step: model.Step, spaces: list[packing.Space]
+    ) -> bool:
+        """Tell whether workers could hold a task or gang if they were empty."""
+        limit = step.per_worker or step.count
+        slot_count = sum(
+            min(
+                limit,
+                self._pool_state.workers[space.worker].entry.room.count(
+                    step.charge
+                ),
+            )
+            for space in spaces
+        )
+        return slot_count >= (step.count if step.gang else 1)
 
     def _list_fitting_spaces(
         self, waiting_step: waiting_steps.WaitingStep
--- a/crocusrouter/work/tests/test_planner.py
+++ b/crocusrouter/work/tests/test_planner.py
@@ -345,3 +345,47 @@
     plan = work.plan(pool_state, 1.0, build.WALL + 1.0)
     assert len(plan.stops) == 1
     assert plan.contended is contended
+
+
+@pytest.mark.parametrize(
+    ("step", "avoided", "chosen_workers"),
+    [
+        (build.make_step(2, gpu=8, gang=True), {"w0"}, {"w1", "w2"}),
+        (
+            build.make_step(4, gpu=8, gang=True),
+            {"w0"},
+            {"w0", "w1", "w2", "w3"},
+        ),
+        (
+            build.make_step(3, gpu=8, gang=True),
+            {"w0", "w1"},
+            {"w0", "w1", "w2"},
+        ),
+        (build.make_step(1, gpu=8), {"w0", "w1", "w2"}, {"w3"}),
+        (build.make_step(1, gpu=9), {"w3"}, {"w3"}),
+        (
+            build.make_step(2, gpu=1, gang=True, per_worker=1),
+            {"w0", "w1", "w3"},
+            {"w0", "w1"},
+        ),
+    ],
+    ids=["rest", "whole-gang", "too-few", "task", "only-large-one", "one-each"],
+)
+def test_step_is_placed_although_it_has_failed_on_workers(
+    step, avoided, chosen_workers
+):
+    """A job must not wait for ever if the other workers can't hold it.
+
+    A gang of four had failed on two of five workers. The other three were free,
+    and it was never started again.
+    """
+    pool_state = build.make_pool_state(
+        build.make_job("j", step), workers=("w0", "w1", "w2")
+    )
+    large_worker = build.make_entry("w3", gpu=9, rack="r0-1")
+    pool_state.set_worker(large_worker, 0.0)
+    pool_state.workers["w3"].reached = True
+    tracked_step = pool_state.find_tracked_step(work.TaskKey("j", 0, 0, 0))
+    tracked_step.avoided_workers |= avoided
+    plan = work.plan(pool_state, 0.0, build.WALL)
+    assert _find_workers(plan, "j") == [chosen_workers]
