Let a claim of several cells wait for a part that can't be used now

What callers saw: the owner of a data centre failed in its decision, again and again, and nothing started there.

Cause: a job without adjacency needs claims parts of several cells. A part may be out of use for this decision, for a reservation or since the job failed on a worker there; the allocation then ran out of workers ("max() arg is an empty sequence"). The claim of one cell checks that; the claim of several did not.

Change: such a claim waits, and says so.

--- a/crocusrouter/jobs/placement.py
+++ b/crocusrouter/jobs/placement.py
@@ -273,6 +273,9 @@
         unit = _list_unclaimed_capacities(
             context, demand, include_reclaimable=True
         )
+        if cells.count_usable(unit) < size:
+            # The job failed on a worker there, or a reservation needs it.
+            return _report_unbound_cell(request)
         new_claims.append(
             model.CellClaim(index, cells.allocate_in_unit(unit, size))
         )
--- a/crocusrouter/jobs/tests/test_book_machine.py
+++ b/crocusrouter/jobs/tests/test_book_machine.py
@@ -516,5 +516,34 @@
     machine.teardown()
 
 
+def test_claim_of_several_cells_waits_for_a_reserved_part():
+    """A decision failed, and with it all decisions of its data centre."""
+    machine = BookMachine()
+    machine.begin(filled=True)
+    machine.submit_and_run([("b", (2, "worker"), 4.0)])
+    machine.submit_and_run(
+        [
+            ("a", (6, "rack"), 30.0),
+            ("b", (2, "worker"), 4.0),
+            ("b", (2, "worker"), 4.0),
+            ("b", (9, "data-centre"), 30.0),
+        ]
+    )
+    machine.fail(kind="cut-long", index=16)
+    for steps in (16, 1, 4):
+        machine.advance(steps)
+    machine.schedule()
+    machine.advance(16)
+    machine.submit_and_run(
+        [
+            ("b", (8, "rack"), 0.5),
+            ("b", (9, "data-centre"), 4.0),
+            ("a", (9, "data-centre"), 30.0),
+            ("a", (1, "worker"), 4.0),
+        ]
+    )
+    machine.teardown()
+
+
 BookMachine.TestCase.settings = fuzzing.build_settings(25, 40)
 TestBookMachine = BookMachine.TestCase
