Weigh the crashes of a pool's workers once for all suspects of a crash

Cause: each suspect of a crash weighed all latest crashes anew; a data centre that is lost and comes back twice has a thousand suspects.

Change: `CrashAnalysis` weighs them once; no decision changes.

--- a/crocusrouter/work/crash_causes.py
+++ b/crocusrouter/work/crash_causes.py
@@ -31,8 +31,6 @@
 _MIN_REPEATED_CRASHES = 2
 _MAX_KEPT_CRASHES = 256
 
-EarlyCounts = collections.Counter[model.StepKey]
-
 
 class OtherCause(enum.StrEnum):
     """What else than a task explains the crash of its worker."""
@@ -66,82 +64,132 @@
         del crashes[next(iter(crashes))]
 
 
-def find_other_causes(
-    pool_state: pool_states.PoolState, key: model.TaskKey
-) -> dict[int, OtherCause]:
-    """Return the runs of a task whose crashes have another likely cause.
-
-    Args:
-        pool_state: State of the pool; not changed.
-        key: The task.
+class CrashAnalysis:
+    """What the latest crashes of a pool's workers say about their causes."""
+
+    def __init__(self, pool_state: pool_states.PoolState) -> None:
+        """Weigh the crashes.
+
+        Args:
+            pool_state: State of the pool; not changed. The analysis is valid
+                until the next crash.
+        """
+        self._pool_state = pool_state
+        self._crashes = list(pool_state.worker_crashes.values())
+        self._early_counts = _count_early_crashes(pool_state)
+        self._own_crash_probabilities = [
+            self._estimate_own_crash(crash) for crash in self._crashes
+        ]
+        self._live_count = pool_state.count_live_workers()
+
+    def find_other_causes(self, key: model.TaskKey) -> dict[int, OtherCause]:
+        """Return the runs of a task whose crashes have another likely cause.
+
+        Args:
+            key: The task.
+
+        Returns:
+            The cause by number of the run.
+        """
+        causes = {}
+        for crash in self._crashes:
+            for suspect in crash.suspects:
+                if suspect.key != key:
+                    continue
+                cause = self._find_worse_suspect(crash, suspect)
+                if cause is not None:
+                    causes[suspect.run] = cause
+                elif self._is_one_of_many(crash, suspect):
+                    causes[suspect.run] = OtherCause.WORKERS
+        return causes
+
+    def find_last_crash_elsewhere(self, job: str) -> float | None:
+        """Return when a worker last crashed for a reason other than a job.
+
+        Args:
+            job: Id of the job.
+
+        Returns:
+            Steady time in seconds; None if there was no such crash.
+        """
+        return max(
+            (
+                crash.at
+                for crash, probability in self._list_weighed_crashes()
+                if probability > 0 and not _is_suspected(crash, job)
+            ),
+            default=None,
+        )
 
-    Returns:
-        The cause by number of the run.
-    """
-    early_counts = _count_early_crashes(pool_state)
-    causes = {}
-    for crash in pool_state.worker_crashes.values():
-        for suspect in crash.suspects:
-            if suspect.key != key:
-                continue
-            cause = _find_worse_suspect(
-                pool_state, crash, suspect, early_counts
+    def _list_weighed_crashes(
+        self,
+    ) -> list[tuple[tracking.WorkerCrash, float]]:
+        """Return the certain crashes with how likely they had no task's cause.
+
+        The probability is that a worker crashed by itself.
+        """
+        return [
+            (crash, probability)
+            for crash, probability in zip(
+                self._crashes, self._own_crash_probabilities, strict=True
             )
-            if cause is not None:
-                causes[suspect.run] = cause
-            elif _is_one_of_many(pool_state, crash, suspect, early_counts):
-                causes[suspect.run] = OtherCause.WORKERS
-    return causes
-
-
-def find_last_crash_elsewhere(
-    pool_state: pool_states.PoolState, job: str
-) -> float | None:
-    """Return when a worker last crashed for a reason other than a job.
-
-    Args:
-        pool_state: State of the pool; not changed.
-        job: Id of the job.
-
-    Returns:
-        Steady time in seconds; None if there was no such crash.
-    """
-    early_counts = _count_early_crashes(pool_state)
-    return max(
-        (
-            crash.at
-            for crash in pool_state.worker_crashes.values()
             if crash.is_certain
-            and not _is_suspected(crash, job)
-            and _estimate_own_crash(crash, early_counts) > 0
-        ),
-        default=None,
-    )
+        ]
+
+    def _find_worse_suspect(
+        self, crash: tracking.WorkerCrash, suspect: tracking.Suspect
+    ) -> OtherCause | None:
+        """Return how another job's task explains a crash better, if any does.
+
+        Args:
+            crash: The crash.
+            suspect: One of its suspects.
+        """
+        own_count = self._early_counts[model.get_step_key(suspect.key)]
+        cause = None
+        for other in crash.suspects:
+            if not other.early or other.key.job == suspect.key.job:
+                continue
+            other_count = self._early_counts[model.get_step_key(other.key)]
+            if not suspect.early and other_count >= _MIN_REPEATED_CRASHES:
+                return OtherCause.REPEATED_TASK
+            if (
+                not suspect.early
+                or other_count > own_count
+                or _is_given_up(self._pool_state, other.key.job)
+            ):
+                cause = OtherCause.TASK
+        return cause
+
+    def _is_one_of_many(
+        self, crash: tracking.WorkerCrash, suspect: tracking.Suspect
+    ) -> bool:
+        """Tell whether many others crashed by themselves at about the time."""
+        count = sum(
+            probability
+            for other, probability in self._list_weighed_crashes()
+            if abs(other.at - crash.at) <= _NEARBY_S
+            and not _is_suspected(other, suspect.key.job)
+        )
+        return count > 0 and count >= _MIN_CRASHED_SHARE * self._live_count
 
+    def _estimate_own_crash(self, crash: tracking.WorkerCrash) -> float:
+        """Return the probability that a worker crashed by itself.
 
-def _find_worse_suspect(
-    pool_state: pool_states.PoolState,
-    crash: tracking.WorkerCrash,
-    suspect: tracking.Suspect,
-    early_counts: EarlyCounts,
-) -> OtherCause | None:
-    """Return how another job's task explains a crash better, if one does."""
-    own_count = early_counts[model.get_step_key(suspect.key)]
-    cause = None
-    for other in crash.suspects:
-        if not other.early or other.key.job == suspect.key.job:
-            continue
-        other_count = early_counts[model.get_step_key(other.key)]
-        is_repeated = other_count >= _MIN_REPEATED_CRASHES
-        if not suspect.early and is_repeated:
-            return OtherCause.REPEATED_TASK
-        if (
-            not suspect.early
-            or other_count > own_count
-            or _is_given_up(pool_state, other.key.job)
-        ):
-            cause = OtherCause.TASK
-    return cause
+        Tasks that crash workers must not excuse each other, so a crash hardly
+        counts as long as one of its suspects may be such a task.
+        """
+        early_count = max(
+            (
+                self._early_counts[model.get_step_key(suspect.key)]
+                for suspect in crash.suspects
+                if suspect.early
+            ),
+            default=0,
+        )
+        if early_count >= len(_OWN_CRASH_PROBABILITIES):
+            return 0.0
+        return _OWN_CRASH_PROBABILITIES[early_count]
 
 
 def _is_given_up(pool_state: pool_states.PoolState, job: str) -> bool:
@@ -149,56 +197,19 @@
     return tracked_job is not None and tracked_job.has_crashing_task
 
 
-def _is_one_of_many(
-    pool_state: pool_states.PoolState,
-    crash: tracking.WorkerCrash,
-    suspect: tracking.Suspect,
-    early_counts: EarlyCounts,
-) -> bool:
-    """Tell whether many others crashed by themselves at about the time."""
-    count = sum(
-        _estimate_own_crash(other, early_counts)
-        for other in pool_state.worker_crashes.values()
-        if other.is_certain
-        and abs(other.at - crash.at) <= _NEARBY_S
-        and not _is_suspected(other, suspect.key.job)
-    )
-    live_count = pool_state.count_live_workers()
-    return count > 0 and count >= _MIN_CRASHED_SHARE * live_count
-
-
-def _estimate_own_crash(
-    crash: tracking.WorkerCrash, early_counts: EarlyCounts
-) -> float:
-    """Return the probability that a worker crashed by itself.
-
-    Tasks that crash workers must not excuse each other, so a crash hardly
-    counts as long as one of its suspects may be such a task.
-    """
-    early_count = max(
-        (
-            early_counts[model.get_step_key(suspect.key)]
-            for suspect in crash.suspects
-            if suspect.early
-        ),
-        default=0,
-    )
-    if early_count >= len(_OWN_CRASH_PROBABILITIES):
-        return 0.0
-    return _OWN_CRASH_PROBABILITIES[early_count]
-
-
 def _is_suspected(crash: tracking.WorkerCrash, job: str) -> bool:
     return any(suspect.key.job == job for suspect in crash.suspects)
 
 
-def _count_early_crashes(pool_state: pool_states.PoolState) -> EarlyCounts:
+def _count_early_crashes(
+    pool_state: pool_states.PoolState,
+) -> collections.Counter[model.StepKey]:
     """Return how many workers crashed right after starts of each step's tasks.
 
     Crashes that were withdrawn, or that came before a task of the step was seen
     to work, are not counted.
     """
-    counts: EarlyCounts = collections.Counter()
+    counts: collections.Counter[model.StepKey] = collections.Counter()
     for crash in pool_state.worker_crashes.values():
         counts.update(
             {
--- a/crocusrouter/work/crashes.py
+++ b/crocusrouter/work/crashes.py
@@ -143,8 +143,13 @@
         if not suspect.early:
             _record_late_crash(pool_state, run)
     crash_causes.note_worker_crash(pool_state, crash)
-    for run in suspected_runs:
-        _update_explained_runs(pool_state, run)
+    repeated_runs = [
+        run for run in suspected_runs if len(_list_crashes(run)) > 1
+    ]
+    if repeated_runs:
+        analysis = crash_causes.CrashAnalysis(pool_state)
+        for run in repeated_runs:
+            _update_explained_runs(pool_state, run, analysis)
 
 
 def _build_suspects(
@@ -189,13 +194,14 @@
 
 
 def _update_explained_runs(
-    pool_state: pool_states.PoolState, run: tracking.Run
+    pool_state: pool_states.PoolState,
+    run: tracking.Run,
+    analysis: crash_causes.CrashAnalysis,
 ) -> None:
     """Record which crashes under a task have another likely cause."""
-    if run.tracked_step is None or len(_list_crashes(run)) < 2:
-        return
+    assert run.tracked_step is not None
     progress = run.tracked_step.progress
-    causes = crash_causes.find_other_causes(pool_state, run.key)
+    causes = analysis.find_other_causes(run.key)
     for number, cause in causes.items():
         if cause is crash_causes.OtherCause.REPEATED_TASK:
             withdraw_crash(pool_state, run.key, number)
--- a/crocusrouter/work/tests/test_crash_causes.py
+++ b/crocusrouter/work/tests/test_crash_causes.py
@@ -185,7 +185,8 @@
     for worker_id in _WORKERS[:9]:
         pool_state.workers[worker_id].reached = False
         _crash(pool_state, worker_id, 1.0)
-    assert crash_causes.find_last_crash_elsewhere(pool_state, "j") is None
+    analysis = crash_causes.CrashAnalysis(pool_state)
+    assert analysis.find_last_crash_elsewhere("j") is None
 
 
 def test_worker_counts_once_if_it_lapses_and_is_replaced():
--- a/crocusrouter/work/trials.py
+++ b/crocusrouter/work/trials.py
@@ -171,9 +171,9 @@
     waiting_since = tracked_step.waiting_since
     if waiting_since is not None and now - waiting_since >= _MAX_CALM_WAIT_S:
         return False
-    crashed_at = crash_causes.find_last_crash_elsewhere(
-        pool_state, tracked_step.key.job
-    )
+    crashed_at = crash_causes.CrashAnalysis(
+        pool_state
+    ).find_last_crash_elsewhere(tracked_step.key.job)
     return crashed_at is not None and now - crashed_at < _CALM_S
 
 
