--- a/crocusrouter/work/crash_causes.py
+++ b/crocusrouter/work/crash_causes.py
@@ -82,25 +82,27 @@
         ]
         self._live_count = pool_state.count_live_workers()
 
-    def find_other_causes(self, key: model.TaskKey) -> dict[int, OtherCause]:
-        """Return the runs of a task whose crashes have another likely cause.
+    def find_other_causes(
+        self, key: model.TaskKey
+    ) -> dict[int, OtherCause | None]:
+        """Return what else explains the crashes under a task.
 
         Args:
             key: The task.
 
         Returns:
-            The cause by number of the run.
+            The likely cause by number of the run; None if there is no other
+            than the task. Runs whose crashes are no longer known are left out.
         """
-        causes = {}
+        causes: dict[int, OtherCause | None] = {}
         for crash in self._crashes:
             for suspect in crash.suspects:
                 if suspect.key != key:
                     continue
                 cause = self._find_worse_suspect(crash, suspect)
-                if cause is not None:
-                    causes[suspect.run] = cause
-                elif self._is_one_of_many(crash, suspect):
-                    causes[suspect.run] = OtherCause.WORKERS
+                if cause is None and self._is_one_of_many(crash, suspect):
+                    cause = OtherCause.WORKERS
+                causes[suspect.run] = cause
         return causes
 
     def find_last_crash_elsewhere(self, job: str) -> float | None:
--- a/crocusrouter/work/crashes.py
+++ b/crocusrouter/work/crashes.py
@@ -206,18 +206,13 @@
         if cause is crash_causes.OtherCause.REPEATED_TASK:
             withdraw_crash(pool_state, run.key, number)
     previous_runs = progress.explained_runs.get(run.key.position, set())
-    known_runs = {
-        suspect.run
-        for crash in pool_state.worker_crashes.values()
-        for suspect in crash.suspects
-        if suspect.key == run.key
-    }
-    runs = set(causes) | (previous_runs - known_runs)
+    runs = {number for number, cause in causes.items() if cause is not None}
+    runs |= previous_runs - causes.keys()
     if runs != previous_runs:
         pool_state.note(
             "task:crashes-explained",
             task=run.key,
-            causes={str(number): str(causes[number]) for number in causes},
+            causes={str(number): cause for number, cause in causes.items()},
         )
         progress.explained_runs[run.key.position] = runs
         pool_state.dirty.add(run.key.job)
--- a/crocusrouter/work/reports.py
+++ b/crocusrouter/work/reports.py
@@ -43,6 +43,8 @@
         )
     worker.silent_since = None
     worker.reached = True
+    # It was only cut off, for longer than its leases.
+    pool_state.worker_crashes.pop(worker_id, None)
     worker.last_report_at = now
     for run_end in report.ended:
         # The worker lists an end until it is confirmed.
--- a/crocusrouter/work/tests/test_crash_causes.py
+++ b/crocusrouter/work/tests/test_crash_causes.py
@@ -211,6 +211,17 @@
     ]
 
 
+def test_worker_that_was_only_cut_off_explains_nothing():
+    """A task that crashes its workers would be excused by cuts of others."""
+    pool_state = build.make_pool_state(workers=_WORKERS)
+    work.note_silent(pool_state, "w0", 1.0)
+    pool_state.unlist_worker("w0")
+    work.note_lapsed(pool_state, "w0", "its lease has ended", 7.0)
+    assert pool_state.worker_crashes["w0"].is_certain
+    build.apply_report(pool_state, "w0", now=8.0)
+    assert not pool_state.worker_crashes
+
+
 def test_old_crashes_are_forgotten():
     pool_state = build.make_pool_state(workers=_WORKERS)
     for number in range(1000):
