Avoid workers on which a step failed unless the rest could never hold it

Change: the others count as if they were empty, also those that are full, held or silent for a while; those that drain, are closed or replaced don't count.

--- a/crocusrouter/work/planner.py
+++ b/crocusrouter/work/planner.py
@@ -265,23 +265,28 @@
             for space in allowed_spaces
             if space.worker not in tracked_step.avoided_workers
         ]
-        if self._could_hold(tracked_step.step, preferred_spaces):
-            return preferred_spaces
+        if self._could_rest_hold(waiting_step):
+            return preferred_spaces or allowed_spaces
         return allowed_spaces
 
-    def _could_hold(
-        self, step: model.Step, spaces: list[packing.Space]
-    ) -> bool:
-        """Tell whether workers could hold a task or gang if they were empty."""
+    def _could_rest_hold(self, waiting_step: waiting_steps.WaitingStep) -> bool:
+        """Tell whether workers on which a step has not failed could hold it.
+
+        Workers that are full or reserved for a while count as if they were
+        empty.
+        """
+        tracked_step = waiting_step.tracked_step
+        if not tracked_step.avoided_workers:
+            return True
+        step = tracked_step.step
         limit = step.per_worker or step.count
         slot_count = sum(
-            min(
-                limit,
-                self._pool_state.workers[space.worker].entry.room.count(
-                    step.charge
-                ),
-            )
-            for space in spaces
+            min(limit, worker.entry.room.count(step.charge))
+            for worker_id, worker in self._pool_state.workers.items()
+            if worker_id not in tracked_step.avoided_workers
+            and worker.may_take_tasks_later
+            and self._has_label(worker_id, step.label)
+            and self._is_permitted(waiting_step, worker_id)
         )
         return slot_count >= (step.count if step.gang else 1)
 
--- a/crocusrouter/work/tests/test_planner.py
+++ b/crocusrouter/work/tests/test_planner.py
@@ -389,3 +389,16 @@
     tracked_step.avoided_workers |= avoided
     plan = work.plan(pool_state, 0.0, build.WALL)
     assert _find_workers(plan, "j") == [chosen_workers]
+
+
+def test_gang_waits_for_workers_on_which_it_has_not_failed():
+    """A gang would fail again on a bad worker while the others are full."""
+    pool_state = build.make_pool_state(
+        build.make_job("j", build.make_step(2, gpu=8, gang=True)),
+        workers=("w0", "w1", "w2"),
+    )
+    tracked_step = pool_state.find_tracked_step(work.TaskKey("j", 0, 0, 0))
+    tracked_step.avoided_workers.add("w0")
+    full_worker = pool_state.workers["w2"]
+    full_worker.used = full_worker.used._replace(accelerators=8)
+    assert work.plan(pool_state, 0.0, build.WALL).placements == []
--- a/crocusrouter/work/tracking.py
+++ b/crocusrouter/work/tracking.py
@@ -181,6 +181,16 @@
             for needed, left in zip(charge, self.free, strict=True)
         )
 
+    @property
+    def may_take_tasks_later(self) -> bool:
+        """Whether new tasks may start there now or in some seconds."""
+        return (
+            self.listed
+            and not self.was_draining
+            and not self.closed
+            and not self.replaced
+        )
+
     def may_start_tasks(self, now: float) -> bool:
         """Tell whether new tasks may start there."""
         return (
