Move the evidence on crashes into crash_records; mark jobs that are given up

Cause: read as a newcomer, `crashes` had two jobs (events, and which runs a crash speaks against); immutable records stood among the mutable ones of `tracking`; a job counted as given up by a rule that is not the one by which jobs of an earlier owner are given up; one bound had two meanings; two tests stood twice.

Change: `crash_records` has the records, the suspected runs and their times; `TrackedJob.given_up` is set where a job is given up; the bound on gangs has a name of its own; the two tests are one table. No check is loosened: the table has a third case.

Decisions differ only where a job of an earlier owner is given up: its crashes then explain others' at once.

--- a/crocusrouter/jobs/lending.py
+++ b/crocusrouter/jobs/lending.py
@@ -19,11 +19,13 @@
 ) -> list[str]:
     """Choose the claims that have to become loans so that all cells embed.
 
-    >>> demand = cells.CellDemand("a", cells.Level.WORKER, 2)
-    >>> member = cells.model.Member("w", 0b01)
-    >>> claim = claims.model.CellClaim(0, (member,))
+    >>> from crocusrouter.jobs import model
+    >>> from crocusrouter.templates import Level
+    >>> demand = cells.CellDemand("a", Level.WORKER, 2)
+    >>> member = model.Member("w", 0b01)
+    >>> claim = model.CellClaim(0, (member,))
     >>> blocking = claims.JobAllocation("dc.1", "b", (member,), (claim,))
-    >>> other = cells.CellDemand("b", cells.Level.WORKER, 1)
+    >>> other = cells.CellDemand("b", Level.WORKER, 1)
     >>> capacities = {
     ...     "w": cells.WorkerCapacity("w", "r", 0b10),
     ...     "v": cells.WorkerCapacity("v", "r", 0b01),
--- a/crocusrouter/work/crash_causes.py
+++ b/crocusrouter/work/crash_causes.py
@@ -13,9 +13,9 @@
 import collections
 import enum
 
+from crocusrouter.work import crash_records
 from crocusrouter.work import model
 from crocusrouter.work import pool_state as pool_states
-from crocusrouter.work import tracking
 
 # Crashes of other workers within this time of a crash show how often workers
 # crash by themselves.
@@ -41,7 +41,7 @@
 
 
 def note_worker_crash(
-    pool_state: pool_states.PoolState, crash: tracking.WorkerCrash
+    pool_state: pool_states.PoolState, crash: crash_records.WorkerCrash
 ) -> None:
     """Add a crash to the latest ones.
 
@@ -53,7 +53,7 @@
     crashes = pool_state.worker_crashes
     earlier_record = crashes.get(crash.worker_id)
     if earlier_record is not None:
-        crash = tracking.WorkerCrash(
+        crash = crash_records.WorkerCrash(
             crash.worker_id,
             earlier_record.at,
             earlier_record.suspects or crash.suspects,
@@ -125,7 +125,7 @@
 
     def _list_weighed_crashes(
         self,
-    ) -> list[tuple[tracking.WorkerCrash, float]]:
+    ) -> list[tuple[crash_records.WorkerCrash, float]]:
         """Return the certain crashes with how likely they had no task's cause.
 
         The probability is that a worker crashed by itself.
@@ -139,7 +139,7 @@
         ]
 
     def _find_worse_suspect(
-        self, crash: tracking.WorkerCrash, suspect: tracking.Suspect
+        self, crash: crash_records.WorkerCrash, suspect: crash_records.Suspect
     ) -> OtherCause | None:
         """Return how another job's task explains a crash better, if any does.
 
@@ -164,7 +164,7 @@
         return cause
 
     def _is_one_of_many(
-        self, crash: tracking.WorkerCrash, suspect: tracking.Suspect
+        self, crash: crash_records.WorkerCrash, suspect: crash_records.Suspect
     ) -> bool:
         """Tell whether many others crashed by themselves at about the time."""
         count = sum(
@@ -175,7 +175,7 @@
         )
         return count > 0 and count >= _MIN_CRASHED_SHARE * self._live_count
 
-    def _estimate_own_crash(self, crash: tracking.WorkerCrash) -> float:
+    def _estimate_own_crash(self, crash: crash_records.WorkerCrash) -> float:
         """Return the probability that a worker crashed by itself.
 
         Tasks that crash workers must not excuse each other, so a crash hardly
@@ -196,10 +196,10 @@
 
 def _is_given_up(pool_state: pool_states.PoolState, job: str) -> bool:
     tracked_job = pool_state.jobs.get(job)
-    return tracked_job is not None and tracked_job.has_crashing_task
+    return tracked_job is not None and tracked_job.given_up
 
 
-def _is_suspected(crash: tracking.WorkerCrash, job: str) -> bool:
+def _is_suspected(crash: crash_records.WorkerCrash, job: str) -> bool:
     return any(suspect.key.job == job for suspect in crash.suspects)
 
 
@@ -224,7 +224,7 @@
 
 
 def _is_recorded_early(
-    pool_state: pool_states.PoolState, suspect: tracking.Suspect
+    pool_state: pool_states.PoolState, suspect: crash_records.Suspect
 ) -> bool:
     tracked_step = pool_state.find_tracked_step(suspect.key)
     if tracked_step is None:
--- a/crocusrouter/work/crashes.py
+++ b/crocusrouter/work/crashes.py
@@ -16,6 +16,7 @@
 from collections.abc import Iterable
 
 from crocusrouter.work import crash_causes
+from crocusrouter.work import crash_records
 from crocusrouter.work import model
 from crocusrouter.work import pool_state as pool_states
 from crocusrouter.work import progress as progresses
@@ -23,12 +24,6 @@
 from crocusrouter.work import tracking
 from crocusrouter.work import worker_port
 
-# A run that has worked for this long did not cause a crash of its worker.
-_CLEARED_AFTER_S = 60.0
-# A run that had worked for this much longer than another one when their worker
-# was last heard is the less likely cause of its crash.
-_LONGER_WORK_S = 1.0
-
 
 def note_silent(
     pool_state: pool_states.PoolState, worker_id: str, now: float
@@ -50,10 +45,8 @@
     if worker is None or worker.silent_since is not None:
         return
     pool_state.note_silent(worker_id, now)
-    for run in _list_suspected_runs(
-        pool_state, worker, list(worker.runs.values())
-    ):
-        if _is_early(run, worker):
+    for run in crash_records.list_suspected_runs(worker):
+        if crash_records.is_early(run, worker):
             _record_crash(pool_state, run, worker)
 
 
@@ -73,9 +66,7 @@
     worker = pool_state.workers.get(worker_id)
     if worker is None:
         return
-    suspected_runs = _list_suspected_runs(
-        pool_state, worker, list(worker.runs.values())
-    )
+    suspected_runs = crash_records.list_suspected_runs(worker)
     for run in suspected_runs:
         _record_crash(pool_state, run, worker)
     # The platform still lists a worker that is only cut off from this entry.
@@ -105,9 +96,7 @@
     worker = pool_state.workers.get(worker_id)
     if worker is None:
         return
-    suspected_runs = _list_suspected_runs(
-        pool_state, worker, list(worker.runs.values())
-    )
+    suspected_runs = crash_records.list_suspected_runs(worker)
     for run in suspected_runs:
         _record_crash(pool_state, run, worker)
     if not worker.replaced:
@@ -133,10 +122,10 @@
     if worker.was_draining or worker.was_evacuated:
         return
     silent_since = worker.silent_since
-    crash = tracking.WorkerCrash(
+    crash = crash_records.WorkerCrash(
         worker.entry.id,
         silent_since if silent_since is not None else now,
-        _build_suspects(worker, suspected_runs),
+        crash_records.build_suspects(worker, suspected_runs),
         is_certain and worker.reached,
     )
     for suspect, run in zip(crash.suspects, suspected_runs, strict=True):
@@ -152,34 +141,6 @@
             _update_explained_runs(pool_state, run, analysis)
 
 
-def _build_suspects(
-    worker: tracking.Worker, suspected_runs: list[tracking.Run]
-) -> tuple[tracking.Suspect, ...]:
-    """Return the suspects of a crash.
-
-    A run counts as started early only if no other job's run there had worked
-    for clearly less time when the worker was last heard.
-    """
-    early_work_times = [
-        (run.key.job, _measure_known_work_time(run, worker))
-        for run in suspected_runs
-        if _is_early(run, worker)
-    ]
-    return tuple(
-        tracking.Suspect(
-            run.key,
-            run.number,
-            _is_early(run, worker)
-            and not any(
-                job != run.key.job and worked_s + _LONGER_WORK_S <= own_worked_s
-                for job, worked_s in early_work_times
-            ),
-        )
-        for run in suspected_runs
-        for own_worked_s in [_measure_known_work_time(run, worker)]
-    )
-
-
 def _record_late_crash(
     pool_state: pool_states.PoolState, run: tracking.Run
 ) -> None:
@@ -225,7 +186,9 @@
 ) -> None:
     if not suspected_runs:
         return
-    early_runs = [run for run in suspected_runs if _is_early(run, worker)]
+    early_runs = [
+        run for run in suspected_runs if crash_records.is_early(run, worker)
+    ]
     pool_state.note(
         "worker:crashed",
         worker=worker.entry.id,
@@ -274,16 +237,16 @@
     if (
         tracked_step is None
         or not tracked_step.progress.crashes
-        or _is_early(run, worker)
+        or crash_records.is_early(run, worker)
     ):
         return
     if tracked_step.step.gang and not run.percent:
         # The task waits for the other members of its gang, and works only after
         # that.
         return
-    worked_s = _measure_work_time(run, worker)
+    worked_s = crash_records.measure_work_time(run, worker)
     if (
-        worked_s >= _CLEARED_AFTER_S
+        worked_s >= crash_records.CLEARED_AFTER_S
         and run.key.position in tracked_step.progress.crashes
     ):
         del tracked_step.progress.crashes[run.key.position]
@@ -316,64 +279,6 @@
             pool_state.dirty.add(tracked_step.key.job)
 
 
-def _measure_work_time(run: tracking.Run, worker: tracking.Worker) -> float:
-    """Return for how many seconds a run was certainly seen to work."""
-    if run.confirmed_at is None or worker.last_report_at is None:
-        return 0.0
-    return max(0.0, worker.last_report_at - run.confirmed_at)
-
-
-def _measure_known_work_time(
-    run: tracking.Run, worker: tracking.Worker
-) -> float:
-    """Return for how long a run had worked when its worker last answered.
-
-    The answers to later starts count here, as the worker had survived until
-    then.
-    """
-    if run.confirmed_at is None:
-        return 0.0
-    answered_at = max(
-        worker.last_report_at or 0.0,
-        *(
-            other.confirmed_at
-            for other in worker.runs.values()
-            if other.confirmed_at is not None
-        ),
-    )
-    return max(0.0, answered_at - run.confirmed_at)
-
-
-def _is_early(run: tracking.Run, worker: tracking.Worker) -> bool:
-    return _measure_work_time(run, worker) < tracking.TRIAL_S
-
-
-def _list_suspected_runs(
-    pool_state: pool_states.PoolState,
-    worker: tracking.Worker,
-    lost_runs: list[tracking.Run],
-) -> list[tracking.Run]:
-    """Return the runs that may have crashed a worker.
-
-    There are none if the worker was draining or emptied for upkeep.
-    """
-    if worker.was_draining or worker.was_evacuated:
-        return []
-    return [run for run in lost_runs if _may_have_crashed_worker(run, worker)]
-
-
-def _may_have_crashed_worker(
-    run: tracking.Run, worker: tracking.Worker
-) -> bool:
-    """Tell whether a run may have started, and not long ago."""
-    may_have_started = run.maybe_started or run.confirmed_at is not None
-    return (
-        may_have_started
-        and run.tracked_step is not None
-        and _measure_work_time(run, worker) < _CLEARED_AFTER_S
-    )
-
-
 def _fail_crashing_tasks(
     pool_state: pool_states.PoolState,
     crashed_runs: list[tracking.Run],
@@ -424,7 +329,7 @@
     crashes = run.tracked_step.progress.crashes.setdefault(run.key.position, [])
     if any(crash.run == run.number for crash in crashes):
         return
-    crash = progresses.Crash(run.number, _is_early(run, worker))
+    crash = progresses.Crash(run.number, crash_records.is_early(run, worker))
     crashes.append(crash)
     pool_state.dirty.add(run.key.job)
     if crash.early:
@@ -447,4 +352,5 @@
         task=run.key,
         runs=[crash.run for crash in _list_crashes(run)],
     )
+    tracked_job.given_up = True
     pool_state.finish(tracked_job, model.State.FAILED, now)
--- a/crocusrouter/work/pool_state.py
+++ b/crocusrouter/work/pool_state.py
@@ -8,6 +8,7 @@
 import collections
 from collections.abc import Iterable
 
+from crocusrouter.work import crash_records
 from crocusrouter.work import model
 from crocusrouter.work import progress as progresses
 from crocusrouter.work import stop_durations
@@ -53,7 +54,7 @@
         self.closed_data_centres: frozenset[str] = frozenset()
         self.stop_durations = stop_durations.StopDurations()
         self.contended_at: float | None = None
-        self.worker_crashes: dict[str, tracking.WorkerCrash] = {}
+        self.worker_crashes: dict[str, crash_records.WorkerCrash] = {}
         self.events: collections.deque[tuple[str, dict[str, object]]] = (
             collections.deque(maxlen=2000)
         )
@@ -90,6 +91,7 @@
             self.live_jobs[job.id] = tracked_job
             if tracked_job.has_crashing_task:
                 # A previous owner was lost before it could journal the failure.
+                tracked_job.given_up = True
                 self.finish(tracked_job, model.State.FAILED, now)
             return
         if job.cancelled and not tracked_job.job.cancelled:
--- a/crocusrouter/work/progress.py
+++ b/crocusrouter/work/progress.py
@@ -27,6 +27,9 @@
 # and one crash may go unnoticed.
 _MAX_EARLY_CRASHES_OF_ANY_CAUSE = 4
 _MAX_CRASHES_OF_ANY_CAUSE = 5
+# Number of starts of a gang that ended with a crash, under any of its members,
+# after which a gang with a suspected member does not start again.
+_MAX_CRASHED_GANG_STARTS = 5
 
 
 class Crash(NamedTuple):
@@ -112,7 +115,7 @@
         return (
             is_gang
             and self.is_on_last_starts
-            and self._count_crashed_runs() >= _MAX_CRASHES_OF_ANY_CAUSE
+            and self._count_crashed_runs() >= _MAX_CRASHED_GANG_STARTS
         )
 
     def _count_crashed_runs(self) -> int:
--- a/crocusrouter/work/tests/test_crash_causes.py
+++ b/crocusrouter/work/tests/test_crash_causes.py
@@ -5,8 +5,8 @@
 
 from crocusrouter import work
 from crocusrouter.work import crash_causes
+from crocusrouter.work import crash_records
 from crocusrouter.work import progress as progresses
-from crocusrouter.work import tracking
 from crocusrouter.work.tests import build
 
 _RESTART_S = 3.3
@@ -88,7 +88,14 @@
     assert _crash_at_each_start(pool_state, "j", others_per_start=2) == 3
 
 
-def test_last_start_waits_until_no_other_worker_crashes():
+@pytest.mark.parametrize(
+    ("waiting_since", "now", "is_placed"),
+    [(8.0, 10.0, False), (8.0, 12.5, True), (3.0, 9.1, True)],
+    ids=["other-crash", "calm", "waited-long"],
+)
+def test_last_start_waits_until_no_other_worker_crashes(
+    waiting_since, now, is_placed
+):
     """A sound job meets one crash after the other in a series of restarts."""
     pool_state = build.make_pool_state(
         build.make_job("j", build.make_step()), workers=_WORKERS
@@ -97,24 +104,10 @@
     tracked_step.progress.crashes[0] = [
         progresses.Crash(number, True) for number in range(3)
     ]
-    tracked_step.waiting_since = 8.0
-    work.note_silent(pool_state, "w0", 9.0)
-    work.note_replaced(pool_state, "w0", 9.5)
-    assert build.apply_plan(pool_state, 10.0).placements == []
-    assert build.apply_plan(pool_state, 12.5).placements
-
-
-def test_last_start_does_not_wait_for_calm_for_ever():
-    pool_state = build.make_pool_state(
-        build.make_job("j", build.make_step()), workers=_WORKERS
-    )
-    tracked_step = pool_state.find_tracked_step(_key("j"))
-    tracked_step.progress.crashes[0] = [
-        progresses.Crash(number, True) for number in range(3)
-    ]
-    tracked_step.waiting_since = 3.0
-    _crash(pool_state, "w0", 8.0)
-    assert build.apply_plan(pool_state, 9.1).placements
+    tracked_step.waiting_since = waiting_since
+    _crash(pool_state, "w0", 9.0)
+    plan = build.apply_plan(pool_state, now)
+    assert bool(plan.placements) is is_placed
 
 
 def test_tasks_that_crash_workers_do_not_excuse_each_other():
@@ -207,7 +200,7 @@
     work.note_lapsed(pool_state, "w0", "its lease has ended", 7.0)
     work.note_replaced(pool_state, "w0", 8.0)
     assert list(pool_state.worker_crashes.values()) == [
-        tracking.WorkerCrash("w0", 1.0, (), is_certain=True)
+        crash_records.WorkerCrash("w0", 1.0, (), is_certain=True)
     ]
 
 
@@ -225,7 +218,9 @@
 def test_old_crashes_are_forgotten():
     pool_state = build.make_pool_state(workers=_WORKERS)
     for number in range(1000):
-        crash = tracking.WorkerCrash(f"w{number}", 1.0, (), is_certain=True)
+        crash = crash_records.WorkerCrash(
+            f"w{number}", 1.0, (), is_certain=True
+        )
         crash_causes.note_worker_crash(pool_state, crash)
     assert len(pool_state.worker_crashes) < 500
     assert "w999" in pool_state.worker_crashes
--- a/crocusrouter/work/tracking.py
+++ b/crocusrouter/work/tracking.py
@@ -2,7 +2,6 @@
 
 import dataclasses
 import enum
-from typing import NamedTuple
 
 from crocusrouter.work import model
 from crocusrouter.work import permit
@@ -71,38 +70,6 @@
     is_trial: bool = False
 
 
-class Suspect(NamedTuple):
-    """A run that may have crashed its worker.
-
-    Attributes:
-        key: The task.
-        run: Number of the run.
-        early: Whether the crash came right after the start.
-    """
-
-    key: model.TaskKey
-    run: int
-    early: bool
-
-
-@dataclasses.dataclass(frozen=True)
-class WorkerCrash:
-    """The end of a worker that had not announced it.
-
-    Attributes:
-        worker_id: The incarnation that has ended.
-        at: Since when it did not answer, on the steady clock.
-        suspects: The runs that may have caused it.
-        is_certain: Whether its process has certainly ended, rather than being
-            cut off, and all runs there were known.
-    """
-
-    worker_id: str
-    at: float
-    suspects: tuple[Suspect, ...]
-    is_certain: bool
-
-
 @dataclasses.dataclass
 class Worker:
     """One incarnation of a worker.
@@ -258,6 +225,8 @@
         opened_count: How many occurrences have become due so far.
         has_started: Whether a task of the job has started.
         durable: Whether the final state is in the journal.
+        given_up: Whether it failed since too many workers crashed under one of
+            its tasks.
         over_since: Steady time at which the job was first known to be over.
         has_unsaved_crash: Whether a worker crash under one of its tasks is not
             in the journal yet. The job starts nothing until it is: if this
@@ -275,6 +244,7 @@
     opened_count: int = 0
     has_started: bool = False
     durable: bool = False
+    given_up: bool = False
     over_since: float | None = None
     has_unsaved_crash: bool = False
     parked: bool = False
