--- a/bench/replay/day.py
+++ b/bench/replay/day.py
@@ -199,28 +199,31 @@
         return speed
 
     def _advance_runs(self, now: float) -> None:
-        """Advance all runs by one tick."""
+        """Advance all runs by one tick.
+
+        Each member of a gang works at its own worker's speed. The gang ends
+        with its slowest member; the others wait for it.
+        """
         speeds: dict[str, float] = {}
-        gangs: dict[tuple[work.StepKey, int], float] = {}
+        unfinished: set[tuple[work.StepKey, int]] = set()
         for run in self.running.values():
             if run.worker not in speeds:
                 speeds[run.worker] = self._find_speed(run.worker, now)
-            gang = (work.StepKey(*run.key[:3]), run.number)
-            speed = speeds[run.worker]
-            gangs[gang] = min(speed, gangs.get(gang, speed))
+            if now >= run.restored_at:
+                run.done_s = min(
+                    run.total_s, run.done_s + _TICK_S * speeds[run.worker]
+                )
+            if run.done_s < run.total_s:
+                unfinished.add((work.StepKey(*run.key[:3]), run.number))
         for run in list(self.running.values()):
             if self.running.get(run.key) is not run:
                 continue
-            speed = speeds[run.worker]
-            if run.step.gang:
-                speed = gangs[work.StepKey(*run.key[:3]), run.number]
-            if now >= run.restored_at:
-                run.done_s += _TICK_S * speed
+            gang = (work.StepKey(*run.key[:3]), run.number)
             if run.stops_at is not None and now >= run.stops_at:
                 self._end_run(run, worker_port.RunOutcome.STOPPED)
             elif run.fails_at is not None and run.done_s >= run.fails_at:
                 self._end_run(run, worker_port.RunOutcome.FAILED)
-            elif run.done_s >= run.total_s:
+            elif gang not in unfinished:
                 self._end_run(run, worker_port.RunOutcome.DONE)
 
     def _end_run(self, run: _SimulatedRun, how: worker_port.RunOutcome) -> None:
--- a/bench/replay/load.py
+++ b/bench/replay/load.py
@@ -8,6 +8,7 @@
 
 _WALL_CLOCK_START_S = 1_000_000.0
 _POOL_SHARE_PER_JOB = 0.25
+_LONG_JOB_FACTOR = 7.0
 # Number of workers that a release replaces at a time.
 _RELEASE_GROUP_WORKERS = 9
 _RELEASE_INTERVAL_S = 1.0
@@ -42,6 +43,7 @@
         value_late: Value of a job that ends within three times its objective.
         attempts: Number of failures of a task after which its job fails.
         poison: Share of jobs whose tasks always fail.
+        long_jobs: Share of jobs that take seven times as long as declared.
     """
 
     name: str
@@ -63,6 +65,7 @@
     value_late: float
     attempts: int
     poison: float
+    long_jobs: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -175,6 +178,47 @@
         release_share=0.45,
         removal_share=0.14,
     ),
+    # A third of the workers is 2.4 times as fast as the others.
+    "uneven": Site(
+        "uneven",
+        176,
+        12,
+        10,
+        87,
+        (
+            Kind("route-build", 1, 1.14, 13, 5.8, 26, 38_000, _SIZES, True,
+                 0.6, 0.45, 0.9, 0.15, 3.0, 1.0, 3, 0.3, 4, 0.01, 0.03),
+            Kind("basket-check", 0, 3.87, 5.4, 2.1, 7.5, 15_000, _SIZES, True,
+                 0.8, 0.0, 0.9, 0.15, 1.5, 0.25, 4, 0.8, 4, 0.0, 0.03),
+            Kind("restock-forecast", 2, 0.897, 39, 6.5, 5.6, 15_000, (1,),
+                 False, 0.0, 0.45, 0.5, 0.15, 3.0, 3.0, 1, 0.1, 2, 0.0),
+        ),
+        room=work.Room(64_000, 131_072, 8),
+        stop_s=0.4,
+        restore_s=0.25,
+        speeds=(0.7, 0.7, 1.7),
+        removal_share=0.14,
+    ),
+    # Customers compete for a pool of equal workers that stop slowly.
+    "contended": Site(
+        "contended",
+        176,
+        8,
+        10,
+        87,
+        (
+            Kind("night-recon", 1, 0.836, 13, 8.5, 52, 150_000, _SIZES, True,
+                 0.6, 0.45, 0.9, 0.15, 3.0, 1.0, 3, 0.3, 3, 0.01),
+            Kind("bay-check", 0, 3.57, 5.4, 2.5, 15, 79_000, _SIZES, True,
+                 0.8, 0.0, 0.5, 0.15, 1.5, 0.3, 4, 0.8, 2, 0.0),
+            Kind("fine-review", 2, 1.03, 39, 6.1, 11, 33_000, (1,), False,
+                 0.0, 0.45, 0.2, 0.15, 3.0, 3.0, 1, 0.1, 2, 0.0),
+        ),
+        room=work.Room(128_000, 524_288, 8),
+        stop_s=0.9,
+        restore_s=0.25,
+        removal_share=0.14,
+    ),
 }  # fmt: skip
 
 
@@ -273,15 +317,16 @@
         # A gang larger than a rack could never run in one rack.
         count = min(count, site.per_rack * max(1, 8 // accelerators))
     mean_s = max(0.3, kind.task_s * math.exp(rng.gauss(-0.1, 0.4)))
+    declared_s = mean_s * math.exp(rng.gauss(0.0, kind.estimate_off))
+    if kind.long_jobs and rng.random() < kind.long_jobs:
+        mean_s *= _LONG_JOB_FACTOR
     task_s = tuple(
         mean_s * math.exp(rng.gauss(0.0, kind.uneven)) for _ in range(count)
     )
-    if kind.gang:
-        task_s = (max(task_s),) * count
     step = work.Step(
         count,
         work.Room(int(kind.cores * 1000), kind.memory_mb, accelerators),
-        mean_s * math.exp(rng.gauss(0.0, kind.estimate_off)),
+        declared_s,
         gang=kind.gang,
         one_rack=rng.random() < kind.one_rack,
         checkpoints=rng.random() < kind.checkpoints,
--- a/crocusrouter/work/pool_state.py
+++ b/crocusrouter/work/pool_state.py
@@ -11,6 +11,7 @@
 from crocusrouter.work import crash_records
 from crocusrouter.work import model
 from crocusrouter.work import progress as progresses
+from crocusrouter.work import speeds
 from crocusrouter.work import stop_durations
 from crocusrouter.work import tracking
 from crocusrouter.work import worker_port
@@ -35,6 +36,7 @@
         guaranteed: Guaranteed accelerators by customer.
         closed_data_centres: Data centres that are closed to new work.
         stop_durations: Estimate of how long stops take.
+        speeds: Estimates of how fast the workers run.
         contended_at: When the first priority last had to stop other work to
             find room, on the steady clock; None if it never had to.
         worker_crashes: Latest crashes of workers, by incarnation, in the order
@@ -53,6 +55,7 @@
         self.guaranteed: dict[str, int] = {}
         self.closed_data_centres: frozenset[str] = frozenset()
         self.stop_durations = stop_durations.StopDurations()
+        self.speeds = speeds.WorkerSpeeds()
         self.contended_at: float | None = None
         self.worker_crashes: dict[str, crash_records.WorkerCrash] = {}
         self.events: collections.deque[tuple[str, dict[str, object]]] = (
@@ -376,6 +379,7 @@
     def forget_worker(self, worker_id: str) -> None:
         """Remove a worker that is unlisted and has no runs."""
         self.workers.pop(worker_id, None)
+        self.speeds.forget(worker_id)
 
     # Runs.
 
--- a/crocusrouter/work/reports.py
+++ b/crocusrouter/work/reports.py
@@ -86,6 +86,9 @@
         run.percent = reported_run.percent
         run.load = reported_run.load
         run.checkpoint = reported_run.checkpoint or run.checkpoint
+        if run.tracked_step is not None:
+            members = run.tracked_step.runs_by_index.values()
+            pool_state.speeds.observe(run, run.tracked_step, members, now)
         crashes.clear_working_run(pool_state, run, worker)
         return
     if run is None and _may_adopt(pool_state, reported_run.key):
