Log and count the speeds of workers; move the owner's log and gauges out

Cause: why a job ran longer than declared can't be seen, since no line and no metric names a worker's speed.

`pools/state_log.py` takes the writing of events, the table of counted events and the report of missing guarantees from the owner; `pools/gauges.py` takes the gauges from the entry and adds `crocusrouter_worker_speed_groups{group}`.

--- a/crocusrouter/pools/entry.py
+++ b/crocusrouter/pools/entry.py
@@ -8,12 +8,12 @@
 
 from crocusrouter import mesh
 from crocusrouter import queues
-from crocusrouter import work
 from crocusrouter.mesh import messages
 from crocusrouter.pools import clocks
 from crocusrouter.pools import closures
 from crocusrouter.pools import config_refresh
 from crocusrouter.pools import configuration as configurations
+from crocusrouter.pools import gauges
 from crocusrouter.pools import job_api
 from crocusrouter.pools import journal
 from crocusrouter.pools import keys
@@ -187,17 +187,7 @@
             metrics,
         )
         self._nursery: trio.Nursery | None = None
-        metrics.register_gauge(
-            "crocusrouter_closed_data_centres",
-            lambda: len(self.closures.data_centres),
-        )
-        metrics.register_gauge(
-            "crocusrouter_runs_in_closed_data_centres",
-            lambda: sum(
-                work.count_runs_in_closed(pool_owner.pool_state)
-                for pool_owner in self.pool_owners.values()
-            ),
-        )
+        gauges.register_gauges(metrics, self.closures, self.pool_owners)
 
     def choose_retry_after(self) -> float:
         """Return the seconds after which a refused caller should ask again.
--- a/crocusrouter/pools/owner.py
+++ b/crocusrouter/pools/owner.py
@@ -20,6 +20,7 @@
 from crocusrouter.pools import owner_leases
 from crocusrouter.pools import parked_jobs
 from crocusrouter.pools import reservations
+from crocusrouter.pools import state_log
 from crocusrouter.pools import unanswered_starts
 from crocusrouter.pools import upkeep_controller
 from crocusrouter.pools import worker_links
@@ -45,14 +46,6 @@
 # persisted counter.
 _RUN_NUMBER_BITS = 20
 
-# Events of the pool's state that are also counted as metrics.
-_EVENT_METRICS = {
-    "run:on-leaving": "start-on-leaving-worker",
-    "run:lost": "run-lost-with-its-worker",
-    "run:missing": "run-missing-on-its-worker",
-    "worker:restarted": "worker-restarted",
-}
-
 OpenConnection = Callable[[str, str], worker_port.Connection]
 
 
@@ -117,7 +110,6 @@
         self._metrics = metrics
         self._may_renew = may_renew
         self._closures = known_closures
-        self._shortfall = 0
         self._backlog = backlog.Backlog(
             store, owner_lease.pool, self.pool_state, clock, metrics, self.wake
         )
@@ -136,6 +128,9 @@
         self._known_workers = known_workers.KnownWorkers(
             store, owner_lease, self.pool_state
         )
+        self._state_log = state_log.StateLog(
+            owner_lease.pool, self.pool_state, metrics
+        )
         make_policy = platform.make_policy
         self._parked_jobs = parked_jobs.ParkedJobs(
             store,
@@ -379,14 +374,15 @@
     def _decide(self, now: float, wall: float) -> None:
         self.pool_state.open_due_occurrences(wall, now)
         self._check_recovered(now)
-        self._check_shortfall()
+        if self.is_recovered:
+            self._state_log.write_shortfall()
         if self._owner_lease.is_valid() and not self._is_draining:
             if self._may_start_tasks(now):
                 self._run_plan(now, wall)
             self._send_paces(now)
         self._advisor.wake()
         self._send_stops()
-        self._log_pool_state_events()
+        self._state_log.write_events(now, wall)
 
     def _run_plan(self, now: float, wall: float) -> None:
         """Start steps that have room and stop runs that block guarantees."""
@@ -421,26 +417,6 @@
             runs=len(self.pool_state.runs),
         )
 
-    def _check_shortfall(self) -> None:
-        """Report when the open data centres can't hold all guarantees.
-
-        A new owner first has to hear from all workers.
-        """
-        if not self.is_recovered:
-            return
-        shortfall = work.measure_shortfall(self.pool_state)
-        if shortfall == self._shortfall:
-            return
-        if shortfall > self._shortfall:
-            self._metrics.count_event("guarantees-short")
-        self._shortfall = shortfall
-        log(
-            "guarantees:short" if shortfall else "guarantees:whole",
-            pool=self.pool,
-            missing_accelerators=shortfall,
-            closed=sorted(self.pool_state.closed_data_centres),
-        )
-
     def _start_reserved_steps(self, now: float) -> None:
         for placement in self._reservations.take_ready(self.pool_state, now):
             self._start_step(placement, now)
@@ -535,10 +511,3 @@
                 run.paced_at = now
                 order = worker_port.Pace(run.key, run.number, percent)
                 self._nursery.start_soon(link.pace, order)
-
-    def _log_pool_state_events(self) -> None:
-        while self.pool_state.events:
-            event, fields = self.pool_state.events.popleft()
-            log(event, pool=self.pool, **fields)
-            if event in _EVENT_METRICS:
-                self._metrics.count_event(_EVENT_METRICS[event])
--- a/crocusrouter/telemetry/metrics.py
+++ b/crocusrouter/telemetry/metrics.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Iterator
+from collections.abc import Mapping
 import contextlib
 
 from opentelemetry import metrics as api
@@ -175,6 +176,24 @@
 
         self._meter.create_observable_gauge(name, callbacks=[observe])
 
+    def register_labelled_gauge(
+        self, name: str, label: str, read: Callable[[], Mapping[str, float]]
+    ) -> None:
+        """Register a gauge `name` with a value for each value of a label.
+
+        Args:
+            name: Name of the gauge.
+            label: Name of the label.
+            read: Returns the gauge's values by the label's; called at each
+                scrape.
+        """
+
+        def observe(_: api.CallbackOptions) -> Iterable[api.Observation]:
+            for label_value, number in read().items():
+                yield api.Observation(number, {label: label_value})
+
+        self._meter.create_observable_gauge(name, callbacks=[observe])
+
     def expose(self) -> bytes:
         """Return all metrics in Prometheus text format."""
         return prometheus_client.generate_latest(self._registry)
--- a/crocusrouter/telemetry/tests/test_metrics.py
+++ b/crocusrouter/telemetry/tests/test_metrics.py
@@ -42,3 +42,25 @@
         assert _read_silences(metrics) == expected
     assert _read_silences(metrics) == []
     metrics.close()
+
+
+@pytest.mark.parametrize(
+    ("values", "expected"),
+    [
+        ({}, []),
+        (
+            {"fast": 2, "slow": 0},
+            ['g{group="fast"} 2.0', 'g{group="slow"} 0.0'],
+        ),
+    ],
+)
+def test_labelled_gauge_is_read_at_each_scrape(values, expected):
+    """A value that was kept from an earlier scrape would show old workers."""
+    metrics = Metrics()
+    current_values = {"fast": 7, "slow": 7}
+    metrics.register_labelled_gauge("g", "group", lambda: current_values)
+    metrics.expose()
+    current_values = values
+    lines = metrics.expose().decode().splitlines()
+    assert [line for line in lines if line.startswith("g{")] == expected
+    metrics.close()
