Keep the estimated speeds of workers for the owner's successor

Change: `pools/speed_record.py` keeps `crocusrouter/speeds/POOL`, guarded by the owner's key and the record's revision, at most one write in 5 s and none while the workers are alike. A successor waits up to 0.3 s for it, takes the rows of incarnations that it knows, and starts without estimates if it can't be read.

--- a/crocusrouter/pools/keys.py
+++ b/crocusrouter/pools/keys.py
@@ -10,6 +10,7 @@
 OWNERS = f"{SYSTEM}owner/"
 KNOWN_WORKERS = f"{ROOT}workers/"
 PARKED = f"{ROOT}parked/"
+SPEEDS = f"{ROOT}speeds/"
 WAVES = f"{ROOT}wave/"
 
 
--- a/crocusrouter/pools/owner.py
+++ b/crocusrouter/pools/owner.py
@@ -20,6 +20,7 @@
 from crocusrouter.pools import owner_leases
 from crocusrouter.pools import parked_jobs
 from crocusrouter.pools import reservations
+from crocusrouter.pools import speed_record
 from crocusrouter.pools import state_log
 from crocusrouter.pools import unanswered_starts
 from crocusrouter.pools import upkeep_controller
@@ -128,6 +129,9 @@
         self._known_workers = known_workers.KnownWorkers(
             store, owner_lease, self.pool_state
         )
+        self._speed_record = speed_record.SpeedRecord(
+            store, owner_lease, self.pool_state, clock
+        )
         self._state_log = state_log.StateLog(
             owner_lease.pool, self.pool_state, metrics
         )
@@ -193,6 +197,7 @@
             nursery.start_soon(self._backlog.run)
             nursery.start_soon(self._worker_list.run)
             nursery.start_soon(self._known_workers.run)
+            nursery.start_soon(self._speed_record.run)
             nursery.start_soon(self._parked_jobs.run)
             nursery.start_soon(self._advisor.run)
             nursery.start_soon(
@@ -213,6 +218,7 @@
                 self._open_link(
                     worker_state.entry.id, worker_state.entry.address
                 )
+            self._speed_record.restore()
             self.is_loaded = True
             await self._run_decision_loop()
 
@@ -240,6 +246,7 @@
             except client.StoreUnavailableError as error:
                 log("owner:load-failed", pool=self.pool, cause=str(error))
                 await trio.sleep(_LOAD_RETRY_S)
+        await self._speed_record.load()
         for job_id in parked_ids & self.pool_state.jobs.keys():
             self.pool_state.jobs[job_id].parked = True
         log(
