--- a/crocusrouter/pools/state_log.py
+++ b/crocusrouter/pools/state_log.py
@@ -45,7 +45,7 @@
     def write_shortfall(self) -> None:
         """Report when the open data centres can't hold all guarantees.
 
-        A new owner first has to hear from all workers.
+        The caller must have heard from all workers, or their room is missing.
         """
         shortfall = work.measure_shortfall(self._pool_state)
         if shortfall == self._shortfall:
