Move the choice of workers out of the planner

Change: worker_choice.WorkerChoice has the choice of spaces, racks and gangs; planner.py keeps the order of steps, reservations, preemption and held workers.

--- a/crocusrouter/work/planner.py
+++ b/crocusrouter/work/planner.py
@@ -14,11 +14,11 @@
 from crocusrouter.work import planner_policy as policies
 from crocusrouter.work import pool_state as pool_states
 from crocusrouter.work import preemption
-from crocusrouter.work import racks
 from crocusrouter.work import relocation
 from crocusrouter.work import tracking
 from crocusrouter.work import trials
 from crocusrouter.work import waiting_steps
+from crocusrouter.work import worker_choice
 
 _DEFAULT = policies.PlannerPolicy()
 
@@ -58,36 +58,6 @@
     contended: bool = False
 
 
-class _ExhaustedRooms:
-    """Rooms that no worker offers any more.
-
-    Free room only shrinks while a plan is made, so a room that no worker
-    offered is not looked for again. Under load this ends the search for most
-    steps.
-    """
-
-    def __init__(self) -> None:
-        self._exhausted: set[tuple[model.Room, str]] = set()
-
-    def note(self, waiting_step: waiting_steps.WaitingStep) -> None:
-        """Record that no worker has room for one task of a step.
-
-        Nothing is recorded for a step with restrictions that don't apply to
-        others.
-        """
-        if (
-            not waiting_step.tracked_step.avoided_workers
-            and not waiting_step.tracked_job.job.advised
-        ):
-            step = waiting_step.tracked_step.step
-            self._exhausted.add((step.charge, step.label))
-
-    def is_known(self, waiting_step: waiting_steps.WaitingStep) -> bool:
-        """Tell whether no worker can have room for one task of a step."""
-        step = waiting_step.tracked_step.step
-        return (step.charge, step.label) in self._exhausted
-
-
 class Planner:
     """Makes one plan on a copy of the workers' free room."""
 
@@ -106,17 +76,17 @@
         self._plan = Plan()
         self._stalled_runs = relocation.list_stalled(pool_state, now)
         stalled_workers = {run.worker_id for run in self._stalled_runs}
-        self._spaces = {
+        spaces = {
             name: packing.Space(
                 name, packing.find_rack(worker.entry.labels), worker.free
             )
             for name, worker in pool_state.workers.items()
             if worker.may_start_tasks(now) and name not in stalled_workers
         }
-        self._racks = racks.Racks(pool_state)
-        self._held_workers: set[str] = set()
+        self._choice = worker_choice.WorkerChoice(
+            pool_state, spaces, policy, now, self._is_guaranteed
+        )
         self._trial_workers = trials.list_trial_workers(pool_state, now)
-        self._exhausted_rooms = _ExhaustedRooms()
         self._free_times = preemption.FreeTimes(pool_state, now)
         self._losses = preemption.Losses(pool_state, now)
         self._guaranteed_used = preemption.count_guaranteed(pool_state)
@@ -129,7 +99,7 @@
         if tracked_step is None:
             return
         for worker_id in spots.values():
-            space = self._spaces.get(worker_id)
+            space = self._choice.spaces.get(worker_id)
             if space is not None:
                 space.take(tracked_step.step.charge)
 
@@ -188,7 +158,7 @@
         if waiting_step.tracked_step.step.gang:
             return self._place_gang(waiting_step)
         indices = sorted(waiting_step.tracked_step.waiting_indices)
-        spaces = self._choose_spaces(waiting_step, len(indices))
+        spaces = self._choice.choose_spaces(waiting_step, len(indices))
         for space in spaces:
             space.take(waiting_step.tracked_step.step.charge)
             space.note_task(waiting_step.tracked_step.key)
@@ -218,8 +188,8 @@
         """
         spaces = [
             space
-            for space in self._list_fitting_spaces(waiting_step)
-            if self._count_free_slots(waiting_step, space) > 0
+            for space in self._choice.list_fitting(waiting_step)
+            if self._choice.count_free_slots(waiting_step, space) > 0
         ]
         spaces_by_index = trials.choose_trial(
             self._pool_state,
@@ -234,7 +204,7 @@
             )
         for space in spaces_by_index.values():
             space.take(waiting_step.tracked_step.step.charge)
-            self._held_workers.add(space.worker)
+            self._choice.held_workers.add(space.worker)
             self._trial_workers.add(space.worker)
         spots = {
             index: space.worker for index, space in spaces_by_index.items()
@@ -245,153 +215,9 @@
         self._plan.placements.append(placement)
         return True
 
-    def _list_allowed_spaces(
-        self, waiting_step: waiting_steps.WaitingStep
-    ) -> list[packing.Space]:
-        """Return the workers that may run a step.
-
-        Workers on which the step failed are left out if the others can hold it.
-        """
-        tracked_step = waiting_step.tracked_step
-        allowed_spaces = [
-            space
-            for space in self._spaces.values()
-            if space.worker not in self._held_workers
-            and self._has_label(space.worker, tracked_step.step.label)
-            and self._is_permitted(waiting_step, space.worker)
-        ]
-        preferred_spaces = [
-            space
-            for space in allowed_spaces
-            if space.worker not in tracked_step.avoided_workers
-        ]
-        if self._could_rest_hold(waiting_step):
-            return preferred_spaces or allowed_spaces
-        return allowed_spaces
-
-    def _could_rest_hold(self, waiting_step: waiting_steps.WaitingStep) -> bool:
-        """Tell whether workers on which a step has not failed could hold it.
-
-        Workers that are full or reserved for a while count as if they were
-        empty.
-        """
-        tracked_step = waiting_step.tracked_step
-        if not tracked_step.avoided_workers:
-            return True
-        step = tracked_step.step
-        limit = step.per_worker or step.count
-        slot_count = sum(
-            min(limit, worker.entry.room.count(step.charge))
-            for worker_id, worker in self._pool_state.workers.items()
-            if worker_id not in tracked_step.avoided_workers
-            and worker.may_take_tasks_later
-            and self._has_label(worker_id, step.label)
-            and self._is_permitted(waiting_step, worker_id)
-        )
-        return slot_count >= (step.count if step.gang else 1)
-
-    def _list_fitting_spaces(
-        self, waiting_step: waiting_steps.WaitingStep
-    ) -> list[packing.Space]:
-        """Return the allowed spaces with room for at least one task."""
-        charge = waiting_step.tracked_step.step.charge
-        if self._exhausted_rooms.is_known(waiting_step):
-            return []
-        fitting_spaces = [
-            space
-            for space in self._list_allowed_spaces(waiting_step)
-            if space.free.holds(charge)
-        ]
-        if not fitting_spaces:
-            self._exhausted_rooms.note(waiting_step)
-        return fitting_spaces
-
-    def _has_label(self, worker_id: str, label: str) -> bool:
-        return (
-            not label
-            or label in self._pool_state.workers[worker_id].entry.labels
-        )
-
-    def _is_permitted(
-        self, waiting_step: waiting_steps.WaitingStep, worker_id: str
-    ) -> bool:
-        if not waiting_step.tracked_job.job.advised:
-            return True
-        return bool(
-            waiting_step.tracked_step.permits.find_ticket(worker_id, self._now)
-        )
-
-    def _count_free_slots(
-        self, waiting_step: waiting_steps.WaitingStep, space: packing.Space
-    ) -> int:
-        """Return how many more tasks of the step a worker may take."""
-        limit = waiting_step.tracked_step.step.per_worker
-        if not limit:
-            return waiting_step.tracked_step.step.count
-        running_count = sum(
-            1
-            for key in self._pool_state.workers[space.worker].runs
-            if model.get_step_key(key) == waiting_step.tracked_step.key
-        )
-        return max(
-            0,
-            limit
-            - running_count
-            - space.count_tasks(waiting_step.tracked_step.key),
-        )
-
-    def _choose_spaces(
-        self, waiting_step: waiting_steps.WaitingStep, count: int
-    ) -> list[packing.Space]:
-        """Return a space for each task that fits, the tightest fit first."""
-        step = waiting_step.tracked_step.step
-
-        def count_slots(space: packing.Space) -> int:
-            return self._count_free_slots(waiting_step, space)
-
-        spaces = self._list_fitting_spaces(waiting_step)
-        if not step.rack:
-            return packing.fill_some(spaces, step.charge, count, count_slots)
-        local_spaces = [space for space in spaces if space.rack == step.rack]
-        chosen = packing.fill_some(
-            local_spaces, step.charge, count, count_slots
-        )
-        if len(chosen) < count and self._may_leave_rack(waiting_step):
-            remote_spaces = [
-                space for space in spaces if space.rack != step.rack
-            ]
-            remaining = count - len(chosen)
-            chosen += packing.fill_some(
-                remote_spaces, step.charge, remaining, count_slots
-            )
-        return chosen
-
-    def _may_leave_rack(self, waiting_step: waiting_steps.WaitingStep) -> bool:
-        """Tell whether a step has waited long enough for its rack.
-
-        A rack that operators have closed is not waited for: the closure has no
-        known end.
-        """
-        if self._racks.is_closed(waiting_step.tracked_step.step.rack):
-            return True
-        waiting_since = waiting_step.tracked_step.waiting_since
-        waited_s = (
-            self._now - waiting_since if waiting_since is not None else 0.0
-        )
-        step = waiting_step.tracked_step.step
-        patience_factor = self._policy.idle_rack_patience
-        if self._racks.is_crowded and self._racks.can_hold(step):
-            patience_factor = self._policy.rack_patience
-        patience_s = patience_factor * step.expected_s
-        if self._is_guaranteed(waiting_step):
-            patience_s = min(
-                patience_s, self._policy.guaranteed_rack_patience_s
-            )
-        return waited_s >= patience_s
-
     def _place_gang(self, waiting_step: waiting_steps.WaitingStep) -> bool:
-        spaces = self._choose_gang(
-            waiting_step, self._list_fitting_spaces(waiting_step)
+        spaces = self._choice.choose_gang(
+            waiting_step, self._choice.list_fitting(waiting_step)
         )
         if spaces is None:
             return self._preempt(
@@ -411,30 +237,6 @@
         )
         return True
 
-    def _choose_gang(
-        self,
-        waiting_step: waiting_steps.WaitingStep,
-        spaces: list[packing.Space],
-    ) -> list[packing.Space] | None:
-        """Return a space for each gang member; None if they don't all fit."""
-        step = waiting_step.tracked_step.step
-
-        def count_slots(space: packing.Space) -> int:
-            return self._count_free_slots(waiting_step, space)
-
-        needs_rack = step.one_rack or bool(step.rack)
-        spaces_by_rack = packing.group_by_rack(spaces)
-        if step.rack and step.rack in spaces_by_rack:
-            spaces_by_rack = {step.rack: spaces_by_rack[step.rack]}
-        rack_spaces = packing.choose_rack(
-            list(spaces_by_rack.values()), step.charge, step.count, count_slots
-        )
-        if rack_spaces is not None:
-            return rack_spaces
-        if needs_rack and not self._may_leave_rack(waiting_step):
-            return None
-        return packing.fill(spaces, step.charge, step.count, count_slots)
-
     # Guarantees and victims.
 
     def _is_guaranteed(self, waiting_step: waiting_steps.WaitingStep) -> bool:
@@ -471,10 +273,10 @@
             len(missing_indices),
             {
                 space.worker: space
-                for space in self._list_allowed_spaces(waiting_step)
-                if self._count_free_slots(waiting_step, space) > 0
+                for space in self._choice.list_allowed(waiting_step)
+                if self._choice.count_free_slots(waiting_step, space) > 0
             },
-            may_leave_rack=self._may_leave_rack(waiting_step),
+            may_leave_rack=self._choice.may_leave_rack(waiting_step),
         )
         if preempted is None:
             return False
@@ -495,7 +297,7 @@
             Placement(waiting_step.tracked_step.key, spots)
         )
         for worker in preempted.workers:
-            self._spaces[worker].take(step.charge)
+            self._choice.spaces[worker].take(step.charge)
         return True
 
     def _hold_workers(self, waiting_step: waiting_steps.WaitingStep) -> None:
@@ -503,13 +305,13 @@
         step = waiting_step.tracked_step.step
         task_count = len(waiting_step.tracked_step.waiting_indices)
         ranked_spaces = sorted(
-            self._list_allowed_spaces(waiting_step),
+            self._choice.list_allowed(waiting_step),
             key=lambda space: self._free_times.find(space.worker, step.charge),
         )
         for space in ranked_spaces[
             : packing.count_workers(task_count, step, ranked_spaces)
         ]:
-            self._held_workers.add(space.worker)
+            self._choice.held_workers.add(space.worker)
 
 
 def plan(
