Prefer groups of workers by speed in pools with fast and slow workers

Cause: a gang over fast and slow workers runs at the slow speed, and urgent gangs on slow workers are late.

Change: if the speeds form two groups, a step tries one group after another: urgent work and work that only fast workers would end in time begin with the fast group, other work with the others. Victims are searched in the same order. worker_choice.order_attempts holds the order. Slowed workers get nothing that the others can hold. Latest start, lateness and the remaining time before a run has shown 5% count with the speed. step:start tells the group.

--- a/crocusrouter/pools/owner.py
+++ b/crocusrouter/pools/owner.py
@@ -28,6 +28,7 @@
 from crocusrouter.store import key_value
 from crocusrouter.telemetry import Metrics
 from crocusrouter.telemetry import log
+from crocusrouter.work import worker_choice
 from crocusrouter.work import worker_port
 
 # Events that arrive within this window share one decision.
@@ -54,6 +55,7 @@
 }
 
 OpenConnection = Callable[[str, str], worker_port.Connection]
+_StartOrders = list[tuple[worker_links.WorkerLink, worker_port.Start]]
 
 
 @dataclasses.dataclass(frozen=True)
@@ -453,9 +455,7 @@
         )
         assert step_work is not None
         step_run_number = self._allocate_run_number()
-        start_orders: list[
-            tuple[worker_links.WorkerLink, worker_port.Start]
-        ] = []
+        start_orders: _StartOrders = []
         for index, incarnation in placement.spots.items():
             run_number = (
                 step_run_number
@@ -485,20 +485,17 @@
             gang=step_work.step.gang,
             waited=round(now - (step_work.waiting_since or now), 3),
             list_age_s=round(self._worker_list.freshness.measure_age(now), 3),
+            **worker_choice.describe_group(
+                self.pool_state.speeds.find_groups(), placement.spots.values()
+            ),
         )
 
-    def _send_starts(
-        self,
-        start_orders: list[tuple[worker_links.WorkerLink, worker_port.Start]],
-    ) -> None:
+    def _send_starts(self, start_orders: _StartOrders) -> None:
         assert self._nursery is not None
         for link, order in start_orders:
             self._nursery.start_soon(link.start, order)
 
-    async def _start_parked(
-        self,
-        start_orders: list[tuple[worker_links.WorkerLink, worker_port.Start]],
-    ) -> None:
+    async def _start_parked(self, start_orders: _StartOrders) -> None:
         """Send starts once the stored record no longer names the job as parked.
 
         Otherwise a successor would assume that nothing of the job runs.
--- a/crocusrouter/work/planner.py
+++ b/crocusrouter/work/planner.py
@@ -114,7 +114,11 @@
         self._plan.stops += list(runs_to_stop.values())
         holding_count = 0
         ordered_steps = waiting_steps.list_waiting_steps(
-            self._pool_state, self._now, self._wall, self._policy
+            self._pool_state,
+            self._now,
+            self._wall,
+            self._policy,
+            self._choice.groups,
         )
         for waiting_step in ordered_steps:
             if waiting_step.tracked_step.key in self._reservations:
@@ -155,27 +159,45 @@
             and self._place_suspect(waiting_step)
         ):
             return True
-        if waiting_step.tracked_step.step.gang:
-            return self._place_gang(waiting_step)
-        indices = sorted(waiting_step.tracked_step.waiting_indices)
-        spaces = self._choice.choose_spaces(waiting_step, len(indices))
-        for space in spaces:
-            space.take(waiting_step.tracked_step.step.charge)
-            space.note_task(waiting_step.tracked_step.key)
-        spots = {
-            index: space.worker
-            for index, space in zip(indices, spaces, strict=False)
-        }
+        missing_indices = set(waiting_step.tracked_step.waiting_indices)
+        free_spaces = self._choice.list_fitting(waiting_step)
+        spots: dict[int, str] = {}
+        for attempt in self._choice.list_attempts(waiting_step):
+            if not attempt.stops:
+                spots |= self._take_free(
+                    waiting_step, free_spaces, missing_indices, attempt
+                )
+                missing_indices -= spots.keys()
+            elif self._preempt(waiting_step, missing_indices, attempt):
+                missing_indices = set()
+            if not missing_indices:
+                break
         if spots:
             self._plan.placements.append(
                 Placement(waiting_step.tracked_step.key, spots)
             )
-        if len(spots) == len(waiting_step.tracked_step.waiting_indices):
-            return True
-        return self._preempt(
-            waiting_step,
-            set(waiting_step.tracked_step.waiting_indices) - set(spots),
+        return not missing_indices
+
+    def _take_free(
+        self,
+        waiting_step: waiting_steps.WaitingStep,
+        free_spaces: list[packing.Space],
+        indices: set[int],
+        attempt: worker_choice.Attempt,
+    ) -> dict[int, str]:
+        """Take free room for the tasks that fit; return their workers."""
+        if not free_spaces:
+            return {}
+        spaces = self._choice.choose_free(
+            waiting_step, free_spaces, len(indices), attempt
         )
+        for space in spaces:
+            space.take(waiting_step.tracked_step.step.charge)
+            space.note_task(waiting_step.tracked_step.key)
+        return {
+            index: space.worker
+            for index, space in zip(sorted(indices), spaces, strict=False)
+        }
 
     def _place_suspect(self, waiting_step: waiting_steps.WaitingStep) -> bool:
         """Start a task or gang that may crash its workers alone on its workers.
@@ -215,28 +237,6 @@
         self._plan.placements.append(placement)
         return True
 
-    def _place_gang(self, waiting_step: waiting_steps.WaitingStep) -> bool:
-        spaces = self._choice.choose_gang(
-            waiting_step, self._choice.list_fitting(waiting_step)
-        )
-        if spaces is None:
-            return self._preempt(
-                waiting_step, set(waiting_step.tracked_step.waiting_indices)
-            )
-        indices = sorted(waiting_step.tracked_step.waiting_indices)
-        for space in spaces:
-            space.take(waiting_step.tracked_step.step.charge)
-        self._plan.placements.append(
-            Placement(
-                waiting_step.tracked_step.key,
-                {
-                    index: space.worker
-                    for index, space in zip(indices, spaces, strict=True)
-                },
-            )
-        )
-        return True
-
     # Guarantees and victims.
 
     def _is_guaranteed(self, waiting_step: waiting_steps.WaitingStep) -> bool:
@@ -251,7 +251,10 @@
         return used + needed <= self._pool_state.guaranteed.get(job.customer, 0)
 
     def _preempt(
-        self, waiting_step: waiting_steps.WaitingStep, missing_indices: set[int]
+        self,
+        waiting_step: waiting_steps.WaitingStep,
+        missing_indices: set[int],
+        attempt: worker_choice.Attempt,
     ) -> bool:
         """Stop runs of lower priority to make room for the missing tasks.
 
@@ -264,19 +267,19 @@
         job = waiting_step.tracked_job.job
         step = waiting_step.tracked_step.step
         loss_factor = self._policy.find_loss_factor(job.priority)
-        if not loss_factor or waiting_step.hopeless or step.lasting:
-            return False
         preempted = preemption.choose_victims(
             self._losses,
             job.priority,
-            step,
+            self._choice.drop_rack(step, attempt),
             len(missing_indices),
             {
                 space.worker: space
-                for space in self._choice.list_allowed(waiting_step)
+                for space in self._choice.list_group(
+                    self._choice.list_allowed(waiting_step), attempt.group
+                )
                 if self._choice.count_free_slots(waiting_step, space) > 0
             },
-            may_leave_rack=self._choice.may_leave_rack(waiting_step),
+            may_leave_rack=attempt.leaves_rack,
         )
         if preempted is None:
             return False
--- a/crocusrouter/work/pool_state.py
+++ b/crocusrouter/work/pool_state.py
@@ -11,6 +11,7 @@
 from crocusrouter.work import crash_records
 from crocusrouter.work import model
 from crocusrouter.work import progress as progresses
+from crocusrouter.work import run_times
 from crocusrouter.work import speeds
 from crocusrouter.work import stop_durations
 from crocusrouter.work import tracking
@@ -422,6 +423,7 @@
         tracked_step: tracking.TrackedStep,
         worker_id: str,
     ) -> None:
+        run.speed = run_times.find_speed(self.speeds, worker_id)
         worker = self.workers[worker_id]
         if run.key not in worker.runs:
             worker.used = worker.used.plus(tracked_step.step.charge)
--- a/crocusrouter/work/preemption.py
+++ b/crocusrouter/work/preemption.py
@@ -8,6 +8,7 @@
 from crocusrouter.work import model
 from crocusrouter.work import packing
 from crocusrouter.work import pool_state as pool_states
+from crocusrouter.work import run_times
 from crocusrouter.work import tracking
 
 _NEVER_S = 1e9
@@ -55,7 +56,7 @@
     ran_s = now - (run.confirmed_at if run.confirmed_at else run.ordered_at)
     if run.percent >= 5:
         return ran_s * (100 - run.percent) / run.percent
-    return max(0.5, tracked_step.step.expected_s - ran_s)
+    return max(0.5, run_times.expect_run_s(run, tracked_step) - ran_s)
 
 
 class FreeTimes:
--- a/crocusrouter/work/waiting_steps.py
+++ b/crocusrouter/work/waiting_steps.py
@@ -8,6 +8,8 @@
 
 from crocusrouter.work import planner_policy as policies
 from crocusrouter.work import pool_state as pool_states
+from crocusrouter.work import run_times
+from crocusrouter.work import speeds
 from crocusrouter.work import tracking
 
 _DEFAULT = policies.PlannerPolicy()
@@ -23,6 +25,7 @@
         latest_start: Unix time by which it must start to meet its objective.
         late: Whether `latest_start` is past.
         hopeless: Whether the job's result has no value any more.
+        needs_fast: Whether it should start on the fast group of workers first.
     """
 
     tracked_job: tracking.TrackedJob
@@ -30,6 +33,7 @@
     latest_start: float
     late: bool
     hopeless: bool
+    needs_fast: bool = False
 
     @property
     def rank(self) -> tuple[bool, int, bool, float]:
@@ -51,6 +55,7 @@
     now: float,
     wall: float,
     policy: policies.PlannerPolicy = _DEFAULT,
+    groups: speeds.SpeedGroups | None = None,
 ) -> list[WaitingStep]:
     """Return the steps with waiting tasks, in scheduling order.
 
@@ -59,8 +64,12 @@
         now: Steady time in seconds.
         wall: Unix time in seconds.
         policy: Weights and limits of the planner.
+        groups: Fast and slow workers, if the caller has found them already.
     """
     waiting_steps = []
+    step_speeds = run_times.StepSpeeds(
+        groups or pool_state.speeds.find_groups(), pool_state.workers
+    )
     blocked_jobs = pool_state.list_blocked_jobs()
     for tracked_job in pool_state.live_jobs.values():
         if tracked_job.is_final or pool_state.may_run_unreported(
@@ -82,7 +91,9 @@
                 continue
             if pool_state.is_ready(tracked_job, tracked_step):
                 waiting_steps.append(
-                    _build_waiting_step(tracked_job, tracked_step, wall, policy)
+                    _build_waiting_step(
+                        tracked_job, tracked_step, wall, policy, step_speeds
+                    )
                 )
     return sorted(waiting_steps, key=lambda waiting_step: waiting_step.rank)
 
@@ -92,15 +103,26 @@
     tracked_step: tracking.TrackedStep,
     wall: float,
     policy: policies.PlannerPolicy,
+    step_speeds: run_times.StepSpeeds,
 ) -> WaitingStep:
     job = tracked_job.job
     due_at = job.find_due(tracked_step.key.occurrence)
     objective_s = job.objective_s
-    remaining_s = job.critical_paths_s[tracked_step.key.step]
+    objective_at = due_at + objective_s
+    position = tracked_step.key.step
+    speed = step_speeds.find_best(tracked_step.step)
+    remaining_s = job.critical_paths_s[position] / speed
     hopeless = (
         wall > due_at + policy.late_factor * objective_s
         and not tracked_step.step.lasting
     )
-    latest_start = due_at + objective_s - remaining_s
+    latest_start = objective_at - remaining_s
     late = wall > latest_start
-    return WaitingStep(tracked_job, tracked_step, latest_start, late, hopeless)
+    return WaitingStep(
+        tracked_job,
+        tracked_step,
+        latest_start,
+        late,
+        hopeless,
+        step_speeds.needs_fast(job, position, objective_at, wall),
+    )
--- a/crocusrouter/work/worker_choice.py
+++ b/crocusrouter/work/worker_choice.py
@@ -1,19 +1,100 @@
 """Choice of the workers on which the tasks of a step start.
 
 The choice depends on the workers' labels and free room, on where the step has
-failed, on its racks, and on the permits of advised jobs.
+failed, on its racks, and on the permits of advised jobs. In a pool with fast
+and slow workers, groups of workers of like speed are tried one after another.
 """
 
 from collections.abc import Callable
+from collections.abc import Iterable
+import dataclasses
+import enum
 
 from crocusrouter.work import model
 from crocusrouter.work import packing
 from crocusrouter.work import planner_policy as policies
 from crocusrouter.work import pool_state as pool_states
 from crocusrouter.work import racks
+from crocusrouter.work import speeds
 from crocusrouter.work import waiting_steps
 
 
+class Group(enum.Enum):
+    """Workers among which a step is placed."""
+
+    ALL = "all"
+    FAST = "fast"
+    OTHERS = "others"  # all that are not in the fast group
+
+
+@dataclasses.dataclass(frozen=True)
+class Attempt:
+    """One way of placing a step.
+
+    Attributes:
+        group: Workers that may be used.
+        stops: Whether runs are stopped to make room; otherwise only free room
+            is used.
+        leaves_rack: Whether tasks that belong in one rack, or near their data,
+            may run elsewhere, where they take several times as long.
+    """
+
+    group: Group
+    stops: bool
+    leaves_rack: bool
+
+
+def order_attempts(
+    *, is_split: bool, needs_fast: bool, needs_rack: bool, may_leave_rack: bool
+) -> list[Attempt]:
+    """Return the ways of placing a step, the preferred one first.
+
+    Free room in any group goes before stopping runs, so that a step starts at
+    once wherever it can. A rack goes before a group: leaving a rack costs a
+    factor of three, the slow group usually less.
+
+    Args:
+        is_split: Whether the pool has a fast and a slow group.
+        needs_fast: Whether the step needs the fast group.
+        needs_rack: Whether the step belongs in one rack or near its data.
+        may_leave_rack: Whether it has waited long enough for its rack.
+    """
+    if not is_split:
+        return [
+            Attempt(Group.ALL, stops, may_leave_rack) for stops in (False, True)
+        ]
+    groups = [Group.FAST, Group.OTHERS, Group.ALL]
+    if not needs_fast:
+        groups = [Group.OTHERS, Group.FAST, Group.ALL]
+    if needs_rack and may_leave_rack:
+        rack_choices = [False, True]
+    else:
+        rack_choices = [may_leave_rack]
+    return [
+        Attempt(group, stops, leaves_rack)
+        for stops in (False, True)
+        for leaves_rack in rack_choices
+        for group in groups
+    ]
+
+
+def describe_group(
+    groups: speeds.SpeedGroups, worker_ids: Iterable[str]
+) -> dict[str, str]:
+    """Return the log field that tells on which group a step starts.
+
+    Returns:
+        `speeds`: "fast" if all workers are in the fast group, "other" if none
+        is, else "mixed"; nothing if the pool has no groups.
+    """
+    if not groups.is_split:
+        return {}
+    are_fast = {worker_id in groups.fast for worker_id in worker_ids}
+    if len(are_fast) > 1:
+        return {"speeds": "mixed"}
+    return {"speeds": "fast" if True in are_fast else "other"}
+
+
 class _ExhaustedRooms:
     """Rooms that no worker offers any more.
 
@@ -23,25 +104,33 @@
     """
 
     def __init__(self) -> None:
-        self._exhausted: set[tuple[model.Room, str]] = set()
+        self._exhausted: set[tuple[model.Room, str, bool]] = set()
 
-    def note(self, waiting_step: waiting_steps.WaitingStep) -> None:
+    def note(
+        self, waiting_step: waiting_steps.WaitingStep, *, uses_slowed: bool
+    ) -> None:
         """Record that no worker has room for one task of a step.
 
         Nothing is recorded for a step with restrictions that don't apply to
         others.
+
+        Args:
+            waiting_step: The step.
+            uses_slowed: Whether slowed workers were among the workers.
         """
         if (
             not waiting_step.tracked_step.avoided_workers
             and not waiting_step.tracked_job.job.advised
         ):
             step = waiting_step.tracked_step.step
-            self._exhausted.add((step.charge, step.label))
+            self._exhausted.add((step.charge, step.label, uses_slowed))
 
-    def is_known(self, waiting_step: waiting_steps.WaitingStep) -> bool:
+    def is_known(
+        self, waiting_step: waiting_steps.WaitingStep, *, uses_slowed: bool
+    ) -> bool:
         """Tell whether no worker can have room for one task of a step."""
         step = waiting_step.tracked_step.step
-        return (step.charge, step.label) in self._exhausted
+        return (step.charge, step.label, uses_slowed) in self._exhausted
 
 
 class WorkerChoice:
@@ -51,6 +140,7 @@
         spaces: Free room of the workers that may start tasks, by worker id; the
             plan takes room from it.
         held_workers: Workers that later steps must not use.
+        groups: Fast and slow workers.
     """
 
     def __init__(
@@ -79,13 +169,22 @@
         self._is_guaranteed = is_guaranteed
         self._racks = racks.Racks(pool_state)
         self._exhausted_rooms = _ExhaustedRooms()
+        self.groups = pool_state.speeds.find_groups()
+        self._slowed_workers: frozenset[str] = frozenset()
+        if self.groups.is_split:
+            self._slowed_workers = frozenset(
+                worker_id
+                for worker_id in pool_state.workers
+                if pool_state.speeds.is_slowed(worker_id, now)
+            )
 
     def list_allowed(
         self, waiting_step: waiting_steps.WaitingStep
     ) -> list[packing.Space]:
         """Return the workers that may run a step.
 
-        Workers on which the step failed are left out if the others can hold it.
+        Workers on which the step failed, and workers that are slowed for a
+        while, are left out if the others can hold it.
         """
         tracked_step = waiting_step.tracked_step
         allowed_spaces = [
@@ -95,42 +194,65 @@
             and self._has_label(space.worker, tracked_step.step.label)
             and self._is_permitted(waiting_step, space.worker)
         ]
-        preferred_spaces = [
-            space
-            for space in allowed_spaces
-            if space.worker not in tracked_step.avoided_workers
-        ]
-        if self._could_rest_hold(waiting_step):
-            return preferred_spaces or allowed_spaces
+        avoided_workers = tracked_step.avoided_workers
+        exclusions = [avoided_workers | self._slowed_workers]
+        if self._slowed_workers:
+            exclusions.append(avoided_workers)
+        for excluded_workers in exclusions:
+            if not excluded_workers:
+                break
+            preferred_spaces = [
+                space
+                for space in allowed_spaces
+                if space.worker not in excluded_workers
+            ]
+            if preferred_spaces and self._could_rest_hold(
+                waiting_step, excluded_workers
+            ):
+                return preferred_spaces
         return allowed_spaces
 
-    def _could_rest_hold(self, waiting_step: waiting_steps.WaitingStep) -> bool:
-        """Tell whether workers on which a step has not failed could hold it.
+    def _could_rest_hold(
+        self, waiting_step: waiting_steps.WaitingStep, excluded: set[str]
+    ) -> bool:
+        """Tell whether the workers that are not excluded could hold a step.
 
         Workers that are full or reserved for a while count as if they were
         empty.
         """
-        tracked_step = waiting_step.tracked_step
-        if not tracked_step.avoided_workers:
-            return True
-        step = tracked_step.step
+        step = waiting_step.tracked_step.step
         limit = step.per_worker or step.count
-        slot_count = sum(
-            min(limit, worker.entry.room.count(step.charge))
-            for worker_id, worker in self._pool_state.workers.items()
-            if worker_id not in tracked_step.avoided_workers
-            and worker.may_take_tasks_later
-            and self._has_label(worker_id, step.label)
-            and self._is_permitted(waiting_step, worker_id)
+        missing_slots = step.count if step.gang else 1
+        for worker_id, worker in self._pool_state.workers.items():
+            if (
+                worker_id not in excluded
+                and worker.may_take_tasks_later
+                and self._has_label(worker_id, step.label)
+                and self._is_permitted(waiting_step, worker_id)
+            ):
+                missing_slots -= min(
+                    limit, worker.entry.room.count(step.charge)
+                )
+                if missing_slots <= 0:
+                    return True
+        return False
+
+    def _uses_slowed(self, waiting_step: waiting_steps.WaitingStep) -> bool:
+        """Tell whether a step may use slowed workers for lack of others."""
+        return bool(self._slowed_workers) and not self._could_rest_hold(
+            waiting_step,
+            waiting_step.tracked_step.avoided_workers | self._slowed_workers,
         )
-        return slot_count >= (step.count if step.gang else 1)
 
     def list_fitting(
         self, waiting_step: waiting_steps.WaitingStep
     ) -> list[packing.Space]:
         """Return the allowed spaces with room for at least one task."""
         charge = waiting_step.tracked_step.step.charge
-        if self._exhausted_rooms.is_known(waiting_step):
+        uses_slowed = self._uses_slowed(waiting_step)
+        if self._exhausted_rooms.is_known(
+            waiting_step, uses_slowed=uses_slowed
+        ):
             return []
         fitting_spaces = [
             space
@@ -138,7 +260,7 @@
             if space.free.holds(charge)
         ]
         if not fitting_spaces:
-            self._exhausted_rooms.note(waiting_step)
+            self._exhausted_rooms.note(waiting_step, uses_slowed=uses_slowed)
         return fitting_spaces
 
     def _has_label(self, worker_id: str, label: str) -> bool:
@@ -175,8 +297,82 @@
             - space.count_tasks(waiting_step.tracked_step.key),
         )
 
-    def choose_spaces(
-        self, waiting_step: waiting_steps.WaitingStep, count: int
+    def list_attempts(
+        self, waiting_step: waiting_steps.WaitingStep
+    ) -> list[Attempt]:
+        """Return the ways of placing a step now, the preferred one first."""
+        step = waiting_step.tracked_step.step
+        needs_rack = step.one_rack or bool(step.rack)
+        may_stop = (
+            self._policy.find_loss_factor(waiting_step.tracked_job.job.priority)
+            and not waiting_step.hopeless
+            and not step.lasting
+        )
+        return [
+            attempt
+            for attempt in order_attempts(
+                is_split=self.groups.is_split,
+                needs_fast=waiting_step.needs_fast,
+                needs_rack=needs_rack,
+                may_leave_rack=not needs_rack
+                or self.may_leave_rack(waiting_step),
+            )
+            if may_stop or not attempt.stops
+        ]
+
+    def list_group(
+        self, spaces: list[packing.Space], group: Group
+    ) -> list[packing.Space]:
+        """Return the spaces of the workers of a group."""
+        if group is Group.ALL:
+            return spaces
+        return [
+            space
+            for space in spaces
+            if (space.worker in self.groups.fast) is (group is Group.FAST)
+        ]
+
+    def drop_rack(self, step: model.Step, attempt: Attempt) -> model.Step:
+        """Return a step as an attempt treats it in the search for victims.
+
+        In a pool with groups, racks have been searched by an earlier attempt if
+        this one may leave them.
+        """
+        if not self.groups.is_split or not attempt.leaves_rack:
+            return step
+        if not step.one_rack and not step.rack:
+            return step
+        return dataclasses.replace(step, one_rack=False, rack="")
+
+    def choose_free(
+        self,
+        waiting_step: waiting_steps.WaitingStep,
+        spaces: list[packing.Space],
+        count: int,
+        attempt: Attempt,
+    ) -> list[packing.Space]:
+        """Return a space with free room for each task that fits.
+
+        Args:
+            waiting_step: The step.
+            spaces: Result of `list_fitting` for the step.
+            count: Number of tasks.
+            attempt: Workers that may be used.
+
+        Returns:
+            Spaces, which may occur several times; for a gang as many as tasks,
+            or none.
+        """
+        if waiting_step.tracked_step.step.gang:
+            return self._choose_gang(waiting_step, spaces, attempt) or []
+        return self._choose_spaces(waiting_step, spaces, count, attempt)
+
+    def _choose_spaces(
+        self,
+        waiting_step: waiting_steps.WaitingStep,
+        spaces: list[packing.Space],
+        count: int,
+        attempt: Attempt,
     ) -> list[packing.Space]:
         """Return a space for each task that fits, the tightest fit first."""
         step = waiting_step.tracked_step.step
@@ -184,14 +380,14 @@
         def count_slots(space: packing.Space) -> int:
             return self.count_free_slots(waiting_step, space)
 
-        spaces = self.list_fitting(waiting_step)
+        spaces = self.list_group(spaces, attempt.group)
         if not step.rack:
             return packing.fill_some(spaces, step.charge, count, count_slots)
         local_spaces = [space for space in spaces if space.rack == step.rack]
         chosen = packing.fill_some(
             local_spaces, step.charge, count, count_slots
         )
-        if len(chosen) < count and self.may_leave_rack(waiting_step):
+        if len(chosen) < count and attempt.leaves_rack:
             remote_spaces = [
                 space for space in spaces if space.rack != step.rack
             ]
@@ -201,6 +397,35 @@
             )
         return chosen
 
+    def _choose_gang(
+        self,
+        waiting_step: waiting_steps.WaitingStep,
+        spaces: list[packing.Space],
+        attempt: Attempt,
+    ) -> list[packing.Space] | None:
+        """Return a space for each gang member; None if they don't all fit."""
+        step = waiting_step.tracked_step.step
+
+        def count_slots(space: packing.Space) -> int:
+            return self.count_free_slots(waiting_step, space)
+
+        rack_spaces = spaces
+        if step.rack:
+            local_spaces = [
+                space for space in spaces if space.rack == step.rack
+            ]
+            rack_spaces = local_spaces or spaces
+        spaces_by_rack = packing.group_by_rack(
+            self.list_group(rack_spaces, attempt.group)
+        )
+        gang_spaces = packing.choose_rack(
+            list(spaces_by_rack.values()), step.charge, step.count, count_slots
+        )
+        if gang_spaces is not None or not attempt.leaves_rack:
+            return gang_spaces
+        spaces = self.list_group(spaces, attempt.group)
+        return packing.fill(spaces, step.charge, step.count, count_slots)
+
     def may_leave_rack(self, waiting_step: waiting_steps.WaitingStep) -> bool:
         """Tell whether a step has waited long enough for its rack.
 
@@ -223,27 +448,3 @@
                 patience_s, self._policy.guaranteed_rack_patience_s
             )
         return waited_s >= patience_s
-
-    def choose_gang(
-        self,
-        waiting_step: waiting_steps.WaitingStep,
-        spaces: list[packing.Space],
-    ) -> list[packing.Space] | None:
-        """Return a space for each gang member; None if they don't all fit."""
-        step = waiting_step.tracked_step.step
-
-        def count_slots(space: packing.Space) -> int:
-            return self.count_free_slots(waiting_step, space)
-
-        needs_rack = step.one_rack or bool(step.rack)
-        spaces_by_rack = packing.group_by_rack(spaces)
-        if step.rack and step.rack in spaces_by_rack:
-            spaces_by_rack = {step.rack: spaces_by_rack[step.rack]}
-        rack_spaces = packing.choose_rack(
-            list(spaces_by_rack.values()), step.charge, step.count, count_slots
-        )
-        if rack_spaces is not None:
-            return rack_spaces
-        if needs_rack and not self.may_leave_rack(waiting_step):
-            return None
-        return packing.fill(spaces, step.charge, step.count, count_slots)
