--- a/bench/replay/day.py
+++ b/bench/replay/day.py
@@ -2,6 +2,7 @@
 
 import collections
 from collections.abc import Callable
+from collections.abc import Mapping
 import dataclasses
 import random
 import re
@@ -12,6 +13,7 @@
 from crocusrouter.pools import reservations
 from crocusrouter.work import packing
 from crocusrouter.work import replacement
+from crocusrouter.work import speeds
 from crocusrouter.work import tracking
 from crocusrouter.work import worker_port
 
@@ -24,6 +26,10 @@
 _JOB_FAILURE_SHARE = 0.02
 _JOB_ID = re.compile(r"\b[0-9a-f]{16}\b")
 
+# Returns the estimates that a day begins with, from the true speed of each
+# worker; the mapping grows as workers join.
+MakeSpeeds = Callable[[Mapping[str, float]], speeds.WorkerSpeeds]
+
 
 @dataclasses.dataclass
 class _SimulatedRun:
@@ -73,6 +79,7 @@
         policy: work.PlannerPolicy,
         seed: int,
         read_clock: Callable[[], float],
+        make_speeds: MakeSpeeds | None,
     ) -> None:
         self.site = site
         self.arrivals = {a.job.id: a for a in arrivals}
@@ -98,6 +105,8 @@
             f"c{n}": site.guaranteed for n in range(site.customers)
         }
         self.seed = seed
+        if make_speeds is not None:
+            self.pool_state.speeds = make_speeds(self.speeds)
         for name, rack in loads.name_workers(site).items():
             self._add_worker(name, rack, 0.0)
 
@@ -448,6 +457,7 @@
     seed: int,
     read_clock: Callable[[], float],
     length_s: float = 34.0,
+    make_speeds: MakeSpeeds | None = None,
 ) -> Outcome:
     """Simulate one day under a policy.
 
@@ -459,8 +469,10 @@
         seed: Seed of task failures, stop times and worker speeds.
         read_clock: Returns real seconds, to time the decisions.
         length_s: Seconds during which jobs arrive.
+        make_speeds: Replaces the pool's estimates of the workers' speeds; None
+            to estimate them.
     """
     simulation = _DaySimulation(
-        site, arrivals, disruptions, policy, seed, read_clock
+        site, arrivals, disruptions, policy, seed, read_clock, make_speeds
     )
     return simulation.run(length_s)
