Search for victims only where enough room could become free

Cause: in a pool with fast and slow workers up to three searches are made for a step.

Change: the room of all such runs is summed up per worker and cached for the plan; a rack or group that is too small is not searched. The workers that a step may use are listed once for all attempts. Plans are the same.

--- a/crocusrouter/work/preemption.py
+++ b/crocusrouter/work/preemption.py
@@ -135,6 +135,7 @@
         self._now = now
         self._gang_losses: dict[model.StepKey, float] = {}
         self._candidates: dict[tuple[str, int], list[_Candidate]] = {}
+        self._stoppable_rooms: dict[tuple[str, int], model.Room] = {}
 
     def note_chosen(self, victims: Victims) -> None:
         """Count the victims as stopped from now on."""
@@ -144,6 +145,7 @@
         for worker_id, priority in list(self._candidates):
             if worker_id in affected_workers:
                 del self._candidates[worker_id, priority]
+                self._stoppable_rooms.pop((worker_id, priority), None)
 
     def list_candidates(
         self, worker_id: str, priority: int
@@ -160,6 +162,27 @@
             self._candidates[worker_id, priority] = candidates
         return candidates
 
+    def count_slots(
+        self, space: packing.Space, priority: int, charge: model.Room
+    ) -> int:
+        """Return how many tasks fit if all runs stop that may be stopped.
+
+        Args:
+            space: Free room of a worker.
+            priority: Only runs of a higher priority number may be stopped.
+            charge: Room of each task.
+        """
+        key = space.worker, priority
+        stoppable_room = self._stoppable_rooms.get(key)
+        if stoppable_room is None:
+            stoppable_room = model.Room()
+            for candidate in self.list_candidates(space.worker, priority):
+                stoppable_room = stoppable_room.plus(
+                    candidate.tracked_step.step.charge
+                )
+            self._stoppable_rooms[key] = stoppable_room
+        return max(0, space.free.plus(stoppable_room).count(charge))
+
     def _find_candidates(
         self, worker_id: str, priority: int
     ) -> list["_Candidate"]:
@@ -251,7 +274,7 @@
                 if name == step.rack
             }
         for rack_spaces in _list_emptiest(racks):
-            victims = _Search(losses, priority, step, rack_spaces).run(count)
+            victims = _search(losses, priority, step, count, rack_spaces)
             if victims is not None:
                 victims_by_rack.append(victims)
     if victims_by_rack:
@@ -262,7 +285,28 @@
     if len(all_spaces) > _MAX_WORKERS:
         all_spaces.sort(key=lambda space: -space.free.accelerators)
         del all_spaces[max(_MAX_WORKERS, count) :]
-    return _Search(losses, priority, step, all_spaces).run(count)
+    return _search(losses, priority, step, count, all_spaces)
+
+
+def _search(
+    losses: Losses,
+    priority: int,
+    step: model.Step,
+    count: int,
+    spaces: list[packing.Space],
+) -> Victims | None:
+    """Search victims among some workers unless they are too few anyway.
+
+    Under load most searches would fail for this reason. The check takes a
+    fraction of their time.
+    """
+    missing_slots = count
+    for space in spaces:
+        slots = losses.count_slots(space, priority, step.charge)
+        missing_slots -= min(slots, step.per_worker or slots)
+        if missing_slots <= 0:
+            return _Search(losses, priority, step, spaces).run(count)
+    return None
 
 
 def _list_emptiest(
--- a/crocusrouter/work/worker_choice.py
+++ b/crocusrouter/work/worker_choice.py
@@ -169,6 +169,8 @@
         self._is_guaranteed = is_guaranteed
         self._racks = racks.Racks(pool_state)
         self._exhausted_rooms = _ExhaustedRooms()
+        self._allowed_spaces: list[packing.Space] = []
+        self._allowed_for: tuple[model.StepKey, int] | None = None
         self.groups = pool_state.speeds.find_groups()
         self._slowed_workers: frozenset[str] = frozenset()
         if self.groups.is_split:
@@ -184,8 +186,18 @@
         """Return the workers that may run a step.
 
         Workers on which the step failed, and workers that are slowed for a
-        while, are left out if the others can hold it.
+        while, are left out if the others can hold it. The result is kept for
+        the further attempts to place the same step.
         """
+        key = waiting_step.tracked_step.key, len(self.held_workers)
+        if self._allowed_for != key:
+            self._allowed_spaces = self._find_allowed(waiting_step)
+            self._allowed_for = key
+        return self._allowed_spaces
+
+    def _find_allowed(
+        self, waiting_step: waiting_steps.WaitingStep
+    ) -> list[packing.Space]:
         tracked_step = waiting_step.tracked_step
         allowed_spaces = [
             space
