Estimate the speeds of workers from the progress of their runs

Cause: the interface of work/speeds.py has no estimator. The state passes its workers, so that racks are known; adopted runs are observed when they are adopted. Conclusion: a first version for the other parts to build on.

--- a/crocusrouter/work/pool_state.py
+++ b/crocusrouter/work/pool_state.py
@@ -55,7 +55,7 @@
         self.guaranteed: dict[str, int] = {}
         self.closed_data_centres: frozenset[str] = frozenset()
         self.stop_durations = stop_durations.StopDurations()
-        self.speeds = speeds.WorkerSpeeds()
+        self.speeds = speeds.WorkerSpeeds(self.workers)
         self.contended_at: float | None = None
         self.worker_crashes: dict[str, crash_records.WorkerCrash] = {}
         self.events: collections.deque[tuple[str, dict[str, object]]] = (
--- a/crocusrouter/work/reports.py
+++ b/crocusrouter/work/reports.py
@@ -86,9 +86,7 @@
         run.percent = reported_run.percent
         run.load = reported_run.load
         run.checkpoint = reported_run.checkpoint or run.checkpoint
-        if run.tracked_step is not None:
-            members = run.tracked_step.runs_by_index.values()
-            pool_state.speeds.observe(run, run.tracked_step, members, now)
+        _observe_speed(pool_state, run, now)
         crashes.clear_working_run(pool_state, run, worker)
         return
     if run is None and _may_adopt(pool_state, reported_run.key):
@@ -100,6 +98,7 @@
         )
         adopted_run.percent = reported_run.percent
         pool_state.note_started(reported_run.key, reported_run.run, now)
+        _observe_speed(pool_state, adopted_run, now)
         pool_state.note(
             "run:adopted",
             task=reported_run.key,
@@ -119,6 +118,15 @@
     )
 
 
+def _observe_speed(
+    pool_state: pool_states.PoolState, run: tracking.Run, now: float
+) -> None:
+    """Update the speeds of workers from a run's progress."""
+    if run.tracked_step is not None:
+        members = run.tracked_step.runs_by_index.values()
+        pool_state.speeds.observe(run, run.tracked_step, members, now)
+
+
 def _may_adopt(pool_state: pool_states.PoolState, key: model.TaskKey) -> bool:
     """Tell whether a run that a previous owner started is still wanted."""
     tracked_job = pool_state.jobs.get(key.job)
--- /dev/null
+++ b/crocusrouter/work/speed_fit.py
@@ -0,0 +1,209 @@
+"""Fit of the rates of runs: log rate = level of the step + log speed + noise.
+
+All medians are weighted and interpolated: of two values they are the mean, of
+many they ignore the outliers that a few tasks of unusual length cause.
+"""
+
+from collections.abc import Collection
+from collections.abc import Iterable
+import dataclasses
+import math
+
+from crocusrouter.work import model
+from crocusrouter.work import run_rates
+
+RunKey = tuple[model.TaskKey, int]
+
+_MAX_SWEEPS = 12
+# Greatest change of a log speed in the last sweep.
+_TOLERANCE = 0.01
+# Weight in a step's level of a worker about which other steps say nothing.
+_UNKNOWN_WEIGHT = 0.25
+# A run that is this much faster or slower than the speeds of the others tells
+# of its own task or of a disturbance.
+_OUTLIER_LOG = math.log(4.0)
+_OUTLIER_WEIGHT = 0.1
+# A lower bound counts for a worker without exact rates only if it lies above
+# the usual speed by this log factor.
+_MIN_BOUND_LOG = 0.2
+# Every rate that was measured since outweighs an estimate of an earlier owner.
+_RESTORED_WEIGHT = 0.02
+_RESTORED_UNTIL_RUNS = 2
+
+
+@dataclasses.dataclass(eq=False)
+class Sample:
+    """The rate of one run.
+
+    Attributes:
+        worker_id: Id of the worker's incarnation.
+        since: Steady time at which the rate was first known.
+        log_rate: Logarithm of the percent per second.
+        weight: Weight, from 0 to 1.
+        is_exact: Whether it is more than a lower bound.
+        value: Log speed of the worker according to this run; None if no other
+            worker can be compared.
+    """
+
+    worker_id: str
+    since: float
+    log_rate: float = 0.0
+    weight: float = 0.0
+    is_exact: bool = False
+    value: float | None = None
+
+
+@dataclasses.dataclass(eq=False)
+class StepRates:
+    """Rates of the runs of a step that are alike.
+
+    Attributes:
+        expected_s: Declared run time in seconds.
+        begins_at: Steady time at which the work of the gang begins; None if it
+            is unknown or if the step is no gang.
+        is_start_unknown: Whether a gang's work may have begun before this owner
+            knew of it.
+        seen_at: Steady time of the last observation.
+        rates: Measurements by run.
+        samples: Samples by run.
+        level: Log rate at the usual speed; None if it is unknown.
+    """
+
+    expected_s: float
+    begins_at: float | None = None
+    is_start_unknown: bool = False
+    seen_at: float = 0.0
+    rates: dict[RunKey, run_rates.RunRate] = dataclasses.field(
+        default_factory=dict
+    )
+    samples: dict[RunKey, Sample] = dataclasses.field(default_factory=dict)
+    level: float | None = None
+
+    @property
+    def log_excess(self) -> float | None:
+        """Log of the measured work at the usual speed by the declared one."""
+        if self.level is None:
+            return None
+        return math.log(100 / self.expected_s) - self.level
+
+
+@dataclasses.dataclass(eq=False)
+class WorkerSamples:
+    """Samples of one worker and the log speed that follows from them.
+
+    Attributes:
+        samples: The latest samples by run, in the order of their first reports.
+        restored: Log speed of an earlier owner's estimate; None if none.
+        restored_since: Steady time since when that estimate existed.
+        log_speed: Log speed; None if it is unknown.
+        steps: Number of steps whose samples count.
+        used: The samples that count.
+    """
+
+    samples: dict[RunKey, Sample] = dataclasses.field(default_factory=dict)
+    restored: float | None = None
+    restored_since: float = 0.0
+    log_speed: float | None = None
+    steps: int = 0
+    used: list[Sample] = dataclasses.field(default_factory=list)
+
+
+def fit(
+    steps: Collection[StepRates], workers: dict[str, WorkerSamples]
+) -> None:
+    """Set the levels of steps, the samples' values and the log speeds.
+
+    Samples of steps that are not among `steps` keep their values.
+    """
+    for worker in workers.values():
+        worker.steps = len({key[0][:3] for key in worker.samples})
+    for _ in range(_MAX_SWEEPS):
+        for step in steps:
+            _fit_step(step, workers)
+        change = max(map(_fit_worker, workers.values()), default=0.0)
+        if change < _TOLERANCE:
+            return
+
+
+def find_median(pairs: Iterable[tuple[float, float]]) -> float:
+    """Return the interpolated median of values with weights.
+
+    >>> find_median([(1.0, 1.0), (2.0, 1.0)])
+    1.5
+    >>> find_median([(1.0, 1.0), (2.0, 1.0), (9.0, 1.0)])
+    2.0
+    """
+    ordered = sorted(pairs)
+    half = math.fsum(weight for _, weight in ordered) / 2
+    passed = 0.0
+    previous_value, previous_middle = ordered[0][0], 0.0
+    for value, weight in ordered:
+        middle = passed + weight / 2
+        if middle >= half:
+            if middle <= previous_middle:
+                return value
+            share = (half - previous_middle) / (middle - previous_middle)
+            return previous_value + share * (value - previous_value)
+        passed += weight
+        previous_value, previous_middle = value, middle
+    return previous_value
+
+
+def _fit_step(step: StepRates, workers: dict[str, WorkerSamples]) -> None:
+    """Set a step's level from the speeds of its workers."""
+    exact: list[tuple[float, float]] = []
+    bounds: list[tuple[float, float]] = []
+    names = set()
+    for sample in step.samples.values():
+        names.add(sample.worker_id)
+        worker = workers.get(sample.worker_id)
+        log_speed, weight = 0.0, _UNKNOWN_WEIGHT
+        if (
+            worker is not None
+            and worker.log_speed is not None
+            and (worker.steps > 1 or worker.restored is not None)
+        ):
+            log_speed, weight = worker.log_speed, 1.0
+        pair = (sample.log_rate - log_speed, weight * sample.weight)
+        (exact if sample.is_exact else bounds).append(pair)
+    if len(names) < 2 or not exact:
+        step.level = None
+    else:
+        step.level = find_median(exact)
+        higher = [pair for pair in bounds if pair[0] > step.level]
+        if higher:
+            step.level = find_median(exact + higher)
+    for sample in step.samples.values():
+        sample.value = (
+            None if step.level is None else sample.log_rate - step.level
+        )
+
+
+def _fit_worker(worker: WorkerSamples) -> float:
+    """Set a worker's log speed; return by how much it has changed."""
+    known = [s for s in worker.samples.values() if s.value is not None]
+    worker.used = [sample for sample in known if sample.is_exact]
+    if len(worker.used) >= _RESTORED_UNTIL_RUNS:
+        worker.restored = None
+    pairs = [_weigh(sample) for sample in worker.used]
+    if worker.restored is not None:
+        pairs.append((worker.restored, _RESTORED_WEIGHT))
+    lowest = find_median(pairs) if pairs else _MIN_BOUND_LOG
+    bounds = [
+        sample
+        for sample in known
+        if not sample.is_exact and (sample.value or 0.0) > lowest
+    ]
+    worker.used += bounds
+    pairs += map(_weigh, bounds)
+    before = worker.log_speed
+    worker.log_speed = find_median(pairs) if pairs else None
+    if before is None or worker.log_speed is None:
+        return 0.0 if before is worker.log_speed else 1.0
+    return abs(worker.log_speed - before)
+
+
+def _weigh(sample: Sample) -> tuple[float, float]:
+    value = sample.value or 0.0
+    is_outlier = abs(value) > _OUTLIER_LOG
+    return value, sample.weight * (_OUTLIER_WEIGHT if is_outlier else 1.0)
