Demand that groups of workers are far apart against the noise of their runs

Cause: pools of workers of like speed were split: workers with no steps in common with others drifted away, and few noisy runs formed groups by chance. Change: a worker's part in the level of a step is drawn towards the usual speed; a sample weighs less if little is known of the step's other workers; a split needs a distance in multiples of the deviations of workers and of single runs.

--- a/crocusrouter/work/speed_fit.py
+++ b/crocusrouter/work/speed_fit.py
@@ -1,14 +1,14 @@
 """Fit of the rates of runs: log rate = level of the step + log speed + noise.
 
-All medians are weighted and interpolated: of two values they are the mean, of
-many they ignore the outliers that a few tasks of unusual length cause.
+Medians ignore the outliers that a few tasks of unusual length cause.
 """
 
+import collections
 from collections.abc import Collection
-from collections.abc import Iterable
 import dataclasses
 import math
 
+from crocusrouter.work import medians
 from crocusrouter.work import model
 from crocusrouter.work import run_rates
 
@@ -19,6 +19,11 @@
 _TOLERANCE = 0.01
 # Weight in a step's level of a worker about which other steps say nothing.
 _UNKNOWN_WEIGHT = 0.25
+# Weight of the usual speed for every worker. Without it, workers that have no
+# steps in common with others could drift away from them.
+_PRIOR_WEIGHT = 0.2
+# Number of runs that count for a worker.
+_MAX_RUNS = 8
 # A run that is this much faster or slower than the speeds of the others tells
 # of its own task or of a disturbance.
 _OUTLIER_LOG = math.log(4.0)
@@ -43,14 +48,17 @@
         is_exact: Whether it is more than a lower bound.
         value: Log speed of the worker according to this run; None if no other
             worker can be compared.
+        value_weight: Weight of `value`, which also depends on what is known of
+            the step's other workers.
     """
 
     worker_id: str
     since: float
-    log_rate: float = 0.0
+    log_rate: float = math.nan
     weight: float = 0.0
     is_exact: bool = False
     value: float | None = None
+    value_weight: float = 0.0
 
 
 @dataclasses.dataclass(eq=False)
@@ -96,6 +104,8 @@
         restored: Log speed of an earlier owner's estimate; None if none.
         restored_since: Steady time since when that estimate existed.
         log_speed: Log speed; None if it is unknown.
+        anchored: The log speed, closer to the usual speed the fewer rates there
+            are; it sets the levels of steps.
         steps: Number of steps whose samples count.
         used: The samples that count.
     """
@@ -104,6 +114,7 @@
     restored: float | None = None
     restored_since: float = 0.0
     log_speed: float | None = None
+    anchored: float | None = None
     steps: int = 0
     used: list[Sample] = dataclasses.field(default_factory=list)
 
@@ -116,7 +127,13 @@
     Samples of steps that are not among `steps` keep their values.
     """
     for worker in workers.values():
-        worker.steps = len({key[0][:3] for key in worker.samples})
+        worker.steps = len(
+            {
+                key[0][:3]
+                for key, sample in worker.samples.items()
+                if sample.value is not None
+            }
+        )
     for _ in range(_MAX_SWEEPS):
         for step in steps:
             _fit_step(step, workers)
@@ -125,70 +142,50 @@
             return
 
 
-def find_median(pairs: Iterable[tuple[float, float]]) -> float:
-    """Return the interpolated median of values with weights.
-
-    >>> find_median([(1.0, 1.0), (2.0, 1.0)])
-    1.5
-    >>> find_median([(1.0, 1.0), (2.0, 1.0), (9.0, 1.0)])
-    2.0
-    """
-    ordered = sorted(pairs)
-    half = math.fsum(weight for _, weight in ordered) / 2
-    passed = 0.0
-    previous_value, previous_middle = ordered[0][0], 0.0
-    for value, weight in ordered:
-        middle = passed + weight / 2
-        if middle >= half:
-            if middle <= previous_middle:
-                return value
-            share = (half - previous_middle) / (middle - previous_middle)
-            return previous_value + share * (value - previous_value)
-        passed += weight
-        previous_value, previous_middle = value, middle
-    return previous_value
-
-
 def _fit_step(step: StepRates, workers: dict[str, WorkerSamples]) -> None:
     """Set a step's level from the speeds of its workers."""
     exact: list[tuple[float, float]] = []
     bounds: list[tuple[float, float]] = []
-    names = set()
+    weights: dict[str, float] = collections.defaultdict(float)
     for sample in step.samples.values():
-        names.add(sample.worker_id)
         worker = workers.get(sample.worker_id)
         log_speed, weight = 0.0, _UNKNOWN_WEIGHT
-        if (
-            worker is not None
-            and worker.log_speed is not None
-            and (worker.steps > 1 or worker.restored is not None)
-        ):
-            log_speed, weight = worker.log_speed, 1.0
+        if worker is not None and worker.anchored is not None:
+            log_speed = worker.anchored
+            if worker.steps > 1 or worker.restored is not None:
+                weight = 1.0
         pair = (sample.log_rate - log_speed, weight * sample.weight)
         (exact if sample.is_exact else bounds).append(pair)
-    if len(names) < 2 or not exact:
+        weights[sample.worker_id] += pair[1]
+    if len(weights) < 2 or not exact:
         step.level = None
     else:
-        step.level = find_median(exact)
+        step.level = medians.find_median(exact)
         higher = [pair for pair in bounds if pair[0] > step.level]
         if higher:
-            step.level = find_median(exact + higher)
+            step.level = medians.find_median(exact + higher)
+    total = math.fsum(weights.values())
     for sample in step.samples.values():
-        sample.value = (
-            None if step.level is None else sample.log_rate - step.level
-        )
+        if step.level is None:
+            sample.value = None
+            continue
+        sample.value = sample.log_rate - step.level
+        # The variances of the rate and of the level that the others set add.
+        others = max(1e-3, total - weights[sample.worker_id])
+        sample.value_weight = 1 / (1 / sample.weight + 1 / others)
 
 
 def _fit_worker(worker: WorkerSamples) -> float:
     """Set a worker's log speed; return by how much it has changed."""
     known = [s for s in worker.samples.values() if s.value is not None]
+    known = known[-_MAX_RUNS:]
     worker.used = [sample for sample in known if sample.is_exact]
     if len(worker.used) >= _RESTORED_UNTIL_RUNS:
         worker.restored = None
     pairs = [_weigh(sample) for sample in worker.used]
     if worker.restored is not None:
         pairs.append((worker.restored, _RESTORED_WEIGHT))
-    lowest = find_median(pairs) if pairs else _MIN_BOUND_LOG
+    lowest = medians.find_median(pairs) if pairs else _MIN_BOUND_LOG
     bounds = [
         sample
         for sample in known
@@ -196,14 +193,32 @@
     ]
     worker.used += bounds
     pairs += map(_weigh, bounds)
-    before = worker.log_speed
-    worker.log_speed = find_median(pairs) if pairs else None
-    if before is None or worker.log_speed is None:
-        return 0.0 if before is worker.log_speed else 1.0
-    return abs(worker.log_speed - before)
+    before = worker.anchored
+    worker.log_speed = worker.anchored = None
+    if pairs:
+        worker.log_speed = medians.find_median(pairs)
+        total = math.fsum(weight for _, weight in pairs)
+        if worker.restored is None:
+            total += _PRIOR_WEIGHT
+        worker.anchored = worker.log_speed * (
+            math.fsum(weight for _, weight in pairs) / total
+        )
+    if before is None or worker.anchored is None:
+        return 0.0 if before is worker.anchored else 1.0
+    return abs(worker.anchored - before)
+
+
+def list_values(worker: WorkerSamples) -> list[tuple[float, float]]:
+    """Return the log speeds according to single runs, with their weights.
+
+    A restored estimate counts as one run.
+    """
+    if not worker.used and worker.log_speed is not None:
+        return [(worker.log_speed, 1.0)]
+    return [_weigh(sample) for sample in worker.used]
 
 
 def _weigh(sample: Sample) -> tuple[float, float]:
     value = sample.value or 0.0
     is_outlier = abs(value) > _OUTLIER_LOG
-    return value, sample.weight * (_OUTLIER_WEIGHT if is_outlier else 1.0)
+    return value, sample.value_weight * (_OUTLIER_WEIGHT if is_outlier else 1.0)
--- a/crocusrouter/work/speed_groups.py
+++ b/crocusrouter/work/speed_groups.py
@@ -1,9 +1,13 @@
 """Split of the workers of a pool into a fast and a slow group."""
 
+from collections.abc import Iterable
 from collections.abc import Mapping
+import dataclasses
 import math
 import statistics
 
+from crocusrouter.work import medians
+
 # With fewer workers, chance makes groups.
 _MIN_WORKERS = 8
 # Share of the workers in the smaller group. Fewer slow workers are more likely
@@ -11,54 +15,71 @@
 _MIN_SHARE = 0.25
 # Factor between the medians of the groups.
 _MIN_LOG_FACTOR = math.log(1.5)
-# Distance of the medians as a multiple of the median deviation within the
-# groups. The halves of a normal distribution are 3.4 apart, those of a uniform
-# one 4, and two thirds at 0.7 and a third at 1.7 that are known within 20% are
-# 6.6 apart.
-_MIN_SEPARATION = 5.0
+# Sum of the weights of all samples. Fewer agree by chance.
+_MIN_WEIGHT = 24.0
+# Least distance of the medians, as a multiple of the median deviation of the
+# workers and of their samples. The halves of a normal distribution are 3.4
+# apart, those of a uniform one 4, and with few workers chance exceeds both: 24
+# workers of like speed reached 6 in some simulated days.
+_MIN_SEPARATION = 3.0
+_SMALL_POOL_SEPARATION = 18.0
+# Share of that distance at which existing groups remain.
+_KEPT_SHARE = 0.6
 # How far past the boundary a worker must be to change its group.
 _LOG_MARGIN = math.log(1.1)
 
 
+@dataclasses.dataclass(frozen=True)
+class Estimate:
+    """What is known of one worker.
+
+    Attributes:
+        log_speed: Natural logarithm of the speed.
+        samples: Log speeds according to single runs, with weights from 0 to 1.
+    """
+
+    log_speed: float
+    samples: tuple[tuple[float, float], ...]
+
+
 def find_fast(
-    log_speeds: Mapping[str, float], fast_before: frozenset[str]
+    estimates: Mapping[str, Estimate], fast_before: frozenset[str]
 ) -> frozenset[str]:
     """Return the workers of the fast group; empty if there are no groups.
 
     Args:
-        log_speeds: Natural logarithm of the speed by worker, of all workers
-            with an estimate.
+        estimates: Estimates by worker, of all workers that have one.
         fast_before: Workers of the fast group so far; empty if there were no
             groups. While there are groups, they need not be as far apart as
             when they were found, and workers near the boundary stay where
             they are.
     """
-    count = len(log_speeds)
+    count = len(estimates)
     smallest = max(1, math.ceil(_MIN_SHARE * count))
     if count < _MIN_WORKERS:
         return frozenset()
-    values = sorted(log_speeds.values())
+    values = sorted(estimate.log_speed for estimate in estimates.values())
     position = _find_best_split(values, smallest)
-    slow, fast = values[:position], values[position:]
-    slow_median, fast_median = statistics.median(slow), statistics.median(fast)
+    slow_median = statistics.median(values[:position])
+    fast_median = statistics.median(values[position:])
     distance = fast_median - slow_median
     if distance < _MIN_LOG_FACTOR:
         return frozenset()
-    if not fast_before and distance < _MIN_SEPARATION * _measure_spread(
-        slow, fast
-    ):
+    needed = _MIN_SEPARATION + _SMALL_POOL_SEPARATION / math.sqrt(count)
+    if fast_before:
+        needed *= _KEPT_SHARE
+    spread = _measure_spread(estimates.values(), slow_median, fast_median)
+    if distance < needed * spread:
         return frozenset()
     boundary = (slow_median + fast_median) / 2
     members = frozenset(
         worker
-        for worker, value in log_speeds.items()
-        if value > boundary + _find_margin(worker, fast_before)
-    )
-    return (
-        members
-        if smallest <= len(members) <= count - smallest
-        else (frozenset())
+        for worker, estimate in estimates.items()
+        if estimate.log_speed > boundary + _find_margin(worker, fast_before)
     )
+    if not smallest <= len(members) <= count - smallest:
+        return frozenset()
+    return members
 
 
 def _find_margin(worker: str, fast_before: frozenset[str]) -> float:
@@ -89,10 +110,24 @@
     return best
 
 
-def _measure_spread(slow: list[float], fast: list[float]) -> float:
-    """Return the median deviation from the median of the own group."""
-    deviations = []
-    for group in (slow, fast):
-        middle = statistics.median(group)
-        deviations += [abs(value - middle) for value in group]
-    return statistics.median(deviations)
+def _measure_spread(
+    estimates: Iterable[Estimate], slow_median: float, fast_median: float
+) -> float:
+    """Return the median deviation from the nearer median.
+
+    It is that of the workers or that of the samples, whichever is larger:
+    workers of one run each may be alike by chance. It is infinite if there are
+    too few samples.
+    """
+    boundary = (slow_median + fast_median) / 2
+    of_workers = []
+    of_samples = []
+    for estimate in estimates:
+        middle = fast_median if estimate.log_speed > boundary else slow_median
+        of_workers.append((abs(estimate.log_speed - middle), 1.0))
+        of_samples += [
+            (abs(value - middle), weight) for value, weight in estimate.samples
+        ]
+    if math.fsum(weight for _, weight in of_samples) < _MIN_WEIGHT:
+        return math.inf
+    return max(medians.find_median(of_workers), medians.find_median(of_samples))
--- a/crocusrouter/work/speeds.py
+++ b/crocusrouter/work/speeds.py
@@ -14,8 +14,8 @@
 from crocusrouter.work import speed_groups
 from crocusrouter.work import tracking
 
-# Number of runs whose rates count for a worker.
-_MAX_RUNS = 8
+# Number of runs kept for a worker, also of steps that have no second worker.
+_MAX_WORKER_SAMPLES = 16
 # A fit takes some milliseconds and every report changes some rate.
 _FIT_INTERVAL_S = 0.25
 # Time without reports after which a step's rates are kept as they are.
@@ -328,7 +328,7 @@
         if sample is None:
             sample = speed_fit.Sample(worker_id, now)
             rates.samples[key] = worker.samples[key] = sample
-            _drop_oldest(worker.samples, _MAX_RUNS)
+            _drop_oldest(worker.samples, _MAX_WORKER_SAMPLES)
             _drop_oldest(rates.samples, _MAX_STEP_SAMPLES)
         log_rate = math.log(rate.percent_per_s)
         if sample.log_rate != log_rate or sample.is_exact != rate.is_exact:
@@ -418,21 +418,27 @@
             self._log_scale = log_scale
 
     def _split_workers(self) -> SpeedGroups:
-        log_speeds = {
-            worker_id: worker.log_speed - self._log_scale
+        estimates = {
+            worker_id: speed_groups.Estimate(
+                worker.log_speed, tuple(speed_fit.list_values(worker))
+            )
             for worker_id, worker in self._workers.items()
             if worker.log_speed is not None
         }
-        fast = speed_groups.find_fast(log_speeds, self._fast)
-        self._fast = fast
-        if not fast:
+        self._fast = speed_groups.find_fast(estimates, self._fast)
+        if not self._fast:
             return SpeedGroups()
-        slow = frozenset(log_speeds) - fast
+        slow = frozenset(estimates) - self._fast
         return SpeedGroups(
-            fast,
+            self._fast,
             slow,
-            _find_speed(fast, log_speeds),
-            _find_speed(slow, log_speeds),
+            self._find_median_speed(self._fast),
+            self._find_median_speed(slow),
+        )
+
+    def _find_median_speed(self, worker_ids: Iterable[str]) -> float:
+        return statistics.median(
+            self.find_speed(worker_id) or 1.0 for worker_id in worker_ids
         )
 
 
@@ -495,10 +501,3 @@
 ) -> None:
     if len(samples) > limit:
         del samples[next(iter(samples))]
-
-
-def _find_speed(
-    worker_ids: Iterable[str], log_speeds: Mapping[str, float]
-) -> float:
-    """Return the median speed of some workers."""
-    return math.exp(statistics.median(map(log_speeds.__getitem__, worker_ids)))
