Replay: count stops by reason; report 100 percent of finished tasks

Cause: 100 * done / total can lie below 100 where both are equal, so that some finished tasks were reported at 99 percent until their gang ended, unlike those of real workers. Change: divide first. Outcomes hold the planner's stops by reason.

--- a/bench/replay/day.py
+++ b/bench/replay/day.py
@@ -49,15 +49,21 @@
         job_results: One result for each job that was not cancelled.
         wasted_by: Core-seconds of stopped or lost work that no checkpoint
             saved, by the cause of its end.
-        stops: Number of runs that were preempted.
+        stops_by: Number of runs that the planner stopped, by its reason with
+            job ids masked.
         decisions_s: Real duration of each decision in seconds.
     """
 
     job_results: list[scoring.JobResult]
     wasted_by: dict[str, float]
-    stops: int
+    stops_by: dict[str, int]
     decisions_s: list[float]
 
+    @property
+    def stops(self) -> int:
+        """Number of runs that the planner stopped."""
+        return sum(self.stops_by.values())
+
     @property
     def wasted(self) -> float:
         """Core-seconds of wasted work, over all causes."""
@@ -91,7 +97,7 @@
         self.wasted_by: collections.defaultdict[str, float] = (
             collections.defaultdict(float)
         )
-        self.stops = 0
+        self.stops_by: collections.Counter[str] = collections.Counter()
         self.next_run_number = 1
         self.decisions_s: list[float] = []
         self.pool_state.guaranteed = {
@@ -130,7 +136,7 @@
         return Outcome(
             self._list_job_results(),
             self.wasted_by,
-            self.stops,
+            self.stops_by,
             self.decisions_s,
         )
 
@@ -300,7 +306,8 @@
                     run.key,
                     run.number,
                     "",
-                    float(int(100 * run.done_s / run.total_s)),
+                    # The quotient first: 100 * x / x may be below 100.
+                    float(int(100 * (run.done_s / run.total_s))),
                 )
                 for run in by_worker.get(name, [])
             )
@@ -340,7 +347,7 @@
             self.pool_state.note_contention(now)
         for run, why in plan.stops:
             self.pool_state.stop_run(run, why, now)
-            self.stops += 1
+            self.stops_by[_JOB_ID.sub("JOB", why)] += 1
         for placement in plan.reservations:
             self.reserved.add(placement, now)
         for _, order in self.pool_state.outbox:
