Crashes: a resumed gang counts as working only once it makes progress

Cause: a gang that resumes shows the progress of its checkpoint before all its members have started. This was taken for work and cleared the step of an early crash. Change: only progress beyond the first value counts. Conclusion: the test fails before the change and passes after it.

--- a/crocusrouter/work/crashes.py
+++ b/crocusrouter/work/crashes.py
@@ -240,9 +240,9 @@
         or crash_records.is_early(run, worker)
     ):
         return
-    if tracked_step.step.gang and not run.percent:
+    if tracked_step.step.gang and run.percent <= run.measured_from:
         # The task waits for the other members of its gang, and works only after
-        # that.
+        # that. If it resumes from a checkpoint, it starts above 0 percent.
         return
     worked_s = crash_records.measure_work_time(run, worker)
     if (
--- a/crocusrouter/work/tests/test_gang_progress.py
+++ b/crocusrouter/work/tests/test_gang_progress.py
@@ -8,6 +8,7 @@
 from crocusrouter import work
 from crocusrouter.work import gang_progress
 from crocusrouter.work import preemption
+from crocusrouter.work import progress as progresses
 from crocusrouter.work import relocation
 from crocusrouter.work import worker_port
 from crocusrouter.work.tests import build
@@ -322,6 +323,28 @@
     assert len(plan.stops) == 2 * stopped
 
 
+# A gang that resumes shows progress before all its members have started. Taken
+# for work, this cleared a step under which workers crash as it begins to work.
+@pytest.mark.parametrize(
+    ("resumed", "percents", "cleared"),
+    [
+        (False, [0.0, 0.0], False),
+        (False, [0.0, 10.0], True),
+        (True, [60.0, 60.0], False),
+        (True, [60.0, 62.0], True),
+    ],
+)
+def test_resumed_gang_is_cleared_of_crashes_only_once_it_works(
+    resumed, percents, cleared
+):
+    pool_state = _start(2, resumed=resumed)
+    tracked_step = _find_step(pool_state)
+    tracked_step.progress.crashes[0] = [progresses.Crash(0, True)]
+    _report(pool_state, [percents[0]] * 2, 1.0)
+    _report(pool_state, percents, 3.0)
+    assert tracked_step.progress.is_suspect is not cleared
+
+
 # An owner may have died after it had started only a part of a gang. The others
 # would wait for the missing members for ever.
 @pytest.mark.parametrize(("reported", "stopped"), [(3, 0), (2, 2), (0, 0)])
