--- a/crocusrouter/work/tests/test_worker_choice.py
+++ b/crocusrouter/work/tests/test_worker_choice.py
@@ -3,8 +3,8 @@
 import pytest
 
 from crocusrouter import work
+from crocusrouter.work import gang_progress
 from crocusrouter.work import packing
-from crocusrouter.work import preemption
 from crocusrouter.work import relocation
 from crocusrouter.work import speeds
 from crocusrouter.work import waiting_steps
@@ -562,7 +562,7 @@
     run = pool_state.add_run(key, 1, worker_id, 0.0)
     pool_state.note_started(key, 1, 0.0)
     run.percent = percent
-    found_s = preemption.estimate_remaining_s(run, run.tracked_step, 1.0)
+    found_s = gang_progress.estimate_remaining_s(run, run.tracked_step, 1.0)
     assert found_s == pytest.approx(remaining_s)
 
 
