Count no stall while a worker's progress is unknown

Cause: a run counted as stalled if its progress had not changed for 2 s, also if nobody had asked: after a suspension of the owner's process, or while a worker was cut off, the first decision stopped runs that had worked all the while. Figures: test_time_without_reports_is_no_stall fails in two of three rows without the change. Conclusion: the stall of a worker that answers is found as before.

--- a/crocusrouter/work/relocation.py
+++ b/crocusrouter/work/relocation.py
@@ -12,6 +12,8 @@
 # Workers are polled once a second; two polls without progress are needed to
 # tell a stall from chance.
 _MIN_STALL_S = 2.0
+# Longest time between two reports of a worker that is in touch.
+_REPORT_INTERVAL_S = 1.5
 # Share of a task's run time. Tasks report whole percents, so a task that takes
 # hours reports no progress for minutes.
 _STALL_SHARE = 0.05
@@ -79,18 +81,35 @@
     for run in pool_state.runs.values():
         if now - run.progressed_at <= _MIN_STALL_S:
             continue
+        reported_at = _find_report_time(pool_state, run, now)
+        if reported_at - run.progressed_at <= _MIN_STALL_S:
+            continue
         tracked_step = run.tracked_step
         if tracked_step is None or not _may_relocate(run, tracked_step):
             continue
         if run.percent >= 100 and tracked_step.key in waiting_gangs:
             continue
-        if is_stalled(run, tracked_step, now):
+        if is_stalled(run, tracked_step, reported_at):
             stalled_runs.append(run)
         elif gang_progress.is_waiting(run, tracked_step):
             waiting_gangs.add(tracked_step.key)
     return stalled_runs
 
 
+def _find_report_time(
+    pool_state: pool_states.PoolState, run: tracking.Run, now: float
+) -> float:
+    """Return the steady time up to which a run's progress is known.
+
+    Time without reports, while the worker is cut off or this process has not
+    run, is no stall.
+    """
+    worker = pool_state.workers.get(run.worker_id)
+    if worker is None or worker.last_report_at is None:
+        return now
+    return min(now, worker.last_report_at + _REPORT_INTERVAL_S)
+
+
 def _outlasts_worker(
     tracked_step: tracking.TrackedStep, remaining_s: float, left_s: float
 ) -> bool:
--- a/crocusrouter/work/tests/test_relocation.py
+++ b/crocusrouter/work/tests/test_relocation.py
@@ -76,6 +76,24 @@
     )
 
 
+@pytest.mark.parametrize(
+    ("reported_s", "stopped"), [(0.0, False), (0.4, False), (8.5, True)]
+)
+def test_time_without_reports_is_no_stall(reported_s, stopped):
+    """A process that was suspended must not take all runs for stalled.
+
+    It has seen no progress since its last report of each worker.
+    """
+    step = build.make_step(1, expected_s=8.0, checkpoints=True)
+    pool_state = build.make_pool_state(
+        build.make_job("j", step), workers=("w0",)
+    )
+    build.apply_plan(pool_state)
+    pool_state.workers["w0"].last_report_at = reported_s
+    plan = work.plan(pool_state, 9.0, build.WALL + 9.0)
+    assert bool(plan.stops) is stopped
+
+
 def test_gang_of_a_stalled_member_is_stopped_whole():
     pool_state = build.make_pool_state(
         build.make_job("j", build.make_step(2, gpu=8, gang=True))
