Count 99 as full progress when rates are measured

Cause: members of a gang that wait for the slowest may stand at 99, which looked like a slow-down of their workers. Change: a report of 99 is a lower bound, as one of 100.

--- a/crocusrouter/work/run_rates.py
+++ b/crocusrouter/work/run_rates.py
@@ -7,6 +7,9 @@
 # A report gives whole percents, so the first ones of a run say little.
 _MIN_PERCENT = 2.0
 _MIN_ELAPSED_S = 0.2
+# A member of a gang that waits for the others may stand at 99: the share of a
+# finished task is rounded down.
+_FULL_PERCENT = 99.0
 # Shorter intervals are not compared with the earlier rate: a worker may report
 # twice within some hundredths of a second.
 _MIN_INTERVAL_S = 0.5
@@ -48,8 +51,8 @@
         starts_at_zero: Whether the measurement begins with the run's work.
         percent: Progress in all intervals that count.
         elapsed_s: Length of all intervals that count, in seconds.
-        bound: Lower bound of the rate, from a report of 100; 0 if none.
-        is_finished: Whether the run has reached 100.
+        bound: Lower bound of the rate, from the first full report; 0 if none.
+        is_finished: Whether the run has shown full progress.
     """
 
     base_at: float
@@ -111,7 +114,7 @@
             return None
         if elapsed_s <= 0 or self.is_finished:
             return None
-        if percent >= 100:
+        if percent >= _FULL_PERCENT:
             return self._finish(gained, elapsed_s, is_disturbed=is_disturbed)
         if not self.is_exact:
             if is_disturbed:
@@ -152,7 +155,7 @@
     def _finish(
         self, gained: float, elapsed_s: float, *, is_disturbed: bool
     ) -> Verdict | None:
-        """Use a report of 100, which came after the work had ended."""
+        """Use the first full report, which came after the work had ended."""
         self.is_finished = True
         is_known = self.elapsed_s >= _MIN_KNOWN_S
         expected = self.percent_per_s * elapsed_s
