Use slowed workers last instead of only for what no others could hold

Cause: a worker wrongly marked as slowed stood idle while work waited for the others, as long as these could have held it if they were empty. A wrong speed must never block work.

Change: slowed workers come after all other attempts, stops included; the order is in order_attempts like the rest. Trials of suspected tasks, guaranteed claims and held workers fall back on them too.

--- a/crocusrouter/work/planner.py
+++ b/crocusrouter/work/planner.py
@@ -160,13 +160,10 @@
         ):
             return True
         missing_indices = set(waiting_step.tracked_step.waiting_indices)
-        free_spaces = self._choice.list_fitting(waiting_step)
         spots: dict[int, str] = {}
         for attempt in self._choice.list_attempts(waiting_step):
             if not attempt.stops:
-                spots |= self._take_free(
-                    waiting_step, free_spaces, missing_indices, attempt
-                )
+                spots |= self._take_free(waiting_step, missing_indices, attempt)
                 missing_indices -= spots.keys()
             elif self._preempt(waiting_step, missing_indices, attempt):
                 missing_indices = set()
@@ -181,11 +178,13 @@
     def _take_free(
         self,
         waiting_step: waiting_steps.WaitingStep,
-        free_spaces: list[packing.Space],
         indices: set[int],
         attempt: worker_choice.Attempt,
     ) -> dict[int, str]:
         """Take free room for the tasks that fit; return their workers."""
+        free_spaces = self._choice.list_fitting(
+            waiting_step, uses_slowed=attempt.uses_slowed
+        )
         if not free_spaces:
             return {}
         spaces = self._choice.choose_free(
@@ -211,6 +210,7 @@
         spaces = [
             space
             for space in self._choice.list_fitting(waiting_step)
+            or self._choice.list_fitting(waiting_step, uses_slowed=True)
             if self._choice.count_free_slots(waiting_step, space) > 0
         ]
         spaces_by_index = trials.choose_trial(
@@ -275,7 +275,10 @@
             {
                 space.worker: space
                 for space in self._choice.list_group(
-                    self._choice.list_allowed(waiting_step), attempt.group
+                    self._choice.list_allowed(
+                        waiting_step, uses_slowed=attempt.uses_slowed
+                    ),
+                    attempt.group,
                 )
                 if self._choice.count_free_slots(waiting_step, space) > 0
             },
@@ -308,7 +311,8 @@
         step = waiting_step.tracked_step.step
         task_count = len(waiting_step.tracked_step.waiting_indices)
         ranked_spaces = sorted(
-            self._choice.list_allowed(waiting_step),
+            self._choice.list_allowed(waiting_step)
+            or self._choice.list_allowed(waiting_step, uses_slowed=True),
             key=lambda space: self._free_times.find(space.worker, step.charge),
         )
         for space in ranked_spaces[
--- a/crocusrouter/work/worker_choice.py
+++ b/crocusrouter/work/worker_choice.py
@@ -37,24 +37,32 @@
             is used.
         leaves_rack: Whether tasks that belong in one rack, or near their data,
             may run elsewhere, where they take several times as long.
+        uses_slowed: Whether workers that are slowed for a while may be used.
     """
 
     group: Group
     stops: bool
     leaves_rack: bool
+    uses_slowed: bool = False
 
 
 def order_attempts(
-    *, is_split: bool, needs_fast: bool, needs_rack: bool, may_leave_rack: bool
+    *,
+    is_split: bool,
+    has_slowed: bool,
+    needs_fast: bool,
+    needs_rack: bool,
+    may_leave_rack: bool,
 ) -> list[Attempt]:
     """Return the ways of placing a step, the preferred one first.
 
     Free room in any group goes before stopping runs, so that a step starts at
     once wherever it can. A rack goes before a group: leaving a rack costs a
-    factor of three, the slow group usually less.
+    factor of three, the slow group usually less. Slowed workers come last.
 
     Args:
         is_split: Whether the pool has a fast and a slow group.
+        has_slowed: Whether some of its workers are slowed for a while.
         needs_fast: Whether the step needs the fast group.
         needs_rack: Whether the step belongs in one rack or near its data.
         may_leave_rack: Whether it has waited long enough for its rack.
@@ -70,12 +78,18 @@
         rack_choices = [False, True]
     else:
         rack_choices = [may_leave_rack]
-    return [
+    attempts = [
         Attempt(group, stops, leaves_rack)
         for stops in (False, True)
         for leaves_rack in rack_choices
         for group in groups
     ]
+    if has_slowed:
+        attempts += [
+            Attempt(Group.ALL, stops, may_leave_rack, uses_slowed=True)
+            for stops in (False, True)
+        ]
+    return attempts
 
 
 def describe_group(
@@ -170,7 +184,7 @@
         self._racks = racks.Racks(pool_state)
         self._exhausted_rooms = _ExhaustedRooms()
         self._allowed_spaces: list[packing.Space] = []
-        self._allowed_for: tuple[model.StepKey, int] | None = None
+        self._allowed_for: tuple[model.StepKey, int, bool] | None = None
         self.groups = pool_state.speeds.find_groups()
         self._slowed_workers: frozenset[str] = frozenset()
         if self.groups.is_split:
@@ -181,17 +195,33 @@
             )
 
     def list_allowed(
-        self, waiting_step: waiting_steps.WaitingStep
+        self,
+        waiting_step: waiting_steps.WaitingStep,
+        *,
+        uses_slowed: bool = False,
     ) -> list[packing.Space]:
         """Return the workers that may run a step.
 
-        Workers on which the step failed, and workers that are slowed for a
-        while, are left out if the others can hold it. The result is kept for
-        the further attempts to place the same step.
+        Workers on which the step failed are left out if the others can hold it.
+        The result is kept for the further attempts to place the same step.
+
+        Args:
+            waiting_step: The step.
+            uses_slowed: Whether to include workers that are slowed for a while.
         """
-        key = waiting_step.tracked_step.key, len(self.held_workers)
+        key = (
+            waiting_step.tracked_step.key,
+            len(self.held_workers),
+            uses_slowed,
+        )
         if self._allowed_for != key:
             self._allowed_spaces = self._find_allowed(waiting_step)
+            if not uses_slowed and self._slowed_workers:
+                self._allowed_spaces = [
+                    space
+                    for space in self._allowed_spaces
+                    if space.worker not in self._slowed_workers
+                ]
             self._allowed_for = key
         return self._allowed_spaces
 
@@ -206,69 +236,53 @@
             and self._has_label(space.worker, tracked_step.step.label)
             and self._is_permitted(waiting_step, space.worker)
         ]
-        avoided_workers = tracked_step.avoided_workers
-        exclusions = [avoided_workers | self._slowed_workers]
-        if self._slowed_workers:
-            exclusions.append(avoided_workers)
-        for excluded_workers in exclusions:
-            if not excluded_workers:
-                break
-            preferred_spaces = [
-                space
-                for space in allowed_spaces
-                if space.worker not in excluded_workers
-            ]
-            if preferred_spaces and self._could_rest_hold(
-                waiting_step, excluded_workers
-            ):
-                return preferred_spaces
+        preferred_spaces = [
+            space
+            for space in allowed_spaces
+            if space.worker not in tracked_step.avoided_workers
+        ]
+        if self._could_rest_hold(waiting_step):
+            return preferred_spaces or allowed_spaces
         return allowed_spaces
 
-    def _could_rest_hold(
-        self, waiting_step: waiting_steps.WaitingStep, excluded: set[str]
-    ) -> bool:
-        """Tell whether the workers that are not excluded could hold a step.
+    def _could_rest_hold(self, waiting_step: waiting_steps.WaitingStep) -> bool:
+        """Tell whether workers on which a step has not failed could hold it.
 
         Workers that are full or reserved for a while count as if they were
         empty.
         """
-        step = waiting_step.tracked_step.step
+        tracked_step = waiting_step.tracked_step
+        if not tracked_step.avoided_workers:
+            return True
+        step = tracked_step.step
         limit = step.per_worker or step.count
-        missing_slots = step.count if step.gang else 1
-        for worker_id, worker in self._pool_state.workers.items():
-            if (
-                worker_id not in excluded
-                and worker.may_take_tasks_later
-                and self._has_label(worker_id, step.label)
-                and self._is_permitted(waiting_step, worker_id)
-            ):
-                missing_slots -= min(
-                    limit, worker.entry.room.count(step.charge)
-                )
-                if missing_slots <= 0:
-                    return True
-        return False
-
-    def _uses_slowed(self, waiting_step: waiting_steps.WaitingStep) -> bool:
-        """Tell whether a step may use slowed workers for lack of others."""
-        return bool(self._slowed_workers) and not self._could_rest_hold(
-            waiting_step,
-            waiting_step.tracked_step.avoided_workers | self._slowed_workers,
+        slot_count = sum(
+            min(limit, worker.entry.room.count(step.charge))
+            for worker_id, worker in self._pool_state.workers.items()
+            if worker_id not in tracked_step.avoided_workers
+            and worker.may_take_tasks_later
+            and self._has_label(worker_id, step.label)
+            and self._is_permitted(waiting_step, worker_id)
         )
+        return slot_count >= (step.count if step.gang else 1)
 
     def list_fitting(
-        self, waiting_step: waiting_steps.WaitingStep
+        self,
+        waiting_step: waiting_steps.WaitingStep,
+        *,
+        uses_slowed: bool = False,
     ) -> list[packing.Space]:
         """Return the allowed spaces with room for at least one task."""
         charge = waiting_step.tracked_step.step.charge
-        uses_slowed = self._uses_slowed(waiting_step)
         if self._exhausted_rooms.is_known(
             waiting_step, uses_slowed=uses_slowed
         ):
             return []
         fitting_spaces = [
             space
-            for space in self.list_allowed(waiting_step)
+            for space in self.list_allowed(
+                waiting_step, uses_slowed=uses_slowed
+            )
             if space.free.holds(charge)
         ]
         if not fitting_spaces:
@@ -324,6 +338,7 @@
             attempt
             for attempt in order_attempts(
                 is_split=self.groups.is_split,
+                has_slowed=bool(self._slowed_workers),
                 needs_fast=waiting_step.needs_fast,
                 needs_rack=needs_rack,
                 may_leave_rack=not needs_rack
@@ -348,10 +363,12 @@
         """Return a step as an attempt treats it in the search for victims.
 
         In a pool with groups, racks have been searched by an earlier attempt if
-        this one may leave them.
+        this one may leave them, except for slowed workers.
         """
         if not self.groups.is_split or not attempt.leaves_rack:
             return step
+        if attempt.uses_slowed:
+            return step
         if not step.one_rack and not step.rack:
             return step
         return dataclasses.replace(step, one_rack=False, rack="")
