Try a suspected gang with slowed workers if the others are too few

A suspected gang that the other workers had some room for waited for as long as workers counted as slowed. The choice of a trial is repeated with all workers.

--- a/crocusrouter/work/planner.py
+++ b/crocusrouter/work/planner.py
@@ -207,19 +207,9 @@
             Whether it was placed or has to wait; otherwise it is placed like
             any other step.
         """
-        spaces = [
-            space
-            for space in self._choice.list_fitting(waiting_step)
-            or self._choice.list_fitting(waiting_step, uses_slowed=True)
-            if self._choice.count_free_slots(waiting_step, space) > 0
-        ]
-        spaces_by_index = trials.choose_trial(
-            self._pool_state,
-            waiting_step.tracked_step,
-            spaces,
-            self._trial_workers,
-            self._now,
-        )
+        spaces_by_index = self._choose_trial(waiting_step)
+        if spaces_by_index is None and self._choice.has_slowed:
+            spaces_by_index = self._choose_trial(waiting_step, uses_slowed=True)
         if spaces_by_index is None:
             return not trials.may_skip_trial(
                 self._pool_state, waiting_step.tracked_step, self._now
@@ -237,6 +227,27 @@
         self._plan.placements.append(placement)
         return True
 
+    def _choose_trial(
+        self,
+        waiting_step: waiting_steps.WaitingStep,
+        *,
+        uses_slowed: bool = False,
+    ) -> dict[int, packing.Space] | None:
+        spaces = [
+            space
+            for space in self._choice.list_fitting(
+                waiting_step, uses_slowed=uses_slowed
+            )
+            if self._choice.count_free_slots(waiting_step, space) > 0
+        ]
+        return trials.choose_trial(
+            self._pool_state,
+            waiting_step.tracked_step,
+            spaces,
+            self._trial_workers,
+            self._now,
+        )
+
     # Guarantees and victims.
 
     def _is_guaranteed(self, waiting_step: waiting_steps.WaitingStep) -> bool:
--- a/crocusrouter/work/tests/test_worker_choice.py
+++ b/crocusrouter/work/tests/test_worker_choice.py
@@ -449,15 +449,26 @@
     assert [run.worker_id for run, _ in plan.stops] == ["f0"]
 
 
-def test_suspected_task_is_tried_on_a_slowed_worker_if_no_other_has_room():
+@pytest.mark.parametrize(
+    ("gang", "used", "expected"),
+    [
+        (False, {}, {"f0"}),
+        (False, {"f0": 8}, {"s0"}),
+        # The worker that is not slowed has room for one member only.
+        (True, {}, {"f0", "s0"}),
+    ],
+)
+def test_suspected_step_is_tried_on_slowed_workers_if_others_lack_room(
+    gang, used, expected
+):
     pool_state = _make_pool_state(("f0", "s0"), slowed={"s0"})
-    _use(pool_state, f0=8)
-    step = build.make_step(1, gpu=8)
+    _use(pool_state, **used)
+    step = build.make_step(2 if gang else 1, gpu=8, gang=gang)
     build.add_job(pool_state, build.make_job("j", step))
     tracked_step = pool_state.find_tracked_step(work.TaskKey("j", 0, 0, 0))
     tracked_step.progress.crashes[0] = [progress.Crash(1, early=True)]
     plan = work.plan(pool_state, 100.0, build.WALL)
-    assert plan.placements[0].spots == {0: "s0"}
+    assert set(plan.placements[0].spots.values()) == expected
     assert plan.placements[0].is_trial
 
 
--- a/crocusrouter/work/worker_choice.py
+++ b/crocusrouter/work/worker_choice.py
@@ -194,6 +194,11 @@
                 if pool_state.speeds.is_slowed(worker_id, now)
             )
 
+    @property
+    def has_slowed(self) -> bool:
+        """Whether some workers are slowed for a while."""
+        return bool(self._slowed_workers)
+
     def list_allowed(
         self,
         waiting_step: waiting_steps.WaitingStep,
@@ -338,7 +343,7 @@
             attempt
             for attempt in order_attempts(
                 is_split=self.groups.is_split,
-                has_slowed=bool(self._slowed_workers),
+                has_slowed=self.has_slowed,
                 needs_fast=waiting_step.needs_fast,
                 needs_rack=needs_rack,
                 may_leave_rack=not needs_rack
