Find the groups of workers earlier and keep them through disturbances

Change: the draw towards the usual speed is weaker; large pools need less distance between the groups; existing groups are split where they were.

--- a/bench/replay/day.py
+++ b/bench/replay/day.py
@@ -12,6 +12,7 @@
 from crocusrouter.pools import reservations
 from crocusrouter.work import packing
 from crocusrouter.work import replacement
+from crocusrouter.work import speeds
 from crocusrouter.work import tracking
 from crocusrouter.work import worker_port
 
@@ -51,12 +52,17 @@
             saved, by the cause of its end.
         stops: Number of runs that were preempted.
         decisions_s: Real duration of each decision in seconds.
+        true_speeds: True speed of each worker that was there.
+        speed_groups: The groups that were known at each decision, with its
+            time in seconds from the start of the day.
     """
 
     job_results: list[scoring.JobResult]
     wasted_by: dict[str, float]
     stops: int
     decisions_s: list[float]
+    true_speeds: dict[str, float]
+    speed_groups: list[tuple[float, speeds.SpeedGroups]]
 
     @property
     def wasted(self) -> float:
@@ -94,6 +100,7 @@
         self.stops = 0
         self.next_run_number = 1
         self.decisions_s: list[float] = []
+        self.speed_groups: list[tuple[float, speeds.SpeedGroups]] = []
         self.pool_state.guaranteed = {
             f"c{n}": site.guaranteed for n in range(site.customers)
         }
@@ -132,6 +139,8 @@
             self.wasted_by,
             self.stops,
             self.decisions_s,
+            self.speeds,
+            self.speed_groups,
         )
 
     def _is_owner_absent(self, now: float) -> bool:
@@ -334,6 +343,7 @@
             policy=self.policy,
         )
         self.decisions_s.append(self.read_clock() - started_at)
+        self.speed_groups.append((now, self.pool_state.speeds.find_groups()))
         for placement in plan.placements:
             self._start_runs(placement, now)
         if plan.contended:
--- a/crocusrouter/work/speed_fit.py
+++ b/crocusrouter/work/speed_fit.py
@@ -21,7 +21,7 @@
 _UNKNOWN_WEIGHT = 0.25
 # Weight of the usual speed for every worker. Without it, workers that have no
 # steps in common with others could drift away from them.
-_PRIOR_WEIGHT = 0.2
+_PRIOR_WEIGHT = 0.1
 # Number of runs that count for a worker.
 _MAX_RUNS = 8
 # A run that is this much faster or slower than the speeds of the others tells
--- a/crocusrouter/work/speed_groups.py
+++ b/crocusrouter/work/speed_groups.py
@@ -1,5 +1,6 @@
 """Split of the workers of a pool into a fast and a slow group."""
 
+import bisect
 from collections.abc import Iterable
 from collections.abc import Mapping
 import dataclasses
@@ -21,10 +22,10 @@
 # workers and of their samples. The halves of a normal distribution are 3.4
 # apart, those of a uniform one 4, and with few workers chance exceeds both: 24
 # workers of like speed reached 6 in some simulated days.
-_MIN_SEPARATION = 3.0
-_SMALL_POOL_SEPARATION = 18.0
+_MIN_SEPARATION = 2.4
+_SMALL_POOL_SEPARATION = 20.0
 # Share of that distance at which existing groups remain.
-_KEPT_SHARE = 0.6
+_KEPT_SHARE = 0.5
 # How far past the boundary a worker must be to change its group.
 _LOG_MARGIN = math.log(1.1)
 
@@ -59,7 +60,9 @@
     if count < _MIN_WORKERS:
         return frozenset()
     values = sorted(estimate.log_speed for estimate in estimates.values())
-    position = _find_best_split(values, smallest)
+    position = _find_split_before(values, estimates, fast_before)
+    if not smallest <= position <= count - smallest:
+        position = _find_best_split(values, smallest)
     slow_median = statistics.median(values[:position])
     fast_median = statistics.median(values[position:])
     distance = fast_median - slow_median
@@ -89,6 +92,32 @@
     return -_LOG_MARGIN if worker in fast_before else _LOG_MARGIN
 
 
+def _find_split_before(
+    values: list[float],
+    estimates: Mapping[str, Estimate],
+    fast_before: frozenset[str],
+) -> int:
+    """Return the size of the lower part by the groups so far; 0 if none.
+
+    While some workers are disturbed, the best split may be between these and
+    all others.
+    """
+    fast = [
+        estimate.log_speed
+        for worker, estimate in estimates.items()
+        if worker in fast_before
+    ]
+    if not 0 < len(fast) < len(values):
+        return 0
+    others = [
+        estimate.log_speed
+        for worker, estimate in estimates.items()
+        if worker not in fast_before
+    ]
+    boundary = (statistics.median(fast) + statistics.median(others)) / 2
+    return bisect.bisect(values, boundary)
+
+
 def _find_best_split(values: list[float], smallest: int) -> int:
     """Return the size of the lower part for the least sum of squares.
 
