Keep the room that victims could free until the room of a worker changes

Cause: the check before a search for victims summed up two rooms per worker and search; it had become the costliest part of a decision in a split pool.

--- a/crocusrouter/work/preemption.py
+++ b/crocusrouter/work/preemption.py
@@ -135,7 +135,9 @@
         self._now = now
         self._gang_losses: dict[model.StepKey, float] = {}
         self._candidates: dict[tuple[str, int], list[_Candidate]] = {}
-        self._stoppable_rooms: dict[tuple[str, int], model.Room] = {}
+        self._reachable_rooms: dict[
+            tuple[str, int], tuple[model.Room, model.Room]
+        ] = {}
 
     def note_chosen(self, victims: Victims) -> None:
         """Count the victims as stopped from now on."""
@@ -145,7 +147,7 @@
         for worker_id, priority in list(self._candidates):
             if worker_id in affected_workers:
                 del self._candidates[worker_id, priority]
-                self._stoppable_rooms.pop((worker_id, priority), None)
+                self._reachable_rooms.pop((worker_id, priority), None)
 
     def list_candidates(
         self, worker_id: str, priority: int
@@ -173,15 +175,15 @@
             charge: Room of each task.
         """
         key = space.worker, priority
-        stoppable_room = self._stoppable_rooms.get(key)
-        if stoppable_room is None:
-            stoppable_room = model.Room()
+        free, reachable_room = self._reachable_rooms.get(key, (None, None))
+        if reachable_room is None or free is not space.free:
+            reachable_room = space.free
             for candidate in self.list_candidates(space.worker, priority):
-                stoppable_room = stoppable_room.plus(
+                reachable_room = reachable_room.plus(
                     candidate.tracked_step.step.charge
                 )
-            self._stoppable_rooms[key] = stoppable_room
-        return max(0, space.free.plus(stoppable_room).count(charge))
+            self._reachable_rooms[key] = space.free, reachable_room
+        return max(0, reachable_room.count(charge))
 
     def _find_candidates(
         self, worker_id: str, priority: int
