--- a/crocusrouter/work/speed_fit.py
+++ b/crocusrouter/work/speed_fit.py
@@ -4,7 +4,7 @@
 """
 
 import collections
-from collections.abc import Collection
+from collections.abc import Iterable
 import dataclasses
 import math
 
@@ -14,7 +14,8 @@
 
 RunKey = tuple[model.TaskKey, int]
 
-_MAX_SWEEPS = 12
+# Every fit starts from the last one, so it may end before it has converged.
+_MAX_SWEEPS = 4
 # Greatest change of a log speed in the last sweep.
 _TOLERANCE = 0.01
 # Weight in a step's level of a worker about which other steps say nothing.
@@ -87,6 +88,12 @@
     samples: dict[RunKey, Sample] = dataclasses.field(default_factory=dict)
     level: float | None = None
 
+    @property
+    def has_two_workers(self) -> bool:
+        """Whether runs of different workers can be compared."""
+        worker_ids = {sample.worker_id for sample in self.samples.values()}
+        return len(worker_ids) > 1
+
     @property
     def log_excess(self) -> float | None:
         """Log of the measured work at the usual speed by the declared one."""
@@ -119,9 +126,7 @@
     used: list[Sample] = dataclasses.field(default_factory=list)
 
 
-def fit(
-    steps: Collection[StepRates], workers: dict[str, WorkerSamples]
-) -> None:
+def fit(steps: Iterable[StepRates], workers: dict[str, WorkerSamples]) -> None:
     """Set the levels of steps, the samples' values and the log speeds.
 
     Samples of steps that are not among `steps` keep their values.
@@ -134,8 +139,9 @@
                 if sample.value is not None
             }
         )
+    comparable = [step for step in steps if step.has_two_workers]
     for _ in range(_MAX_SWEEPS):
-        for step in steps:
+        for step in comparable:
             _fit_step(step, workers)
         change = max(map(_fit_worker, workers.values()), default=0.0)
         if change < _TOLERANCE:
@@ -157,7 +163,7 @@
         pair = (sample.log_rate - log_speed, weight * sample.weight)
         (exact if sample.is_exact else bounds).append(pair)
         weights[sample.worker_id] += pair[1]
-    if len(weights) < 2 or not exact:
+    if not exact:
         step.level = None
     else:
         step.level = medians.find_median(exact)
--- a/crocusrouter/work/speeds.py
+++ b/crocusrouter/work/speeds.py
@@ -19,7 +19,7 @@
 # A fit takes some milliseconds and every report changes some rate.
 _FIT_INTERVAL_S = 0.25
 # Time without reports after which a step's rates are kept as they are.
-_STEP_RETENTION_S = 8.0
+_STEP_RETENTION_S = 5.0
 _MAX_STEPS = 1000
 _MAX_STEP_SAMPLES = 256
 # Steps by which the declared run times are compared with the measured ones.
