Bound how often a task is stopped for other jobs

Change: stop_limits decides which runs may be stopped for whom. After three stops for other jobs only a guaranteed claim may stop a task, or a gang as a whole, again. A run whose measured progress shows that it ends before a stop would is waited for instead; if it is overdue, the step that waits for its room is planned again and may stop it. Of victims of equal loss those with the fewest stops go first. The job's progress record keeps the numbers of the stopped runs in a further column. run:stop has `stops`, run:kept says once that the bound was reached. PoolState.stop_run and the owner's handling of plans shrink.

--- a/bench/replay/day.py
+++ b/bench/replay/day.py
@@ -50,12 +50,15 @@
         wasted_by: Core-seconds of stopped or lost work that no checkpoint
             saved, by the cause of its end.
         stops: Number of runs that were preempted.
+        stops_by_task: How often each task was stopped for other jobs; a gang
+            counts as its first task.
         decisions_s: Real duration of each decision in seconds.
     """
 
     job_results: list[scoring.JobResult]
     wasted_by: dict[str, float]
     stops: int
+    stops_by_task: dict[work.TaskKey, int]
     decisions_s: list[float]
 
     @property
@@ -131,9 +134,18 @@
             self._list_job_results(),
             self.wasted_by,
             self.stops,
+            self._count_stops_by_task(),
             self.decisions_s,
         )
 
+    def _count_stops_by_task(self) -> dict[work.TaskKey, int]:
+        return {
+            work.TaskKey(*step_key, index): len(numbers)
+            for tracked_job in self.pool_state.jobs.values()
+            for step_key, tracked_step in tracked_job.steps.items()
+            for index, numbers in tracked_step.progress.stopped_runs.items()
+        }
+
     def _is_owner_absent(self, now: float) -> bool:
         return any(
             not t.worker and t.start <= now < t.end for t in self.disruptions
--- a/bench/replay/tests/test_days.py
+++ b/bench/replay/tests/test_days.py
@@ -21,6 +21,9 @@
 
 
 def _find_site(name):
+    if name.endswith(" without guarantees"):
+        site = replay.SITES[name.removesuffix(" without guarantees")]
+        return dataclasses.replace(site, guaranteed=0)
     if name != "crowded":
         return replay.SITES[name]
     # The large site with a third more jobs.
@@ -135,6 +138,26 @@
     assert current < 0.92 * changed
 
 
+# Urgent gangs arrive one after another in a full pool without guarantees, and
+# stop the same tasks again and again.
+@pytest.mark.parametrize("site", ["kilima", "rosario"])
+def test_urgent_work_stops_no_task_more_often_than_the_bound(site):
+    current = _find_most_stops(site, work.PlannerPolicy())
+    changed = _find_most_stops(site, work.PlannerPolicy(max_stops=1000))
+    assert current == 3
+    assert changed > 3
+
+
+def _find_most_stops(site_name, policy):
+    """Return how often one task was stopped at most."""
+    outcomes = _play_days(f"{site_name} without guarantees", policy, _SEEDS)
+    return max(
+        count
+        for outcome in outcomes
+        for count in outcome.stops_by_task.values()
+    )
+
+
 def test_simulation_is_deterministic():
     site = replay.SITES["fbusw"]
     assert replay.draw_arrivals(site, 1, 9.0) == replay.draw_arrivals(
--- a/crocusrouter/pools/owner.py
+++ b/crocusrouter/pools/owner.py
@@ -49,6 +49,7 @@
 _EVENT_METRICS = {
     "run:on-leaving": "start-on-leaving-worker",
     "run:lost": "run-lost-with-its-worker",
+    "run:kept": "run-spared-from-stop",
     "run:missing": "run-missing-on-its-worker",
     "worker:restarted": "worker-restarted",
 }
@@ -390,7 +391,8 @@
 
     def _run_plan(self, now: float, wall: float) -> None:
         """Start steps that have room and stop runs that block guarantees."""
-        self._start_reserved_steps(now)
+        for placement in self._reservations.take_ready(self.pool_state, now):
+            self._start_step(placement, now)
         plan = work.plan(
             self.pool_state, now, wall, reserved=self._reservations.list_spots()
         )
@@ -398,6 +400,7 @@
             self._start_step(placement, now)
         for run, why in plan.stops:
             self.pool_state.stop_run(run, why, now)
+        self.pool_state.note_kept(plan.kept)
         if plan.contended:
             self.pool_state.note_contention(now)
         for placement in plan.reservations:
@@ -441,10 +444,6 @@
             closed=sorted(self.pool_state.closed_data_centres),
         )
 
-    def _start_reserved_steps(self, now: float) -> None:
-        for placement in self._reservations.take_ready(self.pool_state, now):
-            self._start_step(placement, now)
-
     def _start_step(self, placement: work.Placement, now: float) -> None:
         assert self._nursery is not None
         job_work = self.pool_state.jobs[placement.step.job]
--- a/crocusrouter/work/planner.py
+++ b/crocusrouter/work/planner.py
@@ -16,6 +16,7 @@
 from crocusrouter.work import preemption
 from crocusrouter.work import racks
 from crocusrouter.work import relocation
+from crocusrouter.work import stop_limits
 from crocusrouter.work import tracking
 from crocusrouter.work import trials
 from crocusrouter.work import waiting_steps
@@ -48,14 +49,16 @@
         reservations: Workers reserved for tasks that start once runs in `stops`
             have ended.
         contended: Whether the first priority stops other work to find room.
+        kept: Runs that were left out of a search because of the bound.
     """
 
     placements: list[Placement] = dataclasses.field(default_factory=list)
-    stops: list[tuple[tracking.Run, str]] = dataclasses.field(
+    stops: list[tuple[tracking.Run, stop_limits.Reason]] = dataclasses.field(
         default_factory=list
     )
     reservations: list[Placement] = dataclasses.field(default_factory=list)
     contended: bool = False
+    kept: list[tracking.Run] = dataclasses.field(default_factory=list)
 
 
 class _ExhaustedRooms:
@@ -103,7 +106,6 @@
         self._policy = policy
         self._now = now
         self._wall = wall
-        self._plan = Plan()
         self._stalled_runs = relocation.list_stalled(pool_state, now)
         stalled_workers = {run.worker_id for run in self._stalled_runs}
         self._spaces = {
@@ -118,9 +120,10 @@
         self._trial_workers = trials.list_trial_workers(pool_state, now)
         self._exhausted_rooms = _ExhaustedRooms()
         self._free_times = preemption.FreeTimes(pool_state, now)
-        self._losses = preemption.Losses(pool_state, now)
+        self._losses = preemption.Losses(pool_state, now, policy)
+        self._plan = Plan(kept=self._losses.kept)
         self._guaranteed_used = preemption.count_guaranteed(pool_state)
-        self._reservations = dict(reserved)
+        self._reservations = self._losses.select_reserved(dict(reserved))
         for key, spots in self._reservations.items():
             self._take_reserved(key, spots)
 
@@ -439,14 +442,9 @@
 
     def _is_guaranteed(self, waiting_step: waiting_steps.WaitingStep) -> bool:
         """Tell whether a step is covered by its customer's guarantee."""
-        job = waiting_step.tracked_job.job
-        if job.priority != 0:
-            return False
-        needed = waiting_step.tracked_step.step.charge.accelerators * len(
-            waiting_step.tracked_step.waiting_indices
+        return preemption.is_guaranteed(
+            self._pool_state, self._guaranteed_used, waiting_step
         )
-        used = self._guaranteed_used.get(job.customer, 0)
-        return used + needed <= self._pool_state.guaranteed.get(job.customer, 0)
 
     def _preempt(
         self, waiting_step: waiting_steps.WaitingStep, missing_indices: set[int]
@@ -464,9 +462,12 @@
         loss_factor = self._policy.find_loss_factor(job.priority)
         if not loss_factor or waiting_step.hopeless or step.lasting:
             return False
+        claim = self._losses.make_claim(
+            waiting_step, self._is_guaranteed(waiting_step)
+        )
         preempted = preemption.choose_victims(
             self._losses,
-            job.priority,
+            claim.kind,
             step,
             len(missing_indices),
             {
@@ -479,15 +480,12 @@
         if preempted is None:
             return False
         own_cost = step.charge.cores * step.expected_s * len(missing_indices)
-        is_guaranteed = self._is_guaranteed(waiting_step)
-        if not is_guaranteed and preempted.cost > loss_factor * own_cost:
+        if not claim.allows_loss(preempted.cost, loss_factor * own_cost):
             return False
         spots = dict(
             zip(sorted(missing_indices), preempted.workers, strict=True)
         )
-        claim = "guaranteed to" if is_guaranteed else "wanted first by"
-        reason = f"its room is {claim} job {job.id}"
-        self._plan.stops += [(run, reason) for run in preempted.runs]
+        self._plan.stops += [(run, claim) for run in preempted.runs]
         if preempted.runs and job.priority == 0:
             self._plan.contended = True
         self._losses.note_chosen(preempted)
--- a/crocusrouter/work/planner_policy.py
+++ b/crocusrouter/work/planner_policy.py
@@ -31,6 +31,10 @@
         hold_back_s: After the first priority had to stop other work, nothing of
             lower priority starts for this long unless it is late. More urgent
             work is likely to follow, and would stop it again.
+        max_stops: Number of stops of a task for other jobs after which only a
+            guaranteed claim may stop it again.
+        waits_for_ends: Whether a run that ends by itself before it could be
+            stopped is waited for instead.
     """
 
     rack_patience: float = 5.0
@@ -41,6 +45,8 @@
     loss_factor: float = 2.0
     second_loss_factor: float = 0.05
     hold_back_s: float = 2.0
+    max_stops: int = 3
+    waits_for_ends: bool = True
 
     def find_loss_factor(self, priority: int) -> float:
         """Return the loss factor of a priority; 0 if it may stop nothing.
--- a/crocusrouter/work/pool_state.py
+++ b/crocusrouter/work/pool_state.py
@@ -13,6 +13,7 @@
 from crocusrouter.work import progress as progresses
 from crocusrouter.work import speeds
 from crocusrouter.work import stop_durations
+from crocusrouter.work import stop_limits
 from crocusrouter.work import tracking
 from crocusrouter.work import worker_port
 
@@ -453,29 +454,27 @@
             if tracked_step is not None:
                 worker.used = worker.used.minus(tracked_step.step.charge)
 
-    def stop_run(self, run: tracking.Run, reason: str, now: float) -> None:
+    def stop_run(
+        self, run: tracking.Run, reason: stop_limits.Reason, now: float
+    ) -> None:
         """Order a stop; the room becomes free once the worker lists the end."""
         if run.phase is tracking.Phase.STOPPING:
             return
-        run.phase = tracking.Phase.STOPPING
-        run.stop_reason = reason
-        run.stop_ordered_at = now
         worker = self.workers.get(run.worker_id)
-        leaves_at = worker.leaves_at if worker is not None else None
-        self.note(
-            "run:stop",
-            task=run.key,
-            run=run.number,
-            worker=run.worker_id,
-            why=reason,
-            percent=run.percent,
-            ran_s=round(now - run.ordered_at, 3),
-            left_s=round(leaves_at - now, 3) if leaves_at is not None else None,
-        )
+        fields = stop_limits.mark_stopping(run, worker, reason, now)
+        self.note("run:stop", **fields)
         self.outbox.append(
             (run.worker_id, worker_port.Stop(run.key, run.number))
         )
 
+    def note_kept(self, runs: Iterable[tracking.Run]) -> None:
+        """Log once for each run that it is not stopped because of the bound."""
+        for run in runs:
+            if not run.kept:
+                run.kept = True
+                stops = stop_limits.count_stops(run)
+                self.note("run:kept", task=run.key, run=run.number, stops=stops)
+
     def note_stopped(self, run: tracking.Run, now: float) -> None:
         """Update the estimate of stop durations; log when it rises."""
         previous_s = self.stop_durations.expected_s
--- a/crocusrouter/work/preemption.py
+++ b/crocusrouter/work/preemption.py
@@ -7,8 +7,11 @@
 
 from crocusrouter.work import model
 from crocusrouter.work import packing
+from crocusrouter.work import planner_policy as policies
 from crocusrouter.work import pool_state as pool_states
+from crocusrouter.work import stop_limits
 from crocusrouter.work import tracking
+from crocusrouter.work import waiting_steps
 
 _NEVER_S = 1e9
 # Limits of one search, so that the duration of a decision doesn't grow with the
@@ -26,11 +29,37 @@
         runs: All runs to stop, whole gangs included.
         workers: Id of a worker for each task, in turn.
         cost: Core-seconds of lost work.
+        earlier_stops: How often the stopped tasks were stopped for other jobs
+            before, in total.
     """
 
     runs: tuple[tracking.Run, ...]
     workers: tuple[str, ...]
     cost: float
+    earlier_stops: int = 0
+
+
+def is_guaranteed(
+    pool_state: pool_states.PoolState,
+    used_by_customer: dict[str, int],
+    waiting_step: waiting_steps.WaitingStep,
+) -> bool:
+    """Tell whether a waiting step is covered by its customer's guarantee.
+
+    Args:
+        pool_state: State of the pool; not changed.
+        used_by_customer: Result of `count_guaranteed`.
+        waiting_step: The step.
+    """
+    job = waiting_step.tracked_job.job
+    tracked_step = waiting_step.tracked_step
+    if job.priority != 0:
+        return False
+    needed = tracked_step.step.charge.accelerators * len(
+        tracked_step.waiting_indices
+    )
+    used = used_by_customer.get(job.customer, 0)
+    return used + needed <= pool_state.guaranteed.get(job.customer, 0)
 
 
 def count_guaranteed(pool_state: pool_states.PoolState) -> dict[str, int]:
@@ -120,47 +149,124 @@
         pool_state: State of the pool; not changed.
         chosen: Runs that this plan already stops. Later tasks may use their
             room at no further loss.
+        kept: Runs that a search has left out because their tasks have been
+            stopped for others too often.
     """
 
-    def __init__(self, pool_state: pool_states.PoolState, now: float) -> None:
+    def __init__(
+        self,
+        pool_state: pool_states.PoolState,
+        now: float,
+        policy: policies.PlannerPolicy,
+    ) -> None:
         """Prepare for one plan.
 
         Args:
             pool_state: State of the pool; not changed.
             now: Steady time in seconds.
+            policy: Weights and limits of the planner.
         """
         self.pool_state = pool_state
         self.chosen: set[model.TaskKey] = set()
+        self.kept: list[tracking.Run] = []
         self._now = now
+        self._policy = policy
+        self._stop_s = pool_state.stop_durations.expected_s
         self._gang_losses: dict[model.StepKey, float] = {}
-        self._candidates: dict[tuple[str, int], list[_Candidate]] = {}
+        self._ending_runs = stop_limits.EndingRuns(
+            now, self._stop_s, estimate_remaining_s
+        )
+        self._candidates: dict[
+            tuple[str, stop_limits.ClaimKind], list[_Candidate]
+        ] = {}
+
+    def make_claim(
+        self, waiting_step: waiting_steps.WaitingStep, is_guaranteed: bool
+    ) -> stop_limits.Claim:
+        """Return the claim of a step that finds no room."""
+        return stop_limits.make_claim(
+            waiting_step.tracked_job.job,
+            waiting_step.tracked_step,
+            self._now,
+            self._stop_s,
+            is_guaranteed=is_guaranteed,
+            waits_for_ends=self._policy.waits_for_ends,
+        )
+
+    def select_reserved(
+        self, reserved: dict[model.StepKey, dict[int, str]]
+    ) -> dict[model.StepKey, dict[int, str]]:
+        """Return the reserved steps whose room is free or will soon be.
+
+        If a run that was expected to end by itself is overdue, its step is
+        planned again and may stop it.
+
+        Args:
+            reserved: Workers by index of the task, for each reserved step.
+        """
+        needed: dict[str, model.Room] = {}
+        for key, spots in reserved.items():
+            tracked_step = self.pool_state.find_tracked_step(key)
+            if tracked_step is None:
+                continue
+            for worker_id in spots.values():
+                needed[worker_id] = needed.get(worker_id, model.Room()).plus(
+                    tracked_step.step.charge
+                )
+        blocked = {
+            worker_id
+            for worker_id, room in needed.items()
+            if worker_id in self.pool_state.workers
+            and not self._ending_runs.will_leave(
+                self.pool_state.workers[worker_id], room
+            )
+        }
+        return {
+            key: spots
+            for key, spots in reserved.items()
+            if blocked.isdisjoint(spots.values())
+        }
 
     def note_chosen(self, victims: Victims) -> None:
         """Count the victims as stopped from now on."""
         for run in victims.runs:
             self.chosen.add(run.key)
         affected_workers = {run.worker_id for run in victims.runs}
-        for worker_id, priority in list(self._candidates):
+        for worker_id, kind in list(self._candidates):
             if worker_id in affected_workers:
-                del self._candidates[worker_id, priority]
+                del self._candidates[worker_id, kind]
 
     def list_candidates(
-        self, worker_id: str, priority: int
+        self, worker_id: str, kind: stop_limits.ClaimKind
     ) -> list["_Candidate"]:
         """Return the runs that may be stopped on a worker, the cheapest first.
 
+        Runs that end by themselves in time are among them.
+
         Args:
             worker_id: The worker.
-            priority: Only runs of a higher priority number may be stopped.
+            kind: What the claim may do.
         """
-        candidates = self._candidates.get((worker_id, priority))
+        candidates = self._candidates.get((worker_id, kind))
         if candidates is None:
-            candidates = self._find_candidates(worker_id, priority)
-            self._candidates[worker_id, priority] = candidates
+            candidates = self._find_candidates(worker_id, kind)
+            self._candidates[worker_id, kind] = candidates
         return candidates
 
+    def is_ending(self, run: tracking.Run, kind: stop_limits.ClaimKind) -> bool:
+        """Tell whether a claim needs no stop of a run to use its room."""
+        return self._is_stopped(run) or self._is_awaited(run, kind)
+
+    def _is_stopped(self, run: tracking.Run) -> bool:
+        return run.phase is tracking.Phase.STOPPING or run.key in self.chosen
+
+    def _is_awaited(
+        self, run: tracking.Run, kind: stop_limits.ClaimKind
+    ) -> bool:
+        return kind.may_wait and self._ending_runs.includes(run)
+
     def _find_candidates(
-        self, worker_id: str, priority: int
+        self, worker_id: str, kind: stop_limits.ClaimKind
     ) -> list["_Candidate"]:
         candidates = []
         for key, run in self.pool_state.workers[worker_id].runs.items():
@@ -168,27 +274,26 @@
             tracked_job = self.pool_state.jobs.get(key.job)
             if tracked_step is None or tracked_job is None:
                 continue
-            ending = run.phase is tracking.Phase.STOPPING or key in self.chosen
-            if ending:
-                # Its room becomes free in any case.
-                candidates.append(_Candidate(0.0, run, tracked_step))
-            elif (
-                tracked_job.job.priority > priority
+            is_lower = (
+                tracked_job.job.priority > kind.priority
                 and not tracked_step.step.lasting
-            ):
-                candidates.append(
-                    _Candidate(
-                        self._measure_run_loss(tracked_step, run),
-                        run,
-                        tracked_step,
-                    )
-                )
-        candidates.sort(
-            key=lambda candidate: (
-                candidate.loss
-                / max(1, candidate.tracked_step.step.charge.accelerators)
             )
-        )
+            if self._is_stopped(run) or (
+                is_lower and self._is_awaited(run, kind)
+            ):
+                # Its room becomes free in any case.
+                candidates.append(_Candidate(0.0, 0, run, tracked_step))
+            elif is_lower:
+                stops = stop_limits.count_stops(run)
+                if stop_limits.is_protected(
+                    kind, stops, self._policy.max_stops
+                ):
+                    if not run.kept:
+                        self.kept.append(run)
+                    continue
+                loss = self._measure_run_loss(tracked_step, run)
+                candidates.append(_Candidate(loss, stops, run, tracked_step))
+        candidates.sort(key=_Candidate.rank)
         return candidates
 
     def _measure_run_loss(
@@ -211,13 +316,28 @@
     """A run that may be stopped, and the core-seconds lost with it."""
 
     loss: float
+    stops: int
     run: tracking.Run
     tracked_step: tracking.TrackedStep
 
+    def rank(self) -> tuple[float, int]:
+        """Return the sort key; runs of lower rank are stopped first."""
+        accelerators = max(1, self.tracked_step.step.charge.accelerators)
+        return self.loss / accelerators, self.stops
+
+
+class _Offer(NamedTuple):
+    """Runs to stop on a worker for one task, and what is lost with them."""
+
+    cost: float
+    earlier_stops: int
+    worker_id: str
+    runs: list[tracking.Run]
+
 
 def choose_victims(
     losses: Losses,
-    priority: int,
+    kind: stop_limits.ClaimKind,
     step: model.Step,
     count: int,
     spaces: dict[str, packing.Space],
@@ -228,7 +348,7 @@
 
     Args:
         losses: Work lost by stopping runs.
-        priority: Only runs of a higher priority number may be stopped.
+        kind: What the claim may do.
         step: Requirements of the tasks.
         count: Number of tasks.
         spaces: Free room of the workers that may run the tasks, by worker id.
@@ -250,18 +370,21 @@
                 if name == step.rack
             }
         for rack_spaces in _list_emptiest(racks):
-            victims = _Search(losses, priority, step, rack_spaces).run(count)
+            victims = _Search(losses, kind, step, rack_spaces).run(count)
             if victims is not None:
                 victims_by_rack.append(victims)
     if victims_by_rack:
-        return min(victims_by_rack, key=lambda victims: victims.cost)
+        return min(
+            victims_by_rack,
+            key=lambda victims: (victims.cost, victims.earlier_stops),
+        )
     if needs_rack and not may_leave_rack:
         return None
     all_spaces = list(spaces.values())
     if len(all_spaces) > _MAX_WORKERS:
         all_spaces.sort(key=lambda space: -space.free.accelerators)
         del all_spaces[max(_MAX_WORKERS, count) :]
-    return _Search(losses, priority, step, all_spaces).run(count)
+    return _Search(losses, kind, step, all_spaces).run(count)
 
 
 def _list_emptiest(
@@ -287,12 +410,12 @@
     def __init__(
         self,
         losses: Losses,
-        priority: int,
+        kind: stop_limits.ClaimKind,
         step: model.Step,
         spaces: list[packing.Space],
     ) -> None:
         self._losses = losses
-        self._priority = priority
+        self._kind = kind
         self._step = step
         self._free_rooms = {space.worker: space.free for space in spaces}
         self._order = {
@@ -301,8 +424,8 @@
         }
         self._stopped_runs: dict[model.TaskKey, tracking.Run] = {}
         self._placed_counts: collections.Counter[str] = collections.Counter()
-        self._offers: dict[str, tuple[float, list[tracking.Run]]] = {}
-        self._offer_heap: list[tuple[float, int, str]] = []
+        self._offers: dict[str, _Offer] = {}
+        self._offer_heap: list[tuple[float, int, int, str]] = []
 
     def run(self, count: int) -> Victims | None:
         """Return victims for `count` tasks; None if there are not enough."""
@@ -310,34 +433,34 @@
             self._update_offer(worker_id)
         worker_ids: list[str] = []
         total_cost = 0.0
+        total_stops = 0
         while len(worker_ids) < count:
             offer = self._take_cheapest()
             if offer is None:
                 return None
-            cost, worker_id = offer
-            total_cost += cost
-            worker_ids.append(worker_id)
+            total_cost += offer.cost
+            total_stops += offer.earlier_stops
+            worker_ids.append(offer.worker_id)
         runs_to_stop = tuple(
             run
             for run in self._stopped_runs.values()
-            if run.phase is not tracking.Phase.STOPPING
-            and run.key not in self._losses.chosen
+            if not self._losses.is_ending(run, self._kind)
         )
-        return Victims(runs_to_stop, tuple(worker_ids), total_cost)
+        return Victims(runs_to_stop, tuple(worker_ids), total_cost, total_stops)
 
-    def _take_cheapest(self) -> tuple[float, str] | None:
+    def _take_cheapest(self) -> "_Offer | None":
         """Use the worker with the least loss for one task.
 
         Returns:
-            The loss and the worker's id; None if no worker can make room.
+            The loss on that worker; None if no worker can make room.
         """
         while self._offer_heap:
-            cost, _, worker_id = heapq.heappop(self._offer_heap)
+            cost, earlier_stops, _, worker_id = heapq.heappop(self._offer_heap)
             offer = self._offers.get(worker_id)
-            if offer is None or offer[0] != cost:
+            if offer is None or offer[:2] != (cost, earlier_stops):
                 continue  # the offer has been updated since
             affected_workers = {worker_id}
-            for run in offer[1]:
+            for run in offer.runs:
                 affected_workers |= self._stop_run(run)
             self._free_rooms[worker_id] = self._free_rooms[worker_id].minus(
                 self._step.charge
@@ -345,7 +468,7 @@
             self._placed_counts[worker_id] += 1
             for affected_worker in affected_workers:
                 self._update_offer(affected_worker)
-            return cost, worker_id
+            return offer
         return None
 
     def _update_offer(self, worker_id: str) -> None:
@@ -358,22 +481,27 @@
         room = self._step.charge
         runs_to_stop: list[tracking.Run] = []
         cost = 0.0
+        earlier_stops = 0
         if not free.holds(room):
             for candidate in self._losses.list_candidates(
-                worker_id, self._priority
+                worker_id, self._kind
             ):
                 if candidate.run.key in self._stopped_runs:
                     continue
                 runs_to_stop.append(candidate.run)
                 cost += candidate.loss
+                earlier_stops += candidate.stops
                 free = free.plus(candidate.tracked_step.step.charge)
                 if free.holds(room):
                     break
             else:
                 return
-        self._offers[worker_id] = cost, runs_to_stop
+        self._offers[worker_id] = _Offer(
+            cost, earlier_stops, worker_id, runs_to_stop
+        )
         heapq.heappush(
-            self._offer_heap, (cost, self._order[worker_id], worker_id)
+            self._offer_heap,
+            (cost, earlier_stops, self._order[worker_id], worker_id),
         )
 
     def _stop_run(self, run: tracking.Run) -> set[str]:
--- a/crocusrouter/work/progress.py
+++ b/crocusrouter/work/progress.py
@@ -63,6 +63,10 @@
             that did not know of them would start the task as many times again.
         explained_runs: Numbers of the runs in `crashes` whose worker's crash
             has another likely cause than the task, by index of the task.
+        stopped_runs: Numbers of the runs that were ordered to stop for another
+            job, by index of the task; a gang's under index 0. With numbers
+            instead of a count, the members of a gang count once, and a new
+            owner does not count a stop that was not carried out.
     """
 
     done: set[int] = dataclasses.field(default_factory=set)
@@ -72,6 +76,7 @@
     explained_runs: dict[int, set[int]] = dataclasses.field(
         default_factory=dict
     )
+    stopped_runs: dict[int, set[int]] = dataclasses.field(default_factory=dict)
 
     @property
     def is_suspect(self) -> bool:
@@ -183,10 +188,8 @@
                     index: list(map(list, step_progress.crashes[index]))
                     for index in step_progress.crashes
                 },
-                {
-                    index: sorted(runs)
-                    for index, runs in step_progress.explained_runs.items()
-                },
+                _dump_runs(step_progress.explained_runs),
+                _dump_runs(step_progress.stopped_runs),
             ]
             for (occurrence, step), step_progress in progress.steps.items()
         ]
@@ -197,6 +200,10 @@
     return cbor2.dumps([final, progress.finished_at, steps])
 
 
+def _dump_runs(runs_by_index: dict[int, set[int]]) -> dict[int, list[int]]:
+    return {index: sorted(runs) for index, runs in runs_by_index.items()}
+
+
 def parse_progress(data: bytes) -> Progress:
     """Decode what `dump_progress` encoded.
 
@@ -211,8 +218,9 @@
                     set(done),
                     dict(failed),
                     dict(saved),
-                    _parse_crashes(crash_columns),
-                    _parse_explained_runs(crash_columns),
+                    _parse_crashes(later_columns),
+                    _parse_runs(later_columns, 1),
+                    _parse_runs(later_columns, 2),
                 )
                 for (
                     occurrence,
@@ -220,7 +228,7 @@
                     done,
                     failed,
                     saved,
-                    *crash_columns,
+                    *later_columns,
                 ) in steps
             },
             model.State(final) if final is not None else None,
@@ -240,8 +248,8 @@
     }
 
 
-def _parse_explained_runs(columns: list[Any]) -> dict[int, set[int]]:
+def _parse_runs(columns: list[Any], position: int) -> dict[int, set[int]]:
     """Decode runs by index; records of an earlier version have none."""
-    if len(columns) < 2:
+    if len(columns) <= position:
         return {}
-    return {index: set(runs) for index, runs in columns[1].items()}
+    return {index: set(runs) for index, runs in columns[position].items()}
--- a/crocusrouter/work/tracking.py
+++ b/crocusrouter/work/tracking.py
@@ -49,6 +49,7 @@
         pace: Percent of its speed that the worker was last told to give it.
         paced_at: Steady time at which the worker confirmed `pace`.
         is_trial: Whether its start was a trial of a suspected task.
+        kept: Whether the log says that it is not stopped for others any more.
     """
 
     key: model.TaskKey
@@ -68,6 +69,7 @@
     pace: int = 100
     paced_at: float = 0.0
     is_trial: bool = False
+    kept: bool = False
 
 
 @dataclasses.dataclass
