Make the rule about runs that end by themselves switchable as a whole

Cause: with waits_for_ends off, reservations whose room was not about to become free were still planned again, so the switch did not restore the earlier rule. Change: reservations are left alone then; a test covers the switch.

--- a/crocusrouter/work/preemption.py
+++ b/crocusrouter/work/preemption.py
@@ -204,6 +204,8 @@
         Args:
             reserved: Workers by index of the task, for each reserved step.
         """
+        if not self._policy.waits_for_ends:
+            return reserved
         needed: dict[str, model.Room] = {}
         for key, spots in reserved.items():
             tracked_step = self.pool_state.find_tracked_step(key)
--- a/crocusrouter/work/tests/test_stop_limits.py
+++ b/crocusrouter/work/tests/test_stop_limits.py
@@ -199,6 +199,16 @@
     assert [placement.spots for placement in plan.reservations] == [{0: "w0"}]
 
 
+# The rule can be switched off if it lowers the score of a deployment.
+def test_run_about_to_end_is_stopped_if_the_rule_is_off():
+    pool_state = _make_contested_state(8, checkpoints=False, expected_s=5.0)
+    run = pool_state.runs[_LOW_TASK]
+    run.percent, run.progressed_at = 90, 9.0
+    policy = work.PlannerPolicy(waits_for_ends=False)
+    plan = _plan_for_urgent(pool_state, 9.7, policy=policy)
+    assert [stopped_run for stopped_run, _ in plan.stops] == [run]
+
+
 # Declared times may be off by a factor of two, so a run that should be about to
 # end by its declared time alone may go on for long.
 def test_run_about_to_end_by_its_declared_time_alone_is_stopped():
