Stop a run for guaranteed work while a stop is still in time

Cause: each report of a worker that has become slow moves the expected end of its run by up to a second, so the run was never overdue for long enough and a guaranteed claim could wait for it past its 2.7 s.

Change: a reserved step of the first priority counts on stops alone once there is just time left for one. The same rule decides whether a new claim may wait.

--- a/crocusrouter/work/preemption.py
+++ b/crocusrouter/work/preemption.py
@@ -198,15 +198,28 @@
     ) -> dict[model.StepKey, dict[int, str]]:
         """Return the reserved steps whose room is free or will soon be.
 
-        If a run that was expected to end by itself is overdue, its step is
-        planned again and may stop it.
+        If a run that was expected to end by itself is overdue, or guaranteed
+        work has no time left to wait for it, the step is planned again and may
+        stop it.
 
         Args:
             reserved: Workers by index of the task, for each reserved step.
         """
         if not self._policy.waits_for_ends:
             return reserved
+        blocked_workers = self._list_blocked_workers(reserved)
+        return {
+            key: spots
+            for key, spots in reserved.items()
+            if blocked_workers.isdisjoint(spots.values())
+        }
+
+    def _list_blocked_workers(
+        self, reserved: dict[model.StepKey, dict[int, str]]
+    ) -> set[str]:
+        """Return the workers that will not have room for what is reserved."""
         needed: dict[str, model.Room] = {}
+        urgent_workers: set[str] = set()
         for key, spots in reserved.items():
             tracked_step = self.pool_state.find_tracked_step(key)
             if tracked_step is None:
@@ -215,19 +228,22 @@
                 needed[worker_id] = needed.get(worker_id, model.Room()).plus(
                     tracked_step.step.charge
                 )
-        blocked = {
+            if self.pool_state.jobs[key.job].job.priority != 0:
+                continue
+            if not stop_limits.has_time_to_wait(
+                tracked_step, self._now, self._stop_s
+            ):
+                urgent_workers.update(spots.values())
+        return {
             worker_id
             for worker_id, room in needed.items()
             if worker_id in self.pool_state.workers
             and not self._ending_runs.will_leave(
-                self.pool_state.workers[worker_id], room
+                self.pool_state.workers[worker_id],
+                room,
+                may_wait=worker_id not in urgent_workers,
             )
         }
-        return {
-            key: spots
-            for key, spots in reserved.items()
-            if blocked.isdisjoint(spots.values())
-        }
 
     def note_chosen(self, victims: Victims) -> None:
         """Count the victims as stopped from now on."""
--- a/crocusrouter/work/stop_limits.py
+++ b/crocusrouter/work/stop_limits.py
@@ -86,9 +86,6 @@
 ) -> Claim:
     """Return the claim of a job whose tasks find no room.
 
-    A guaranteed claim waits for runs to end by themselves only while there is
-    time to stop them afterwards, if an end was estimated too early.
-
     Args:
         job: The job.
         tracked_step: Its step whose tasks are waiting.
@@ -97,14 +94,29 @@
         is_guaranteed: Whether the claim is covered by its customer's guarantee.
         waits_for_ends: Whether claims wait for such runs at all.
     """
+    may_wait = waits_for_ends and (
+        not is_guaranteed
+        or has_time_to_wait(tracked_step, now, expected_stop_s)
+    )
+    return Claim(job.id, ClaimKind(job.priority, is_guaranteed, may_wait))
+
+
+def has_time_to_wait(
+    tracked_step: tracking.TrackedStep, now: float, expected_stop_s: float
+) -> bool:
+    """Tell whether guaranteed work may wait for runs to end by themselves.
+
+    It may as long as there is time to stop them afterwards. Each report of a
+    worker that has become slow moves the expected end further.
+
+    Args:
+        tracked_step: The step whose tasks are waiting.
+        now: Steady time in seconds.
+        expected_stop_s: Seconds that a stop takes.
+    """
     since = tracked_step.waiting_since
     waited_s = now - since if since is not None else 0.0
-    latest_start_s = waited_s + 2 * expected_stop_s + _OVERDUE_S
-    has_time = not is_guaranteed or latest_start_s <= _GUARANTEED_START_S
-    return Claim(
-        job.id,
-        ClaimKind(job.priority, is_guaranteed, waits_for_ends and has_time),
-    )
+    return waited_s + expected_stop_s + _OVERDUE_S <= _GUARANTEED_START_S
 
 
 def is_protected(kind: ClaimKind, stops: int, max_stops: int) -> bool:
@@ -159,19 +171,23 @@
             self._known[key] = self._end_in_time(members, tracked_step)
         return self._known[key]
 
-    def will_leave(self, worker: tracking.Worker, room: model.Room) -> bool:
+    def will_leave(
+        self, worker: tracking.Worker, room: model.Room, *, may_wait: bool
+    ) -> bool:
         """Tell whether a worker will have room once its ending runs are gone.
 
         Args:
             worker: The worker.
             room: Needed room.
+            may_wait: Whether runs that end by themselves count.
         """
         free = worker.free
         if free.holds(room):
             return True
         for run in worker.runs.values():
             if run.tracked_step is not None and (
-                run.phase is tracking.Phase.STOPPING or self.includes(run)
+                run.phase is tracking.Phase.STOPPING
+                or (may_wait and self.includes(run))
             ):
                 free = free.plus(run.tracked_step.step.charge)
         return free.holds(room)
