--- a/bench/replay/day.py
+++ b/bench/replay/day.py
@@ -57,6 +57,8 @@
             saved, by the cause of its end.
         stops_by: Number of runs that the planner stopped, by its reason with
             job ids masked.
+        stops_by_task: How often each task was stopped for other jobs; a gang
+            counts as its first task.
         decisions_s: Real duration of each decision in seconds.
         true_speeds: True speed of each worker that was there.
         speed_groups: The groups that were known at each decision, with its
@@ -66,6 +68,7 @@
     job_results: list[scoring.JobResult]
     wasted_by: dict[str, float]
     stops_by: dict[str, int]
+    stops_by_task: dict[work.TaskKey, int]
     decisions_s: list[float]
     true_speeds: dict[str, float]
     speed_groups: list[tuple[float, speeds.SpeedGroups]]
@@ -152,11 +155,20 @@
             self._list_job_results(),
             self.wasted_by,
             self.stops_by,
+            self._count_stops_by_task(),
             self.decisions_s,
             self.speeds,
             self.speed_groups,
         )
 
+    def _count_stops_by_task(self) -> dict[work.TaskKey, int]:
+        return {
+            work.TaskKey(*step_key, index): len(numbers)
+            for tracked_job in self.pool_state.jobs.values()
+            for step_key, tracked_step in tracked_job.steps.items()
+            for index, numbers in tracked_step.progress.stopped_runs.items()
+        }
+
     def _is_owner_absent(self, now: float) -> bool:
         return any(
             not t.worker and t.start <= now < t.end for t in self.disruptions
@@ -365,7 +377,7 @@
             self.pool_state.note_contention(now)
         for run, why in plan.stops:
             self.pool_state.stop_run(run, why, now)
-            self.stops_by[_JOB_ID.sub("JOB", why)] += 1
+            self.stops_by[_JOB_ID.sub("JOB", str(why))] += 1
         for placement in plan.reservations:
             self.reserved.add(placement, now)
         for _, order in self.pool_state.outbox:
--- a/crocusrouter/pools/owner.py
+++ b/crocusrouter/pools/owner.py
@@ -395,7 +395,8 @@
 
     def _run_plan(self, now: float, wall: float) -> None:
         """Start steps that have room and stop runs that block guarantees."""
-        self._start_reserved_steps(now)
+        for placement in self._reservations.take_ready(self.pool_state, now):
+            self._start_step(placement, now)
         plan = work.plan(
             self.pool_state, now, wall, reserved=self._reservations.list_spots()
         )
@@ -403,6 +404,7 @@
             self._start_step(placement, now)
         for run, why in plan.stops:
             self.pool_state.stop_run(run, why, now)
+        self.pool_state.note_kept(plan.kept)
         if plan.contended:
             self.pool_state.note_contention(now)
         for placement in plan.reservations:
