Split the estimator of speeds into smaller modules

Change: slow_downs, run_starts and speed_scale; no change of behaviour except that progress above 100 is clamped also where a measurement begins. A test of adopted runs.

--- a/crocusrouter/work/speed_fit.py
+++ b/crocusrouter/work/speed_fit.py
@@ -35,6 +35,9 @@
 # Every rate that was measured since outweighs an estimate of an earlier owner.
 _RESTORED_WEIGHT = 0.02
 _RESTORED_UNTIL_RUNS = 2
+# How far samples may be from their median to agree with it.
+_AGREEMENT_LOG = math.log(1.25)
+_FIRM_RUNS = 2
 
 
 @dataclasses.dataclass(eq=False)
@@ -148,6 +151,17 @@
             return
 
 
+def is_firm(worker: WorkerSamples) -> bool:
+    """Tell whether most of two or more runs agree on a worker's speed."""
+    if worker.log_speed is None:
+        return False
+    agreeing = sum(
+        abs((sample.value or 0.0) - worker.log_speed) <= _AGREEMENT_LOG
+        for sample in worker.used
+    )
+    return agreeing >= _FIRM_RUNS and 2 * agreeing > len(worker.used)
+
+
 def _fit_step(step: StepRates, workers: dict[str, WorkerSamples]) -> None:
     """Set a step's level from the speeds of its workers."""
     exact: list[tuple[float, float]] = []
--- a/crocusrouter/work/speeds.py
+++ b/crocusrouter/work/speeds.py
@@ -1,6 +1,5 @@
 """Speeds of workers, estimated from the relative progress of their runs."""
 
-import collections
 from collections.abc import Iterable
 from collections.abc import Mapping
 import dataclasses
@@ -10,8 +9,11 @@
 from crocusrouter.work import model
 from crocusrouter.work import packing
 from crocusrouter.work import run_rates
+from crocusrouter.work import run_starts
+from crocusrouter.work import slow_downs
 from crocusrouter.work import speed_fit
 from crocusrouter.work import speed_groups
+from crocusrouter.work import speed_scale
 from crocusrouter.work import tracking
 
 # Number of runs kept for a worker, also of steps that have no second worker.
@@ -22,20 +24,8 @@
 _STEP_RETENTION_S = 5.0
 _MAX_STEPS = 1000
 _MAX_STEP_SAMPLES = 256
-# Steps by which the declared run times are compared with the measured ones.
-_MAX_SCALE_STEPS = 64
-# Number of steps at which half of the measured factor is applied. Declared
-# times are off by a factor of 1.9, so the median of a few says little.
-_SCALE_PRIOR_STEPS = 10
-# A smaller change of the scale would change all speeds for nothing.
-_SCALE_STEP_LOG = math.log(1.1)
 # Factor of a change that operators should see.
 _CHANGE_LOG = math.log(1.25)
-# How far samples may be from their median to agree with it.
-_AGREEMENT_LOG = math.log(1.25)
-_FIRM_RUNS = 2
-# A worker is slowed for as long as this after its runs were last seen slow.
-_SLOWED_S = 4.0
 
 _StepId = tuple[model.StepKey, int, bool]
 
@@ -98,23 +88,6 @@
         return bool(self.fast)
 
 
-@dataclasses.dataclass
-class _Watch:
-    """Evidence of one worker's latest report on a transient slow-down.
-
-    Attributes:
-        reported_at: Steady time of that report.
-        has_other_run: Whether a run was not slow in that report.
-        slow_before: Value of `slow_at` before that report.
-        slow_at: Steady time of the last evidence; None if not slowed.
-    """
-
-    reported_at: float = -math.inf
-    has_other_run: bool = False
-    slow_before: float | None = None
-    slow_at: float | None = None
-
-
 class WorkerSpeeds:
     """Estimates of the speeds of a pool's workers.
 
@@ -134,13 +107,9 @@
         self._pool_workers = workers if workers is not None else {}
         self._workers: dict[str, speed_fit.WorkerSamples] = {}
         self._steps: dict[_StepId, speed_fit.StepRates] = {}
-        self._watches: dict[str, _Watch] = {}
+        self._slow_downs = slow_downs.SlowDowns(self._is_firm)
         self._reported_log_speeds: dict[str, float] = {}
-        self._old_excesses: collections.deque[float] = collections.deque(
-            maxlen=_MAX_SCALE_STEPS
-        )
-        # Subtracted from the fitted log speeds.
-        self._log_scale = 0.0
+        self._scale = speed_scale.SpeedScale()
         self._observed_at = -math.inf
         self._fitted_at = -math.inf
         self._has_new_rates = False
@@ -176,26 +145,29 @@
             return
         self._observed_at = max(self._observed_at, now)
         rates.seen_at = max(rates.seen_at, now)
+        percent = min(100.0, max(0.0, run.percent))
         rate = rates.rates.get(key)
         if rate is None:
-            rate = _begin_rate(run, tracked_step, rates, list(members), now)
+            rate = run_starts.begin_rate(
+                run, percent, tracked_step, rates, list(members), now
+            )
             if rate is None:
                 return
             rates.rates[key] = rate
         verdict = rate.update(
-            min(100.0, max(0.0, run.percent)),
+            percent,
             now,
             is_disturbed=self.is_slowed(run.worker_id, now),
         )
         if rate.percent_per_s > 0:
             self._keep_sample(rates, key, run.worker_id, rate, now)
         if verdict is not None:
-            self._judge_worker(run.worker_id, verdict, now)
+            self._slow_downs.note(run.worker_id, verdict, now)
 
     def forget(self, worker_id: str) -> None:
         """Remove the estimate of an incarnation that is gone."""
         self._workers.pop(worker_id, None)
-        self._watches.pop(worker_id, None)
+        self._slow_downs.forget(worker_id)
         self._reported_log_speeds.pop(worker_id, None)
         for rates in self._steps.values():
             for key, sample in list(rates.samples.items()):
@@ -210,16 +182,11 @@
         worker = self._workers.get(worker_id)
         if worker is None or worker.log_speed is None:
             return None
-        return math.exp(worker.log_speed - self._log_scale)
+        return math.exp(worker.log_speed - self._scale.log_scale)
 
     def is_slowed(self, worker_id: str, now: float) -> bool:
         """Tell whether a worker runs below its own speed for a while."""
-        watch = self._watches.get(worker_id)
-        return (
-            watch is not None
-            and watch.slow_at is not None
-            and now - watch.slow_at < _SLOWED_S
-        )
+        return self._slow_downs.is_slowed(worker_id, now)
 
     def find_groups(self) -> SpeedGroups:
         """Return the groups of workers of like speed."""
@@ -242,7 +209,7 @@
             estimates.append(
                 SpeedEstimate(
                     worker_id,
-                    math.exp(worker.log_speed - self._log_scale),
+                    math.exp(worker.log_speed - self._scale.log_scale),
                     max(1, len(worker.used)),
                     since,
                 )
@@ -255,7 +222,7 @@
             if not 0 < estimate.speed < math.inf:
                 continue
             worker = self._find_worker(estimate.worker_id)
-            worker.restored = math.log(estimate.speed) + self._log_scale
+            worker.restored = math.log(estimate.speed) + self._scale.log_scale
             worker.restored_since = estimate.since
         self._has_new_rates = True
         self._fitted_at = -math.inf
@@ -337,44 +304,10 @@
             sample.is_exact = rate.is_exact
             self._has_new_rates = True
 
-    # Slow-downs.
-
-    def _judge_worker(
-        self, worker_id: str, verdict: run_rates.Verdict, now: float
-    ) -> None:
-        """Update whether a worker is slowed.
-
-        The runs of one report are observed one after the other; the worker is
-        slowed if none of them has shown anything else.
-        """
-        watch = self._watches.setdefault(worker_id, _Watch())
-        if watch.reported_at != now:
-            watch.reported_at = now
-            watch.has_other_run = False
-            watch.slow_before = watch.slow_at
-        if verdict is run_rates.Verdict.SLOW:
-            if self.is_slowed(worker_id, now) or (
-                not watch.has_other_run and self._is_firm(worker_id)
-            ):
-                watch.slow_at = now
-            return
-        watch.has_other_run = True
-        if verdict is run_rates.Verdict.BACK:
-            watch.slow_at = watch.slow_before = None
-        else:
-            watch.slow_at = watch.slow_before
-
     def _is_firm(self, worker_id: str) -> bool:
-        """Tell whether most of two or more runs agree on a worker's speed."""
         self._fit()
         worker = self._workers.get(worker_id)
-        if worker is None or worker.log_speed is None:
-            return False
-        agreeing = sum(
-            abs((sample.value or 0.0) - worker.log_speed) <= _AGREEMENT_LOG
-            for sample in worker.used
-        )
-        return agreeing >= _FIRM_RUNS and 2 * agreeing > len(worker.used)
+        return worker is not None and speed_fit.is_firm(worker)
 
     # Speeds of workers.
 
@@ -391,31 +324,13 @@
         for step_id, rates in list(self._steps.items()):
             if rates.seen_at < self._observed_at - _STEP_RETENTION_S:
                 self._retire_step(step_id)
-        self._update_scale()
+        self._scale.update(self._steps.values())
         self._groups = None
         self._has_new_speeds = True
 
     def _retire_step(self, step_id: _StepId) -> None:
         """Remove a step; the samples of its workers keep their values."""
-        excess = self._steps.pop(step_id).log_excess
-        if excess is not None:
-            self._old_excesses.append(excess)
-
-    def _update_scale(self) -> None:
-        """Set the scale so that the median declared time is right at 1."""
-        excesses = [
-            rates.log_excess
-            for rates in self._steps.values()
-            if rates.log_excess is not None
-        ]
-        excesses += self._old_excesses
-        if not excesses:
-            return
-        log_scale = statistics.median(excesses) * (
-            len(excesses) / (len(excesses) + _SCALE_PRIOR_STEPS)
-        )
-        if abs(log_scale - self._log_scale) > _SCALE_STEP_LOG:
-            self._log_scale = log_scale
+        self._scale.add_retired(self._steps.pop(step_id))
 
     def _split_workers(self) -> SpeedGroups:
         estimates = {
@@ -442,60 +357,6 @@
         )
 
 
-def _begin_rate(
-    run: tracking.Run,
-    tracked_step: tracking.TrackedStep,
-    rates: speed_fit.StepRates,
-    members: list[tracking.Run],
-    now: float,
-) -> run_rates.RunRate | None:
-    """Begin to measure a run; None while its gang has not begun to work.
-
-    The work of a run may have begun earlier than known if it was confirmed by
-    this very report, as after a takeover, or if it has had another pace. Such
-    runs, and those that resume from a checkpoint, are measured from now on.
-    """
-    _drop_ended(rates, members)
-    step = tracked_step.step
-    assert run.confirmed_at is not None
-    is_start_unknown = run.confirmed_at >= now or run.paced_at > 0
-    rates.is_start_unknown |= is_start_unknown
-    if not step.gang:
-        begins_at = run.confirmed_at
-    else:
-        is_start_unknown = rates.is_start_unknown
-        if rates.begins_at is None:
-            rates.begins_at = _find_gang_begin(run, step.count, members)
-        if rates.begins_at is None:
-            return None
-        begins_at = rates.begins_at
-    if is_start_unknown or tracked_step.find_checkpoint(run.key.position):
-        return run_rates.RunRate(now, run.percent, starts_at_zero=False)
-    return run_rates.RunRate(begins_at)
-
-
-def _find_gang_begin(
-    run: tracking.Run, count: int, members: list[tracking.Run]
-) -> float | None:
-    """Return when the last member was confirmed; None if one is missing."""
-    times = [
-        member.confirmed_at
-        for member in members
-        if member.number == run.number and member.confirmed_at is not None
-    ]
-    return max(times) if len(times) >= count else None
-
-
-def _drop_ended(
-    rates: speed_fit.StepRates, members: list[tracking.Run]
-) -> None:
-    """Remove the measurements of ended runs once they are many."""
-    if len(rates.rates) > 2 * len(members) + 16:
-        active = {(member.key, member.number) for member in members}
-        for key in rates.rates.keys() - active:
-            del rates.rates[key]
-
-
 def _drop_oldest(
     samples: dict[speed_fit.RunKey, speed_fit.Sample], limit: int
 ) -> None:
--- a/crocusrouter/work/tests/test_speeds.py
+++ b/crocusrouter/work/tests/test_speeds.py
@@ -8,6 +8,7 @@
 from crocusrouter.work import speed_groups
 from crocusrouter.work import speeds
 from crocusrouter.work import tracking
+from crocusrouter.work import worker_port
 from crocusrouter.work.tests import build
 
 _EQUAL = (1.0,)
@@ -571,3 +572,19 @@
 def test_worker_near_the_boundary_starts_in_the_nearer_group():
     estimates = _make_estimates([0.7] * 30 + [1.7] * 15 + [1.15])
     assert "w45" in speed_groups.find_fast(estimates, frozenset())
+
+
+def test_adopted_runs_are_measured_from_their_adoption():
+    """Guards against speeds from starts that a new owner does not know."""
+    pool_state = build.make_pool_state(
+        build.make_job("j", build.make_step(2, gpu=8))
+    )
+    for now, percents in ((5.0, (70, 10)), (6.0, (80, 20)), (7.0, (90, 30))):
+        for index, percent in enumerate(percents):
+            row = worker_port.ReportedRun(
+                model.TaskKey("j", 0, 0, index), 7, "", percent
+            )
+            build.apply_report(pool_state, f"w{index}", now=now, running=(row,))
+    estimates = pool_state.speeds.list_estimates()
+    assert len(estimates) == 2
+    assert estimates[0].speed == pytest.approx(estimates[1].speed)
