Demand a factor of 1.5 between new groups beyond its error

Cause: of 192 synthetic pools of equal workers, or of 0.8, 1.0 and 1.25, one was split for 1.5 s. Change: new groups must differ by 1.5 times twice the error of the distance.

--- a/crocusrouter/work/speed_groups.py
+++ b/crocusrouter/work/speed_groups.py
@@ -24,7 +24,12 @@
 # workers of like speed reached 6 in some simulated days.
 _MIN_SEPARATION = 2.4
 _SMALL_POOL_SEPARATION = 20.0
-# Share of that distance at which existing groups remain.
+# Twice the standard error of the distance between the medians of two halves, as
+# a multiple of the median deviation / sqrt(workers). New groups must differ by
+# the least factor beyond this error: 42 workers at 0.8, 1.0 and 1.25 once
+# seemed to be two groups 1.55 apart.
+_DISTANCE_ERROR = 7.0
+# Share of the least separation at which existing groups remain.
 _KEPT_SHARE = 0.5
 # How far past the boundary a worker must be to change its group.
 _LOG_MARGIN = math.log(1.1)
@@ -74,6 +79,9 @@
     spread = _measure_spread(estimates.values(), slow_median, fast_median)
     if distance < needed * spread:
         return frozenset()
+    error = _DISTANCE_ERROR * spread / math.sqrt(count)
+    if not fast_before and distance < _MIN_LOG_FACTOR + error:
+        return frozenset()
     boundary = (slow_median + fast_median) / 2
     members = frozenset(
         worker
