--- a/crocusrouter/work/speed_groups.py
+++ b/crocusrouter/work/speed_groups.py
@@ -21,9 +21,9 @@
 # Least distance of the medians, as a multiple of the median deviation of the
 # workers and of their samples. The halves of a normal distribution are 3.4
 # apart, those of a uniform one 4, and with few workers chance exceeds both: 24
-# workers of like speed reached 6 in some simulated days.
-_MIN_SEPARATION = 2.4
-_SMALL_POOL_SEPARATION = 20.0
+# workers of like speed reached 7.4 in one of 135 simulated days.
+_MIN_SEPARATION = 3.4
+_SMALL_POOL_SEPARATION = 100.0
 # Twice the standard error of the distance between the medians of two halves, as
 # a multiple of the median deviation / sqrt(workers). New groups must differ by
 # the least factor beyond this error: 42 workers at 0.8, 1.0 and 1.25 once
@@ -73,7 +73,7 @@
     distance = fast_median - slow_median
     if distance < _MIN_LOG_FACTOR:
         return frozenset()
-    needed = _MIN_SEPARATION + _SMALL_POOL_SEPARATION / math.sqrt(count)
+    needed = _MIN_SEPARATION + _SMALL_POOL_SEPARATION / count
     if fast_before:
         needed *= _KEPT_SHARE
     spread = _measure_spread(estimates.values(), slow_median, fast_median)
