Give free room to one reservation only

Cause: each reservation was compared with the worker's free room before any of them had started, so that two steps could start in the room of one. The worker refuses the second, or is overcommitted if it does not check. Change: room that an earlier reservation of the same pass takes is subtracted. Figures: test_free_room_is_given_to_one_reservation_only fails in one of three rows without the change.

--- a/crocusrouter/pools/reservations.py
+++ b/crocusrouter/pools/reservations.py
@@ -40,7 +40,8 @@
 
         Reservations that can't be kept any longer are dropped too.
         """
-        ready = []
+        ready: list[work.Placement] = []
+        taken: dict[str, work.Room] = {}
         expected_stop_s = pool_state.stop_durations.expected_s
         max_age_s = _STOP_FACTOR * expected_stop_s + _REPEATED_ORDER_S
         for step_key, reservation in list(self._reservations.items()):
@@ -50,8 +51,9 @@
             elif _is_any_closed(pool_state, placement):
                 pool_state.note("reservation:closed", step=step_key)
                 del self._reservations[step_key]
-            elif _has_room(pool_state, placement, now):
+            elif _has_room(pool_state, placement, taken, now):
                 ready.append(placement)
+                _take_room(pool_state, placement, taken)
                 del self._reservations[step_key]
             elif now > reservation.since + max_age_s:
                 pool_state.note("reservation:dropped", step=step_key)
@@ -77,8 +79,24 @@
     return any(worker is not None and worker.closed for worker in workers)
 
 
+def _take_room(
+    pool_state: work.PoolState,
+    placement: work.Placement,
+    taken: dict[str, work.Room],
+) -> None:
+    """Count the room of a placement that is about to start as taken."""
+    step_work = pool_state.find_tracked_step(placement.step)
+    assert step_work is not None
+    for incarnation in placement.spots.values():
+        room = taken.get(incarnation, work.Room())
+        taken[incarnation] = room.plus(step_work.step.charge)
+
+
 def _has_room(
-    pool_state: work.PoolState, placement: work.Placement, now: float
+    pool_state: work.PoolState,
+    placement: work.Placement,
+    taken: dict[str, work.Room],
+    now: float,
 ) -> bool:
     step_work = pool_state.find_tracked_step(placement.step)
     assert step_work is not None
@@ -92,8 +110,7 @@
             # The ticket has expired while victims were ending; the step is
             # planned again once there is a new one.
             return False
-        if worker_state.free.count(step_work.step.charge) < incarnations.count(
-            incarnation
-        ):
+        free = worker_state.free.minus(taken.get(incarnation, work.Room()))
+        if free.count(step_work.step.charge) < incarnations.count(incarnation):
             return False
     return True
--- a/crocusrouter/pools/tests/test_reservations.py
+++ b/crocusrouter/pools/tests/test_reservations.py
@@ -54,3 +54,17 @@
     work.set_closed_data_centres(pool_state, frozenset({"liege"}))
     assert reserved.take_ready(pool_state, 0.1) == []
     assert list(reserved.list_spots()) == []
+
+
+# Two steps reserved half of a worker each while two runs ended there. When the
+# first had ended, both started in the room of one.
+@pytest.mark.parametrize(("free", "ready_count"), [(4, 1), (8, 2), (3, 0)])
+def test_free_room_is_given_to_one_reservation_only(free, ready_count):
+    jobs = [build.make_job(name, build.make_step(1, gpu=4)) for name in "ab"]
+    pool_state = build.make_pool_state(*jobs, workers=("w0",))
+    pool_state.workers["w0"].used = work.Room(0, 0, 8 - free)
+    reserved = reservations.Reservations()
+    for name in "ab":
+        reserved.add(work.Placement(work.StepKey(name, 0, 0), {0: "w0"}), 0.0)
+    assert len(reserved.take_ready(pool_state, 0.1)) == ready_count
+    assert len(list(reserved.list_spots())) == 2 - ready_count
