Take out the wait for runs that end by themselves; measure gangs once

Change: the rule and the order of victims of equal loss are gone with their tests (what they asserted is no longer decided anywhere); the bound of three stops stays. GangMeasures computes what a stall is judged by once a gang. A stop whose run fails first is not counted, and counts end with their task.

--- a/crocusrouter/work/gang_progress.py
+++ b/crocusrouter/work/gang_progress.py
@@ -10,6 +10,8 @@
 of the other members can't be used meanwhile, since they hold it.
 """
 
+import dataclasses
+
 from crocusrouter.work import model
 from crocusrouter.work import pool_state as pool_states
 from crocusrouter.work import run_times
@@ -62,14 +64,6 @@
     )
 
 
-def find_begin(run: tracking.Run, tracked_step: tracking.TrackedStep) -> float:
-    """Return the steady time at which a run's work began.
-
-    The work of a gang begins when its last member has started.
-    """
-    return _find_begin(_list_members(run, tracked_step))
-
-
 def _list_members(
     run: tracking.Run, tracked_step: tracking.TrackedStep
 ) -> list[tracking.Run]:
@@ -159,23 +153,6 @@
     return 100 * measured_s / gained_percent
 
 
-def estimate_restart_s(
-    run: tracking.Run, tracked_step: tracking.TrackedStep
-) -> float:
-    """Return the estimated seconds that a new start of a run's task works.
-
-    That of a gang works at least as long as the slowest member as measured,
-    since that member may be slow because of its task.
-    """
-    expected_s = tracked_step.step.expected_s
-    if not tracked_step.step.gang:
-        return expected_s
-    members = _list_members(run, tracked_step)
-    began_at = _find_begin(members)
-    durations = (measure_duration_s(member, began_at) for member in members)
-    return max(expected_s, *(duration or 0.0 for duration in durations))
-
-
 def is_finished_member(
     run: tracking.Run, tracked_step: tracking.TrackedStep
 ) -> bool:
@@ -183,31 +160,66 @@
     return tracked_step.step.gang and run.percent >= 100
 
 
-def is_waiting(run: tracking.Run, tracked_step: tracking.TrackedStep) -> bool:
-    """Tell whether a finished member of a gang waits for slower members.
-
-    Members that have not been reported after a takeover count as slower, and so
-    do members whose end has been reported: the end of this one will be, too.
+@dataclasses.dataclass(frozen=True)
+class GangTimes:
+    """Times of a gang, or of a single run, that a stall is judged by.
+
+    Attributes:
+        began_at: Steady time at which the work began; for a gang that of its
+            last member.
+        last_progress_at: Steady time of the last progress of any member.
+        restart_s: Estimated seconds that a new start works. A gang works at
+            least as long as its slowest member as measured, since that member
+            may be slow because of its task.
+        is_unfinished: Whether a member has not done its share or has not been
+            reported after a takeover. A member whose end has been reported is
+            not among the runs any more; the others end with it.
     """
-    if not is_finished_member(run, tracked_step):
-        return False
-    members = tracked_step.runs_by_index.values()
-    return len(members) < tracked_step.step.count or any(
-        member.percent < 100 for member in members
-    )
 
+    began_at: float
+    last_progress_at: float
+    restart_s: float
+    is_unfinished: bool
 
-def find_last_progress(
-    run: tracking.Run, tracked_step: tracking.TrackedStep
-) -> float:
-    """Return the steady time of the last progress that a stall counts from.
 
-    For a finished member of a gang this is the last progress of any member.
-    """
-    if not is_finished_member(run, tracked_step):
-        return run.progressed_at
-    return max(
-        member.progressed_at for member in _list_members(run, tracked_step)
+class GangMeasures:
+    """The times of all gangs during one decision, each computed once."""
+
+    def __init__(self) -> None:
+        self._times: dict[model.StepKey, GangTimes] = {}
+
+    def find(
+        self, run: tracking.Run, tracked_step: tracking.TrackedStep
+    ) -> GangTimes:
+        """Return the times of a run's gang, or of the run if it is single."""
+        if not tracked_step.step.gang:
+            return _measure_gang(run, tracked_step)
+        times = self._times.get(tracked_step.key)
+        if times is None:
+            times = _measure_gang(run, tracked_step)
+            self._times[tracked_step.key] = times
+        return times
+
+
+def _measure_gang(
+    run: tracking.Run, tracked_step: tracking.TrackedStep
+) -> GangTimes:
+    step = tracked_step.step
+    members = _list_members(run, tracked_step)
+    began_at = _find_begin(members)
+    restart_s = step.expected_s
+    if step.gang:
+        durations = (measure_duration_s(member, began_at) for member in members)
+        restart_s = max(restart_s, *(duration or 0.0 for duration in durations))
+    return GangTimes(
+        began_at,
+        max(member.progressed_at for member in members),
+        restart_s,
+        step.gang
+        and (
+            len(members) < step.count
+            or any(member.percent < 100 for member in members)
+        ),
     )
 
 
--- a/crocusrouter/work/planner.py
+++ b/crocusrouter/work/planner.py
@@ -49,7 +49,8 @@
         reservations: Workers reserved for tasks that start once runs in `stops`
             have ended.
         contended: Whether the first priority stops other work to find room.
-        kept: Runs that were left out of a search because of the bound.
+        kept: Runs that were not stopped since their tasks have been stopped for
+            other jobs too often.
     """
 
     placements: list[Placement] = dataclasses.field(default_factory=list)
@@ -90,10 +91,10 @@
         )
         self._trial_workers = trials.list_trial_workers(pool_state, now)
         self._free_times = preemption.FreeTimes(pool_state, now)
-        self._losses = preemption.Losses(pool_state, now, policy)
+        self._losses = preemption.Losses(pool_state, now, policy.max_stops)
         self._plan = Plan(kept=self._losses.kept)
         self._guaranteed_used = preemption.count_guaranteed(pool_state)
-        self._reservations = self._losses.select_reserved(dict(reserved))
+        self._reservations = dict(reserved)
         for key, spots in self._reservations.items():
             self._take_reserved(key, spots)
 
@@ -255,9 +256,14 @@
 
     def _is_guaranteed(self, waiting_step: waiting_steps.WaitingStep) -> bool:
         """Tell whether a step is covered by its customer's guarantee."""
-        return preemption.is_guaranteed(
-            self._pool_state, self._guaranteed_used, waiting_step
+        job = waiting_step.tracked_job.job
+        if job.priority != 0:
+            return False
+        needed = waiting_step.tracked_step.step.charge.accelerators * len(
+            waiting_step.tracked_step.waiting_indices
         )
+        used = self._guaranteed_used.get(job.customer, 0)
+        return used + needed <= self._pool_state.guaranteed.get(job.customer, 0)
 
     def _preempt(
         self,
@@ -276,8 +282,9 @@
         job = waiting_step.tracked_job.job
         step = waiting_step.tracked_step.step
         loss_factor = self._policy.find_loss_factor(job.priority)
-        claim = self._losses.make_claim(
-            waiting_step, self._is_guaranteed(waiting_step)
+        is_guaranteed = self._is_guaranteed(waiting_step)
+        claim = stop_limits.Claim(
+            job.id, stop_limits.ClaimKind(job.priority, is_guaranteed)
         )
         preempted = preemption.choose_victims(
             self._losses,
@@ -299,7 +306,7 @@
         if preempted is None:
             return False
         own_cost = step.charge.cores * step.expected_s * len(missing_indices)
-        if not claim.allows_loss(preempted.cost, loss_factor * own_cost):
+        if not is_guaranteed and preempted.cost > loss_factor * own_cost:
             return False
         spots = dict(
             zip(sorted(missing_indices), preempted.workers, strict=True)
--- a/crocusrouter/work/planner_policy.py
+++ b/crocusrouter/work/planner_policy.py
@@ -33,8 +33,6 @@
             work is likely to follow, and would stop it again.
         max_stops: Number of stops of a task for other jobs after which only a
             guaranteed claim may stop it again.
-        waits_for_ends: Whether a run that ends by itself before it could be
-            stopped is waited for instead.
     """
 
     rack_patience: float = 5.0
@@ -46,7 +44,6 @@
     second_loss_factor: float = 0.05
     hold_back_s: float = 2.0
     max_stops: int = 3
-    waits_for_ends: bool = True
 
     def find_loss_factor(self, priority: int) -> float:
         """Return the loss factor of a priority; 0 if it may stop nothing.
--- a/crocusrouter/work/preemption.py
+++ b/crocusrouter/work/preemption.py
@@ -8,11 +8,9 @@
 from crocusrouter.work import gang_progress
 from crocusrouter.work import model
 from crocusrouter.work import packing
-from crocusrouter.work import planner_policy as policies
 from crocusrouter.work import pool_state as pool_states
 from crocusrouter.work import stop_limits
 from crocusrouter.work import tracking
-from crocusrouter.work import waiting_steps
 
 _NEVER_S = 1e9
 # Limits of one search, so that the duration of a decision doesn't grow with the
@@ -30,37 +28,11 @@
         runs: All runs to stop, whole gangs included.
         workers: Id of a worker for each task, in turn.
         cost: Core-seconds of lost work.
-        earlier_stops: How often the stopped tasks were stopped for other jobs
-            before, in total.
     """
 
     runs: tuple[tracking.Run, ...]
     workers: tuple[str, ...]
     cost: float
-    earlier_stops: int = 0
-
-
-def is_guaranteed(
-    pool_state: pool_states.PoolState,
-    used_by_customer: dict[str, int],
-    waiting_step: waiting_steps.WaitingStep,
-) -> bool:
-    """Tell whether a waiting step is covered by its customer's guarantee.
-
-    Args:
-        pool_state: State of the pool; not changed.
-        used_by_customer: Result of `count_guaranteed`.
-        waiting_step: The step.
-    """
-    job = waiting_step.tracked_job.job
-    tracked_step = waiting_step.tracked_step
-    if job.priority != 0:
-        return False
-    needed = tracked_step.step.charge.accelerators * len(
-        tracked_step.waiting_indices
-    )
-    used = used_by_customer.get(job.customer, 0)
-    return used + needed <= pool_state.guaranteed.get(job.customer, 0)
 
 
 def count_guaranteed(pool_state: pool_states.PoolState) -> dict[str, int]:
@@ -138,106 +110,34 @@
         pool_state: State of the pool; not changed.
         chosen: Runs that this plan already stops. Later tasks may use their
             room at no further loss.
-        kept: Runs that a search has left out because their tasks have been
-            stopped for others too often.
+        kept: Runs that were left out since their tasks have been stopped for
+            other jobs too often.
     """
 
     def __init__(
-        self,
-        pool_state: pool_states.PoolState,
-        now: float,
-        policy: policies.PlannerPolicy,
+        self, pool_state: pool_states.PoolState, now: float, max_stops: int
     ) -> None:
         """Prepare for one plan.
 
         Args:
             pool_state: State of the pool; not changed.
             now: Steady time in seconds.
-            policy: Weights and limits of the planner.
+            max_stops: Number of stops of a task for other jobs after which only
+                a guaranteed claim may stop it again.
         """
         self.pool_state = pool_state
         self.chosen: set[model.TaskKey] = set()
         self.kept: list[tracking.Run] = []
+        self._max_stops = max_stops
         self._now = now
-        self._policy = policy
-        self._stop_s = pool_state.stop_durations.expected_s
         self._gang_losses: dict[model.StepKey, float] = {}
-        self._ending_runs = stop_limits.EndingRuns(
-            now, self._stop_s, gang_progress.estimate_remaining_s
-        )
         self._candidates: dict[
             tuple[str, stop_limits.ClaimKind], list[_Candidate]
         ] = {}
-
         self._reachable_rooms: dict[
             tuple[str, stop_limits.ClaimKind], tuple[model.Room, model.Room]
         ] = {}
 
-    def make_claim(
-        self, waiting_step: waiting_steps.WaitingStep, is_guaranteed: bool
-    ) -> stop_limits.Claim:
-        """Return the claim of a step that finds no room."""
-        return stop_limits.make_claim(
-            waiting_step.tracked_job.job,
-            waiting_step.tracked_step,
-            self._now,
-            self._stop_s,
-            is_guaranteed=is_guaranteed,
-            waits_for_ends=self._policy.waits_for_ends,
-        )
-
-    def select_reserved(
-        self, reserved: dict[model.StepKey, dict[int, str]]
-    ) -> dict[model.StepKey, dict[int, str]]:
-        """Return the reserved steps whose room is free or will soon be.
-
-        If a run that was expected to end by itself is overdue, or guaranteed
-        work has no time left to wait for it, the step is planned again and may
-        stop it.
-
-        Args:
-            reserved: Workers by index of the task, for each reserved step.
-        """
-        if not self._policy.waits_for_ends:
-            return reserved
-        blocked_workers = self._list_blocked_workers(reserved)
-        return {
-            key: spots
-            for key, spots in reserved.items()
-            if blocked_workers.isdisjoint(spots.values())
-        }
-
-    def _list_blocked_workers(
-        self, reserved: dict[model.StepKey, dict[int, str]]
-    ) -> set[str]:
-        """Return the workers that will not have room for what is reserved."""
-        needed: dict[str, model.Room] = {}
-        urgent_workers: set[str] = set()
-        for key, spots in reserved.items():
-            tracked_step = self.pool_state.find_tracked_step(key)
-            if tracked_step is None:
-                continue
-            for worker_id in spots.values():
-                needed[worker_id] = needed.get(worker_id, model.Room()).plus(
-                    tracked_step.step.charge
-                )
-            if self.pool_state.jobs[key.job].job.priority != 0:
-                continue
-            if not stop_limits.has_time_to_wait(
-                tracked_step, self._now, self._stop_s
-            ):
-                urgent_workers.update(spots.values())
-        return {
-            worker_id
-            for worker_id, room in needed.items()
-            if worker_id in self.pool_state.workers
-            and not self._ending_runs.will_leave(
-                self.pool_state.workers[worker_id],
-                room,
-                may_wait=worker_id not in urgent_workers,
-            )
-        }
-
     def note_chosen(self, victims: Victims) -> None:
         """Count the victims as stopped from now on."""
         for run in victims.runs:
@@ -253,8 +153,6 @@
     ) -> list["_Candidate"]:
         """Return the runs that may be stopped on a worker, the cheapest first.
 
-        Runs that end by themselves in time are among them.
-
         Args:
             worker_id: The worker.
             kind: What the claim may do.
@@ -289,18 +187,6 @@
             self._reachable_rooms[key] = space.free, reachable_room
         return max(0, reachable_room.count(charge))
 
-    def is_ending(self, run: tracking.Run, kind: stop_limits.ClaimKind) -> bool:
-        """Tell whether a claim needs no stop of a run to use its room."""
-        return self._is_stopped(run) or self._is_awaited(run, kind)
-
-    def _is_stopped(self, run: tracking.Run) -> bool:
-        return run.phase is tracking.Phase.STOPPING or run.key in self.chosen
-
-    def _is_awaited(
-        self, run: tracking.Run, kind: stop_limits.ClaimKind
-    ) -> bool:
-        return kind.may_wait and self._ending_runs.includes(run)
-
     def _find_candidates(
         self, worker_id: str, kind: stop_limits.ClaimKind
     ) -> list["_Candidate"]:
@@ -310,28 +196,39 @@
             tracked_job = self.pool_state.jobs.get(key.job)
             if tracked_step is None or tracked_job is None:
                 continue
-            is_lower = (
+            ending = run.phase is tracking.Phase.STOPPING or key in self.chosen
+            if ending:
+                # Its room becomes free in any case.
+                candidates.append(_Candidate(0.0, run, tracked_step))
+            elif (
                 tracked_job.job.priority > kind.priority
                 and not tracked_step.step.lasting
-            )
-            if self._is_stopped(run) or (
-                is_lower and self._is_awaited(run, kind)
             ):
-                # Its room becomes free in any case.
-                candidates.append(_Candidate(0.0, 0, run, tracked_step))
-            elif is_lower:
-                stops = stop_limits.count_stops(run)
-                if stop_limits.is_protected(
-                    kind, stops, self._policy.max_stops
-                ):
-                    if not run.kept:
-                        self.kept.append(run)
+                if self._is_protected(run, kind):
                     continue
-                loss = self._measure_run_loss(tracked_step, run)
-                candidates.append(_Candidate(loss, stops, run, tracked_step))
-        candidates.sort(key=_Candidate.rank)
+                candidates.append(
+                    _Candidate(
+                        self._measure_run_loss(tracked_step, run),
+                        run,
+                        tracked_step,
+                    )
+                )
+        candidates.sort(
+            key=lambda candidate: (
+                candidate.loss
+                / max(1, candidate.tracked_step.step.charge.accelerators)
+            )
+        )
         return candidates
 
+    def _is_protected(
+        self, run: tracking.Run, kind: stop_limits.ClaimKind
+    ) -> bool:
+        if not stop_limits.is_protected(run, kind, self._max_stops):
+            return False
+        self.kept.append(run)
+        return True
+
     def _measure_run_loss(
         self, tracked_step: tracking.TrackedStep, run: tracking.Run
     ) -> float:
@@ -352,24 +249,9 @@
     """A run that may be stopped, and the core-seconds lost with it."""
 
     loss: float
-    stops: int
     run: tracking.Run
     tracked_step: tracking.TrackedStep
 
-    def rank(self) -> tuple[float, int]:
-        """Return the sort key; runs of lower rank are stopped first."""
-        accelerators = max(1, self.tracked_step.step.charge.accelerators)
-        return self.loss / accelerators, self.stops
-
-
-class _Offer(NamedTuple):
-    """Runs to stop on a worker for one task, and what is lost with them."""
-
-    cost: float
-    earlier_stops: int
-    worker_id: str
-    runs: list[tracking.Run]
-
 
 def choose_victims(
     losses: Losses,
@@ -410,10 +292,7 @@
             if victims is not None:
                 victims_by_rack.append(victims)
     if victims_by_rack:
-        return min(
-            victims_by_rack,
-            key=lambda victims: (victims.cost, victims.earlier_stops),
-        )
+        return min(victims_by_rack, key=lambda victims: victims.cost)
     if needs_rack and not may_leave_rack:
         return None
     all_spaces = list(spaces.values())
@@ -481,8 +360,8 @@
         }
         self._stopped_runs: dict[model.TaskKey, tracking.Run] = {}
         self._placed_counts: collections.Counter[str] = collections.Counter()
-        self._offers: dict[str, _Offer] = {}
-        self._offer_heap: list[tuple[float, int, int, str]] = []
+        self._offers: dict[str, tuple[float, list[tracking.Run]]] = {}
+        self._offer_heap: list[tuple[float, int, str]] = []
 
     def run(self, count: int) -> Victims | None:
         """Return victims for `count` tasks; None if there are not enough."""
@@ -490,34 +369,34 @@
             self._update_offer(worker_id)
         worker_ids: list[str] = []
         total_cost = 0.0
-        total_stops = 0
         while len(worker_ids) < count:
             offer = self._take_cheapest()
             if offer is None:
                 return None
-            total_cost += offer.cost
-            total_stops += offer.earlier_stops
-            worker_ids.append(offer.worker_id)
+            cost, worker_id = offer
+            total_cost += cost
+            worker_ids.append(worker_id)
         runs_to_stop = tuple(
             run
             for run in self._stopped_runs.values()
-            if not self._losses.is_ending(run, self._kind)
+            if run.phase is not tracking.Phase.STOPPING
+            and run.key not in self._losses.chosen
         )
-        return Victims(runs_to_stop, tuple(worker_ids), total_cost, total_stops)
+        return Victims(runs_to_stop, tuple(worker_ids), total_cost)
 
-    def _take_cheapest(self) -> "_Offer | None":
+    def _take_cheapest(self) -> tuple[float, str] | None:
         """Use the worker with the least loss for one task.
 
         Returns:
-            The loss on that worker; None if no worker can make room.
+            The loss and the worker's id; None if no worker can make room.
         """
         while self._offer_heap:
-            cost, earlier_stops, _, worker_id = heapq.heappop(self._offer_heap)
+            cost, _, worker_id = heapq.heappop(self._offer_heap)
             offer = self._offers.get(worker_id)
-            if offer is None or offer[:2] != (cost, earlier_stops):
+            if offer is None or offer[0] != cost:
                 continue  # the offer has been updated since
             affected_workers = {worker_id}
-            for run in offer.runs:
+            for run in offer[1]:
                 affected_workers |= self._stop_run(run)
             self._free_rooms[worker_id] = self._free_rooms[worker_id].minus(
                 self._step.charge
@@ -525,7 +404,7 @@
             self._placed_counts[worker_id] += 1
             for affected_worker in affected_workers:
                 self._update_offer(affected_worker)
-            return offer
+            return cost, worker_id
         return None
 
     def _update_offer(self, worker_id: str) -> None:
@@ -538,7 +417,6 @@
         room = self._step.charge
         runs_to_stop: list[tracking.Run] = []
         cost = 0.0
-        earlier_stops = 0
         if not free.holds(room):
             for candidate in self._losses.list_candidates(
                 worker_id, self._kind
@@ -547,18 +425,14 @@
                     continue
                 runs_to_stop.append(candidate.run)
                 cost += candidate.loss
-                earlier_stops += candidate.stops
                 free = free.plus(candidate.tracked_step.step.charge)
                 if free.holds(room):
                     break
             else:
                 return
-        self._offers[worker_id] = _Offer(
-            cost, earlier_stops, worker_id, runs_to_stop
-        )
+        self._offers[worker_id] = cost, runs_to_stop
         heapq.heappush(
-            self._offer_heap,
-            (cost, earlier_stops, self._order[worker_id], worker_id),
+            self._offer_heap, (cost, self._order[worker_id], worker_id)
         )
 
     def _stop_run(self, run: tracking.Run) -> set[str]:
--- a/crocusrouter/work/relocation.py
+++ b/crocusrouter/work/relocation.py
@@ -39,11 +39,14 @@
         now: Steady time in seconds.
         wall: Unix time in seconds.
     """
+    gang_measures = gang_progress.GangMeasures()
     relocations = [
         (run, "it makes no progress")
         for run in stalled_runs
         if run.tracked_step is not None
-        and _is_worth_restarting(pool_state, run, run.tracked_step, now, wall)
+        and _is_worth_restarting(
+            pool_state, run, run.tracked_step, gang_measures, now, wall
+        )
     ]
     remaining_times = gang_progress.RemainingTimes(now)
     for worker in pool_state.workers.values():
@@ -77,7 +80,7 @@
     first, cheap test.
     """
     stalled_runs = []
-    waiting_gangs: set[model.StepKey] = set()
+    gang_measures = gang_progress.GangMeasures()
     for run in pool_state.runs.values():
         if now - run.progressed_at <= _MIN_STALL_S:
             continue
@@ -87,12 +90,9 @@
         tracked_step = run.tracked_step
         if tracked_step is None or not _may_relocate(run, tracked_step):
             continue
-        if run.percent >= 100 and tracked_step.key in waiting_gangs:
-            continue
-        if is_stalled(run, tracked_step, reported_at):
+        gang_times = gang_measures.find(run, tracked_step)
+        if _is_stalled(run, tracked_step, gang_times, reported_at):
             stalled_runs.append(run)
-        elif gang_progress.is_waiting(run, tracked_step):
-            waiting_gangs.add(tracked_step.key)
     return stalled_runs
 
 
@@ -129,32 +129,47 @@
     return not tracked_step.step.checkpoints or left_s <= 2 * _RESTART_S
 
 
-def is_stalled(
-    run: tracking.Run, tracked_step: tracking.TrackedStep, now: float
+def _is_stalled(
+    run: tracking.Run,
+    tracked_step: tracking.TrackedStep,
+    gang_times: gang_progress.GangTimes,
+    now: float,
 ) -> bool:
     """Tell whether a run has made no progress for longer than by chance.
 
     A member of a gang that has done its share has stalled only if all members
     have, since it waits for the slower ones.
     """
-    if gang_progress.is_waiting(run, tracked_step):
-        return False
-    stalled_s = now - gang_progress.find_last_progress(run, tracked_step)
     expected_s = tracked_step.step.expected_s
+    is_finished = gang_progress.is_finished_member(run, tracked_step)
+    if is_finished and gang_times.is_unfinished:
+        return False
+    stalled_s = now - _find_last_progress(run, gang_times, is_finished)
     if stalled_s <= _MIN_STALL_S or stalled_s <= _STALL_SHARE * expected_s:
         return False
-    if gang_progress.is_finished_member(run, tracked_step):
-        duration_s = gang_progress.estimate_restart_s(run, tracked_step)
-        return stalled_s > _STALL_SHARE * duration_s
-    began_at = gang_progress.find_begin(run, tracked_step)
-    measured_s = gang_progress.measure_duration_s(run, began_at)
+    if is_finished:
+        return stalled_s > _STALL_SHARE * gang_times.restart_s
+    measured_s = gang_progress.measure_duration_s(run, gang_times.began_at)
     return measured_s is None or stalled_s > _STALL_SHARE * measured_s
 
 
+def _find_last_progress(
+    run: tracking.Run,
+    gang_times: gang_progress.GangTimes,
+    is_finished: bool,
+) -> float:
+    """Return the steady time of the last progress that a stall counts from.
+
+    For a finished member of a gang this is the last progress of any member.
+    """
+    return gang_times.last_progress_at if is_finished else run.progressed_at
+
+
 def _is_worth_restarting(
     pool_state: pool_states.PoolState,
     run: tracking.Run,
     tracked_step: tracking.TrackedStep,
+    gang_measures: gang_progress.GangMeasures,
     now: float,
     wall: float,
 ) -> bool:
@@ -165,17 +180,17 @@
     objective and a new start would not. Stopping all stalled gangs wasted 5,000
     core-seconds in a day of hangs that they could have waited out.
     """
-    stalled_s = now - gang_progress.find_last_progress(run, tracked_step)
+    gang_times = gang_measures.find(run, tracked_step)
+    is_finished = gang_progress.is_finished_member(run, tracked_step)
+    stalled_s = now - _find_last_progress(run, gang_times, is_finished)
     if tracked_step.step.checkpoints:
         return stalled_s > _CHECKPOINT_STALL_S
     job = pool_state.jobs[run.key.job].job
     objective_at = job.find_due(run.key.occurrence) + job.objective_s
-    restart_s = gang_progress.estimate_restart_s(run, tracked_step)
-    if gang_progress.is_finished_member(run, tracked_step):
-        remaining_s = 0.0
-    else:
-        began_at = gang_progress.find_begin(run, tracked_step)
-        ran_s = max(0.0, run.progressed_at - began_at)
+    restart_s = gang_times.restart_s
+    remaining_s = 0.0
+    if not is_finished:
+        ran_s = max(0.0, run.progressed_at - gang_times.began_at)
         remaining_s = max(0.0, restart_s - ran_s)
     ends_if_kept = wall + stalled_s + remaining_s
     ends_if_restarted = wall + _RESTART_S + restart_s
--- a/crocusrouter/work/reports.py
+++ b/crocusrouter/work/reports.py
@@ -4,6 +4,7 @@
 from crocusrouter.work import gang_progress
 from crocusrouter.work import model
 from crocusrouter.work import pool_state as pool_states
+from crocusrouter.work import stop_limits
 from crocusrouter.work import tracking
 from crocusrouter.work import worker_failures
 from crocusrouter.work import worker_port
@@ -199,6 +200,8 @@
             and run.stop_ordered_at
         ):
             pool_state.note_stopped(run, now)
+        elif run_end.outcome in _ENDS_BY_TASK:
+            stop_limits.withdraw_stop(run)
     if tracked_job is None or tracked_step is None:
         return
     tracked_job.has_started = True
@@ -250,6 +253,7 @@
     for index in indices:
         tracked_step.progress.done.add(index)
         tracked_step.progress.checkpoints.pop(index, None)
+        tracked_step.progress.stopped_runs.pop(index, None)
         tracked_step.waiting_indices.discard(index)
         other_run = pool_state.runs.get(key._replace(position=index))
         if other_run is not None and not tracked_step.step.gang:
--- a/crocusrouter/work/tracking.py
+++ b/crocusrouter/work/tracking.py
@@ -53,7 +53,7 @@
         paced_at: Steady time at which the worker confirmed `pace`.
         is_trial: Whether its start was a trial of a suspected task.
         speed: Speed of its worker when it started; see `run_times.find_speed`.
-        kept: Whether the log says that it is not stopped for others any more.
+        kept: Whether `run:kept` has been logged for it.
     """
 
     key: model.TaskKey
