--- a/crocusrouter/platform/tests/test_decoding.py
+++ b/crocusrouter/platform/tests/test_decoding.py
@@ -291,6 +291,8 @@
         b'{"steps": [{"count": -1}]}',
         b'{"steps": [{"count": 1, "after": [0]}]}',
         b'{"steps": [{"count": 1, "cpu": -5}]}',
+        b'{"steps": [{"count": 1, "est_duration_ms": "Infinity"}]}',
+        b'{"steps": [{"count": 1, "est_duration_ms": "NaN"}]}',
         b'{"steps": 7}',
         orjson.dumps({"spec": "x" * 4001, "steps": [{"count": 1}]}),
     ],
--- a/crocusrouter/work/speed_groups.py
+++ b/crocusrouter/work/speed_groups.py
@@ -20,14 +20,13 @@
 _MIN_WEIGHT = 24.0
 # Least distance of the medians, as a multiple of the median deviation of the
 # workers and of their samples. The halves of a normal distribution are 3.4
-# apart, those of a uniform one 4, and with few workers chance exceeds both: 24
-# workers of like speed reached 7.4 in one of 135 simulated days.
+# apart, those of a uniform one 4, and with few workers chance exceeds both.
 _MIN_SEPARATION = 3.4
 _SMALL_POOL_SEPARATION = 100.0
 # Twice the standard error of the distance between the medians of two halves, as
 # a multiple of the median deviation / sqrt(workers). New groups must differ by
-# the least factor beyond this error: 42 workers at 0.8, 1.0 and 1.25 once
-# seemed to be two groups 1.55 apart.
+# the least factor beyond this error, or a few workers of a continuum of speeds
+# pass for two groups.
 _DISTANCE_ERROR = 7.0
 # Share of the least separation at which existing groups remain.
 _KEPT_SHARE = 0.5
--- a/crocusrouter/work/tests/test_speeds.py
+++ b/crocusrouter/work/tests/test_speeds.py
@@ -368,7 +368,7 @@
 
 @pytest.mark.parametrize("factor", [0.0, 0.15, 0.25])
 def test_transient_slow_down_is_found_and_ends(factor):
-    """Guards against new work on a worker that hangs, and against for ever."""
+    """Guards against work on a slowed worker, and a mark that never ends."""
     pool = _play_slow_down(factor)
     pool.advance(3.0)
     assert pool.speeds.is_slowed("w0", pool.now)
