--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,8 +1,7 @@
-"""An owner is stopped, and a runner with a slow clock is cut off right then."""
+"""A new runner gets a task, and the platform's store is away right then."""
 
 import asyncio
 import pathlib
-import signal
 import sys
 
 FOLDER = pathlib.Path(__file__).resolve().parent
@@ -10,58 +9,46 @@
 
 import standin  # noqa: E402
 
-IDLE_S = 80.0
-WORK_S = 15.0
-# "Lease time is measured on the runner's own steady clock, which may be 2%
-# slow."
-SLOW_CLOCK_RATE = 0.98
+ROUNDS = 3
+OUTAGE_S = 5.0
 
 
 async def play(lab: standin.Lab, has_trouble: bool) -> None:
-    """Leave the runners idle, then start a task and disturb its start."""
-    for number in range(3):
-        await lab.add_runner(f"runner-{number}", clock_rate=SLOW_CLOCK_RATE)
+    """Play some rounds; each brings one new runner and one outage."""
+    for number in range(5):
+        await lab.add_runner(f"old-{number}")
         await asyncio.sleep(0.3)
-    await lab.start(3)
+    await lab.start(4)
     await lab.wait_until_serving()
-    await asyncio.sleep(IDLE_S)
-    step = {
-        "count": 1,
-        "cpu": 8000,
-        "mem_mb": 4096,
-        "gpu": 8,
-        "est_duration_ms": WORK_S * 1000,
-    }
-    job = lab.make_job([step], [WORK_S])
-    if not await lab.submit(job):
-        raise RuntimeError("the job was not accepted")
-    if not await lab.wait_until(
-        lambda: any(r.runs for r in lab.runners.values()), 5.0
-    ):
-        raise RuntimeError("the job was not started")
-    runner = next(r for r in lab.runners.values() if r.runs)
+    await asyncio.sleep(2.0)
+    for number in range(ROUNDS):
+        await play_round(lab, number, has_trouble)
+
+
+async def play_round(lab: standin.Lab, number: int, has_trouble: bool) -> None:
+    """Fill all runners, add one for the task that waits, and lose the store."""
+    idle = [r for r in lab.runners.values() if r.alive]
+    full = {"count": len(idle), "cpu": 8000, "mem_mb": 4096, "gpu": 8}
+    full["est_duration_ms"] = 3500
+    first = lab.make_job([full], [3.5])
+    if not await lab.submit(first):
+        raise RuntimeError("the first job was not accepted")
+    if not await lab.wait_until(lambda: all(r.runs for r in idle), 8.0):
+        raise RuntimeError("the runners were not filled")
+    single = full | {"count": 1, "est_duration_ms": 12_000}
+    second = lab.make_job([single], [12.0])
+    if not await lab.submit(second):
+        raise RuntimeError("the second job was not accepted")
+    runner = await lab.add_runner(f"new-{number}")
+    if not await lab.wait_until(lambda: bool(runner.runs), 4.0):
+        raise RuntimeError("the new runner got nothing")
     if has_trouble:
-        await disturb(lab, runner)
-    await lab.wait_for_state(job, ("completed", "failed"), 25.0)
-
-
-async def disturb(lab: standin.Lab, runner: standin.Runner) -> None:
-    """Stop the owner as planned, and cut the runner off from its successor."""
-    first_fence = runner.fence
-    renewed = asyncio.Event()
-
-    def note_renewal(fence: int) -> None:
-        if fence > first_fence:
-            renewed.set()
-
-    runner.on_renewal = note_renewal
-    owner = lab.find_owner()
-    lab.send_signal(owner, signal.SIGTERM)
-    del lab.ports[owner]
-    async with asyncio.timeout(5.0):
-        await renewed.wait()
-    runner.cut()
+        lab.store.set_mode("busy")
+        await asyncio.sleep(OUTAGE_S)
+        lab.store.set_mode("up")
+    for job in (first, second):
+        await lab.wait_for_state(job, ("completed", "failed"), 25.0)
 
 
 if __name__ == "__main__":
-    sys.exit(standin.run_case(play, FOLDER, 118.0))
+    sys.exit(standin.run_case(play, FOLDER))
