--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,6 +1,7 @@
 """A new runner gets a task, and the platform's store is away right then."""
 
 import asyncio
+import os
 import pathlib
 import sys
 
@@ -51,4 +52,6 @@
 
 
 if __name__ == "__main__":
-    sys.exit(standin.run_case(play, FOLDER))
+    # TROUBLE=0 plays the same without the disruption.
+    trouble = os.environ.get("TROUBLE", "1") != "0"
+    sys.exit(standin.run_case(play, FOLDER, has_trouble=trouble))
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,6 +1,7 @@
 """An owner is stopped, and a runner with a slow clock is cut off right then."""
 
 import asyncio
+import os
 import pathlib
 import signal
 import sys
@@ -64,4 +65,6 @@
 
 
 if __name__ == "__main__":
-    sys.exit(standin.run_case(play, FOLDER, 118.0))
+    # TROUBLE=0 plays the same without the disruption.
+    trouble = os.environ.get("TROUBLE", "1") != "0"
+    sys.exit(standin.run_case(play, FOLDER, has_trouble=trouble, limit_s=118.0))
--- a/review/standin.py
+++ b/review/standin.py
@@ -975,10 +975,11 @@
 def run_case(
     case: Callable[[Lab, bool], Awaitable[None]],
     folder: pathlib.Path,
+    *,
+    has_trouble: bool,
     limit_s: float = 110.0,
 ) -> int:
     """Play a case; return 1 if a rule was broken, 0 if not, 2 if it failed."""
-    has_trouble = os.environ.get("TROUBLE", "1") != "0"
     lab = Lab(folder, int(os.environ.get("SEED", "1")))
     lab.record.note(f"trouble: {has_trouble}")
 
