Log and count how stops and cancels of jobs are carried out

job:cancel names the revision of the write, which job:seen names too; run:ended of a cancelled job says how long after the cancel was known (also a histogram); stop:answered, stop:given-up and stop:undelivered, the last one counted; run:stray-ended for ends of runs that no known step has, counted. No decision has changed.

--- a/crocusrouter/pools/job_api.py
+++ b/crocusrouter/pools/job_api.py
@@ -210,8 +210,18 @@
                 key_value.Guard(key, record.revision),
                 key_value.Write(key, codec.pack(cancelled_job)),
             )
-            log("job:cancel", job=job_id, outcome=type(outcome).__name__)
-            if isinstance(outcome, key_value.Written):
+            revision = (
+                outcome.revision
+                if isinstance(outcome, key_value.Written)
+                else None
+            )
+            log(
+                "job:cancel",
+                job=job_id,
+                outcome=type(outcome).__name__,
+                revision=revision,
+            )
+            if revision is not None:
                 return CancelOutcome.DONE
         return (
             CancelOutcome.UNKNOWN
--- a/crocusrouter/pools/owner.py
+++ b/crocusrouter/pools/owner.py
@@ -502,6 +502,14 @@
             link = self._links.get(incarnation)
             if link is not None:
                 self._nursery.start_soon(link.stop, order)
+                continue
+            self._metrics.count_event("stop-undelivered")
+            log(
+                "stop:undelivered",
+                task=order.key,
+                run=order.run,
+                worker=incarnation,
+            )
 
     def _send_paces(self, now: float) -> None:
         assert self._nursery is not None
--- a/crocusrouter/pools/state_log.py
+++ b/crocusrouter/pools/state_log.py
@@ -10,6 +10,7 @@
     "run:kept": "run-spared-from-stop",
     "run:lost": "run-lost-with-its-worker",
     "run:missing": "run-missing-on-its-worker",
+    "run:stray-ended": "stray-run-ended",
     "run:on-leaving": "start-on-leaving-worker",
     "worker:restarted": "worker-restarted",
     "worker:slowed": "worker-slowed",
@@ -47,6 +48,9 @@
             log(event, pool=self._pool, **fields)
             if event in _EVENT_METRICS:
                 self._metrics.count_event(_EVENT_METRICS[event])
+            after_cancel_s = fields.get("after_cancel_s")
+            if isinstance(after_cancel_s, float):
+                self._metrics.record_cancel_to_end(after_cancel_s)
 
     def write_shortfall(self) -> None:
         """Report when the open data centres can't hold all guarantees.
--- a/crocusrouter/pools/worker_links.py
+++ b/crocusrouter/pools/worker_links.py
@@ -332,7 +332,10 @@
             DeposedError: The worker knows a later owner.
         """
         is_known_run = self._is_current_run(order)
+        began_at = self._clock.steady()
+        tries = 0
         while not self._is_abandoned:
+            tries += 1
             answer = await self._port.stop(self._epoch, order, _ORDER_TIMEOUT_S)
             match answer:
                 case worker_port.Rejected(worker_port.RejectionReason.FENCED):
@@ -340,6 +343,8 @@
                 case worker_port.Accepted(clock_ms):
                     now = self._clock.steady()
                     self.lease.note(clock_ms, now)
+                    if tries > 1:
+                        self._log_stop("stop:answered", order, tries, began_at)
                     await self._handle_stopped(order, now)
                     return
                 case worker_port.Rejected(
@@ -348,11 +353,24 @@
                     self._abandon(successor)
                     return
             if is_known_run and not self._is_current_run(order):
-                return
+                break
             if not is_known_run and self.lease.has_lapsed(self._clock.steady()):
-                return
+                break
             self.wake()
             await trio.sleep(_RETRY_DELAY_S)
+        self._log_stop("stop:given-up", order, tries, began_at)
+
+    def _log_stop(
+        self, event: str, order: worker_port.Stop, tries: int, began_at: float
+    ) -> None:
+        log(
+            event,
+            task=order.key,
+            run=order.run,
+            worker=self.incarnation,
+            tries=tries,
+            took_s=round(self._clock.steady() - began_at, 3),
+        )
 
     async def pace(self, order: worker_port.Pace) -> None:
         """Deliver a pace order once; the next decision repeats a lost one.
--- a/crocusrouter/telemetry/metrics.py
+++ b/crocusrouter/telemetry/metrics.py
@@ -21,6 +21,8 @@
 _OUTAGE_BUCKETS_S = (0.5, 1.0, 1.5, 2.0, 3.0, 5.0, 10.0, 20.0)
 # Operators are promised that a configuration takes effect within seconds.
 _CONFIG_AGE_BUCKETS_S = (0.25, 0.5, 1.0, 1.5, 2.0, 3.0, 5.0)
+# Tasks of a cancelled job must have ended some three seconds after the cancel.
+_CANCEL_BUCKETS_S = (0.25, 0.5, 1.0, 2.0, 3.0, 5.0, 10.0)
 # Timers of an event loop that isn't blocked fire within milliseconds.
 _STALL_BUCKETS_S = (0.1, 0.25, 0.5, 1.0, 2.0, 5.0)
 
@@ -79,6 +81,13 @@
             description="Age of the configuration by which calls are decided.",
             explicit_bucket_boundaries_advisory=_CONFIG_AGE_BUCKETS_S,
         )
+        self._cancel_to_end = meter.create_histogram(
+            "crocusrouter_cancel_to_end_seconds",
+            unit="s",
+            description="Time from when the owner knows of a cancel to the end "
+            "of each run of the job.",
+            explicit_bucket_boundaries_advisory=_CANCEL_BUCKETS_S,
+        )
         self._stalls = meter.create_histogram(
             "crocusrouter_loop_stall_seconds",
             unit="s",
@@ -135,6 +144,10 @@
         """Record the age of the configuration by which a call was decided."""
         self._config_age.record(seconds)
 
+    def record_cancel_to_end(self, seconds: float) -> None:
+        """Record how long a run went on after the cancel of its job."""
+        self._cancel_to_end.record(seconds)
+
     def record_loop_stall(self, seconds: float) -> None:
         """Record by how much a timer of the event loop was late."""
         self._stalls.record(seconds)
--- a/crocusrouter/work/reports.py
+++ b/crocusrouter/work/reports.py
@@ -203,6 +203,13 @@
         elif run_end.outcome in _ENDS_BY_TASK:
             stop_limits.withdraw_stop(run)
     if tracked_job is None or tracked_step is None:
+        pool_state.note(
+            "run:stray-ended",
+            task=key,
+            run=run_end.run,
+            worker=worker_id,
+            how=str(run_end.outcome),
+        )
         return
     tracked_job.has_started = True
     if key.position in tracked_step.progress.done:
@@ -213,6 +220,7 @@
         run=run_end.run,
         worker=worker_id,
         how=str(run_end.outcome),
+        **_describe_cancel(tracked_job, now),
     )
     if run_end.outcome in _ENDS_BY_TASK:
         crashes.clear_working_step(pool_state, tracked_step, key.position)
@@ -231,6 +239,15 @@
         pool_state.keep_checkpoint(tracked_step, key, run_end.checkpoint)
 
 
+def _describe_cancel(
+    tracked_job: tracking.TrackedJob, now: float
+) -> dict[str, float]:
+    """Return how long after the cancel of its job a run has ended."""
+    if not tracked_job.job.cancelled or tracked_job.over_since is None:
+        return {}
+    return {"after_cancel_s": round(now - tracked_job.over_since, 3)}
+
+
 def _apply_success(
     pool_state: pool_states.PoolState,
     tracked_job: tracking.TrackedJob,
