Failing test: late starts that the next process of a worker is not told to refuse

A start that got no answer may be carried out seconds later, also by the worker's next process, which knows of no stop that the earlier one has answered. The link to that process sends the stops once, after its first poll, and only if that poll was answered; what is noted later is never sent. The next process is then idle, and idle workers are not polled.

--- a/crocusrouter/pools/tests/test_worker_links.py
+++ b/crocusrouter/pools/tests/test_worker_links.py
@@ -19,10 +19,17 @@
 
 
 class _Port:
-    """Answers orders with the given answers, then accepts all."""
+    """Answers orders with the given answers, then accepts all.
 
-    def __init__(self, *answers):
+    Attributes:
+        answers: Answers to the next orders.
+        polls: Answers to the next polls; later ones report nothing.
+        sent: Orders in the order in which they came.
+    """
+
+    def __init__(self, *answers, polls=()):
         self.answers = list(answers)
+        self.polls = list(polls)
         self.sent = []
 
     async def _answer(self, order):
@@ -40,6 +47,10 @@
 
     async def hold(self, epoch, seen, until_ms, wait_s):
         await trio.sleep(0.01)
+        if self.polls:
+            return self.polls.pop(0)
+        if wait_s:
+            await trio.sleep(wait_s)
         return worker_port.Report(1000, (), ())
 
     async def aclose(self):
@@ -54,7 +65,7 @@
     return True
 
 
-def _make_link(port, may_start=_always):
+def _make_link(port, may_start=_always, pending_starts=None):
     pool_state = work.PoolState(1)
     pool_state.set_worker(build.make_entry(_WORKER), 0.0)
     pool_state.workers[_WORKER].reached = True
@@ -70,7 +81,7 @@
         may_start,
         lambda: None,
         lambda *_: None,
-        unanswered_starts.UnansweredStarts(),
+        pending_starts or unanswered_starts.UnansweredStarts(),
     )
     link.lease.note(500, trio.current_time())
     return pool_state, link
@@ -242,3 +253,35 @@
     pool_state.note_started(other, 7, 0.0)
     await link.start(worker_port.Start(member, 7, "", ""))
     assert pool_state.runs[other].phase is tracking.Phase.STOPPING
+
+
+# Guards against a late start of a stopped run that the worker's next process
+# carries out, since that process was told of no stop: its first poll had no
+# answer, the start's own answer was awaited for longer, or the stops were lost.
+@pytest.mark.parametrize(
+    ("polls", "answers", "noted_after_s"),
+    [
+        ([], [], 0.0),
+        ([_SILENT], [], 0.0),
+        ([_SILENT] * 8, [], 0.0),
+        ([], [], 0.5),
+        ([], [_SILENT] * 12, 0.0),
+    ],
+)
+async def test_late_start_is_stopped_on_the_next_process(
+    polls, answers, noted_after_s, autojump_clock
+):
+    port = _Port(*answers, polls=polls)
+    starts = unanswered_starts.UnansweredStarts()
+    pool_state, link = _make_link(port, pending_starts=starts)
+    pool_state.workers[_WORKER].reached = False
+    key = work.TaskKey("00000000000000aa", 0, 0, 0)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(link.run)
+        await trio.sleep(noted_after_s)
+        earlier = "w0@earlier"
+        starts.note(worker_port.Start(key, 7, ""), earlier, trio.current_time())
+        await trio.sleep(14.0)
+        nursery.cancel_scope.cancel()
+    answered = port.sent[len(answers) :]
+    assert answered == [worker_port.Stop(key, 7)]
