Have each later process of a worker refuse the starts that got no answer

Cause: a start that gets no answer may be carried out seconds later, also by the worker's next process, which knows of no stop that the earlier process has answered. The link to the next process sent the stops of such starts once, right after its first poll, and only if that poll was answered. A start whose time-out came after that was never refused there. The process was idle to the owner then, and idle workers are not polled, so nobody saw the run.

Why this works: a stop counts per incarnation, and is sent again until that incarnation has answered it; a link learns of starts that are recorded later; and while a start may still be carried out, its worker counts as busy and is polled, so a run that begins all the same is seen within a second and stopped as a stray.

Cost: up to 15 polls of an otherwise idle worker for each start without an answer; none without such starts.

--- a/crocusrouter/pools/tests/test_unanswered_starts.py
+++ b/crocusrouter/pools/tests/test_unanswered_starts.py
@@ -29,3 +29,32 @@
     assert starts.is_settled(0.0)
     starts.note(worker_port.Start(_KEY, 7, ""), "w0@5", 1.0)
     assert starts.is_settled(at) is settled
+
+
+# Guards against a stop that one process has answered being taken for an answer
+# of the next one.
+@pytest.mark.parametrize(
+    ("refused_by", "asked", "expected"),
+    [
+        ([], "w0@6", [7]),
+        (["w0@6"], "w0@6", []),
+        (["w0@6"], "w0@7", [7]),
+        (["w0@5"], "w0@6", [7]),
+        (["w0@6", "w0@7"], "w0@6", []),
+    ],
+)
+def test_each_incarnation_must_refuse_a_late_start(refused_by, asked, expected):
+    starts = unanswered_starts.UnansweredStarts()
+    starts.note(worker_port.Start(_KEY, 7, ""), "w0@5", 1.0)
+    for incarnation in refused_by:
+        starts.note_refused(worker_port.Stop(_KEY, 7), incarnation)
+    stops = starts.list_stops(asked, 2.0)
+    assert stops == [worker_port.Stop(_KEY, run) for run in expected]
+
+
+def test_listeners_learn_of_each_start():
+    calls = []
+    starts = unanswered_starts.UnansweredStarts()
+    starts.listeners.append(lambda: calls.append(1))
+    starts.note(worker_port.Start(_KEY, 7, ""), "w0@5", 1.0)
+    assert calls == [1]
--- a/crocusrouter/pools/tests/test_worker_links.py
+++ b/crocusrouter/pools/tests/test_worker_links.py
@@ -24,12 +24,14 @@
     Attributes:
         answers: Answers to the next orders.
         polls: Answers to the next polls; later ones report nothing.
+        polls_sent: How many polls came.
         sent: Orders in the order in which they came.
     """
 
     def __init__(self, *answers, polls=()):
         self.answers = list(answers)
         self.polls = list(polls)
+        self.polls_sent = 0
         self.sent = []
 
     async def _answer(self, order):
@@ -46,6 +48,7 @@
         return await self._answer(order)
 
     async def hold(self, epoch, seen, until_ms, wait_s):
+        self.polls_sent += 1
         await trio.sleep(0.01)
         if self.polls:
             return self.polls.pop(0)
@@ -285,3 +288,21 @@
         nursery.cancel_scope.cancel()
     answered = port.sent[len(answers) :]
     assert answered == [worker_port.Stop(key, 7)]
+
+
+# Guards against a late start on an idle worker that nobody sees.
+@pytest.mark.parametrize(
+    ("is_noted", "most", "least"), [(False, 1, 1), (True, 20, 10)]
+)
+async def test_idle_worker_is_polled_while_a_start_may_be_carried_out(
+    is_noted, most, least, autojump_clock
+):
+    port = _Port()
+    starts = unanswered_starts.UnansweredStarts()
+    _, link = _make_link(port, pending_starts=starts)
+    key = work.TaskKey("00000000000000aa", 0, 0, 0)
+    if is_noted:
+        starts.note(worker_port.Start(key, 7, ""), _WORKER, 0.0)
+    with trio.move_on_after(60.0):
+        await link.run()
+    assert least <= port.polls_sent <= most
--- a/crocusrouter/pools/unanswered_starts.py
+++ b/crocusrouter/pools/unanswered_starts.py
@@ -2,10 +2,13 @@
 
 Such a start may still be carried out seconds later. If the worker's process
 restarts meanwhile, its next incarnation may carry the start out, because orders
-name the worker id that both share. An answered stop to the next incarnation
-prevents this.
+name the worker id that both share. Only a stop that this incarnation has
+answered prevents that: it knows of no stop that an earlier one has answered.
 """
 
+from collections.abc import Callable
+import dataclasses
+
 from crocusrouter import work
 from crocusrouter.work import worker_port
 
@@ -13,11 +16,31 @@
 _MAX_DELAY_S = 15.0
 
 
+@dataclasses.dataclass(frozen=True)
+class _UnansweredStart:
+    """A start without an answer.
+
+    Attributes:
+        sent_to: The incarnation that it was sent to last.
+        sent_at: Steady time at which that failed.
+        refused_by: The incarnations that have answered a stop of it.
+    """
+
+    sent_to: str
+    sent_at: float
+    refused_by: frozenset[str] = frozenset()
+
+
 class UnansweredStarts:
-    """Unanswered starts sent to any incarnation of one worker."""
+    """Unanswered starts sent to any incarnation of one worker.
+
+    Attributes:
+        listeners: Called when a start is recorded.
+    """
 
     def __init__(self) -> None:
-        self._starts: dict[tuple[work.TaskKey, int], tuple[str, float]] = {}
+        self.listeners: list[Callable[[], None]] = []
+        self._starts: dict[tuple[work.TaskKey, int], _UnansweredStart] = {}
 
     def note(
         self, order: worker_port.Start, incarnation: str, now: float
@@ -30,12 +53,26 @@
             now: Steady time in seconds.
         """
         self._drop_expired(now)
-        self._starts[order.key, order.run] = incarnation, now
+        known_start = self._starts.get((order.key, order.run))
+        refused_by = known_start.refused_by if known_start else frozenset()
+        self._starts[order.key, order.run] = _UnansweredStart(
+            incarnation, now, refused_by
+        )
+        for listener in list(self.listeners):
+            listener()
+
+    def note_refused(self, stop: worker_port.Stop, incarnation: str) -> None:
+        """Record that an incarnation has answered the stop of a start."""
+        known_start = self._starts.get((stop.key, stop.run))
+        if known_start is not None:
+            self._starts[stop.key, stop.run] = dataclasses.replace(
+                known_start, refused_by=known_start.refused_by | {incarnation}
+            )
 
     def list_stops(
         self, incarnation: str, now: float
     ) -> list[worker_port.Stop]:
-        """Return the stops to deliver to an incarnation.
+        """Return the stops that an incarnation has yet to answer.
 
         Args:
             incarnation: May carry out starts sent to earlier incarnations.
@@ -44,8 +81,9 @@
         self._drop_expired(now)
         return [
             worker_port.Stop(key, run)
-            for (key, run), (sent_to, _) in self._starts.items()
-            if sent_to != incarnation
+            for (key, run), start in self._starts.items()
+            if start.sent_to != incarnation
+            and incarnation not in start.refused_by
         ]
 
     def is_settled(self, now: float) -> bool:
@@ -55,7 +93,7 @@
 
     def _drop_expired(self, now: float) -> None:
         self._starts = {
-            start_key: (sent_to, sent_at)
-            for start_key, (sent_to, sent_at) in self._starts.items()
-            if now < sent_at + _MAX_DELAY_S
+            start_key: start
+            for start_key, start in self._starts.items()
+            if now < start.sent_at + _MAX_DELAY_S
         }
--- a/crocusrouter/pools/worker_links.py
+++ b/crocusrouter/pools/worker_links.py
@@ -94,15 +94,15 @@
         Raises:
             DeposedError: The worker knows a later owner.
         """
+        self._pending_starts.listeners.append(self.wake)
         try:
             await self._poll(0.0)
-            await self._stop_late_starts()
             while not self._is_abandoned:
+                await self._stop_late_starts()
                 worker_state = self._pool_state.workers.get(self.incarnation)
                 if worker_state is None:
                     return
-                is_idle = not worker_state.runs and not worker_state.stray_runs
-                if is_idle and worker_state.silent_since is None:
+                if self._is_idle(worker_state):
                     if not worker_state.listed:
                         return
                     await self._wake_event.wait()
@@ -110,9 +110,22 @@
                 if not self._is_abandoned:
                     await self._poll(_POLL_WAIT_S)
         finally:
+            self._pending_starts.listeners.remove(self.wake)
             with trio.CancelScope(shield=True):
                 await self._port.aclose()
 
+    def _is_idle(self, worker_state: tracking.Worker) -> bool:
+        """Return whether the worker runs nothing and can't begin to.
+
+        A start without an answer may begin at any time while it is pending.
+        """
+        return (
+            not worker_state.runs
+            and not worker_state.stray_runs
+            and worker_state.silent_since is None
+            and self._pending_starts.is_settled(self._clock.steady())
+        )
+
     async def _poll(self, wait_s: float) -> None:
         now = self._clock.steady()
         worker_state = self._pool_state.workers[self.incarnation]
@@ -304,17 +317,29 @@
             self._on_change()
 
     async def _stop_late_starts(self) -> None:
-        """Stop starts that were sent to the worker's earlier incarnations."""
+        """Stop starts that were sent to the worker's earlier incarnations.
+
+        Stops without an answer are sent again after the next poll.
+
+        Raises:
+            DeposedError: The worker knows a later owner.
+        """
         worker_state = self._pool_state.workers.get(self.incarnation)
-        if (
-            self._is_abandoned
-            or worker_state is None
-            or not worker_state.reached
-        ):
-            return
         now = self._clock.steady()
         for order in self._pending_starts.list_stops(self.incarnation, now):
-            await self.stop(order)
+            if (
+                self._is_abandoned
+                or worker_state is None
+                or worker_state.silent_since is not None
+            ):
+                return
+            if await self._try_stop(order):
+                log(
+                    "start:refused",
+                    task=order.key,
+                    run=order.run,
+                    worker=self.incarnation,
+                )
 
     def _is_current_run(self, order: worker_port.Stop) -> bool:
         run = self._pool_state.runs.get(order.key)
@@ -336,22 +361,13 @@
         tries = 0
         while not self._is_abandoned:
             tries += 1
-            answer = await self._port.stop(self._epoch, order, _ORDER_TIMEOUT_S)
-            match answer:
-                case worker_port.Rejected(worker_port.RejectionReason.FENCED):
-                    raise journals.DeposedError(f"fenced by {self.incarnation}")
-                case worker_port.Accepted(clock_ms):
-                    now = self._clock.steady()
-                    self.lease.note(clock_ms, now)
-                    if tries > 1:
-                        self._log_stop("stop:answered", order, tries, began_at)
-                    await self._handle_stopped(order, now)
-                    return
-                case worker_port.Rejected(
-                    worker_port.RejectionReason.OTHER_INCARNATION, _, successor
-                ):
-                    self._abandon(successor)
-                    return
+            if await self._try_stop(order):
+                if tries > 1:
+                    self._log_stop("stop:answered", order, tries, began_at)
+                await self._handle_stopped(order, self._clock.steady())
+                return
+            if self._is_abandoned:
+                break
             if is_known_run and not self._is_current_run(order):
                 break
             if not is_known_run and self.lease.has_lapsed(self._clock.steady()):
@@ -360,6 +376,26 @@
             await trio.sleep(_RETRY_DELAY_S)
         self._log_stop("stop:given-up", order, tries, began_at)
 
+    async def _try_stop(self, order: worker_port.Stop) -> bool:
+        """Send a stop once; return whether the worker has accepted it.
+
+        Raises:
+            DeposedError: The worker knows a later owner.
+        """
+        answer = await self._port.stop(self._epoch, order, _ORDER_TIMEOUT_S)
+        match answer:
+            case worker_port.Accepted(clock_ms):
+                self.lease.note(clock_ms, self._clock.steady())
+                self._pending_starts.note_refused(order, self.incarnation)
+                return True
+            case worker_port.Rejected(worker_port.RejectionReason.FENCED):
+                raise journals.DeposedError(f"fenced by {self.incarnation}")
+            case worker_port.Rejected(
+                worker_port.RejectionReason.OTHER_INCARNATION, _, successor
+            ):
+                self._abandon(successor)
+        return False
+
     def _log_stop(
         self, event: str, order: worker_port.Stop, tries: int, began_at: float
     ) -> None:
