FAILING TEST: late start on a worker's second restart runs on unseen

A start that one process of a worker left unanswered may be carried out by the next one. The link to the next process sends stops for such starts from an UnansweredStarts that it shares with the links of the worker's other incarnations. PoolOwner._forget_if_finished deletes the shared object from its table as soon as the previous incarnation is forgotten and nothing is pending, although the link to the present incarnation still holds it. What that link notes later goes into an object that the third incarnation's link never sees.

Order: the worker restarts once (any time before); a start to the second process is not answered; the job is cancelled and the stop accepted, so the state drops the run; the process restarts; the start is carried out by the third process after its first poll. Nobody polls the idle worker. No code changed.

--- /dev/null
+++ b/standins/emulator/tests/test_late_starts.py
@@ -0,0 +1,83 @@
+"""Starts that a worker's next process carries out after their job's cancel."""
+
+import pytest
+import trio
+
+from crocusrouter import work
+from standins import emulator
+from standins.emulator import cluster as clusters
+from standins.emulator import worker as workers
+
+_WORKER = "w0"
+# A stop takes 0.15 s here, and a calm owner learns of a run within a poll.
+_MAX_RUN_S = 3.2
+
+
+def _make_job():
+    return work.Job(
+        f"{1:016x}",
+        queue="q",
+        pool=clusters.POOL,
+        customer="a",
+        priority=2,
+        max_attempts=3,
+        slack=3.0,
+        target_s=5.0,
+        payload="job",
+        accepted_at=1_700_000_000.0,
+        steps=(work.Step(1, work.Room(1000, 4096, 8), 9.0),),
+    )
+
+
+async def _restart(cluster, unanswered_s=0.0):
+    """Restart the worker's process; its first answers may be lost."""
+    worker = cluster.workers[_WORKER]
+    worker.refuses_connections = True
+    worker.crash()
+    await trio.sleep(0.5)
+    cluster.restart_worker(_WORKER)
+    worker = cluster.workers[_WORKER]
+    if unanswered_s:
+        worker.unreachable_from = set(cluster.entry_names)
+    cluster.write_worker_entry(_WORKER)
+    await trio.sleep(unanswered_s)
+    worker.unreachable_from = set()
+
+
+# Guards against a run of a cancelled job that nobody stops: its start was left
+# unanswered by a worker's process and is carried out by the next one.
+@pytest.mark.parametrize(
+    ("earlier_restarts", "unanswered_s"), [(0, 0.0), (1, 0.0)]
+)
+async def test_start_of_a_cancelled_job_is_stopped_on_the_next_process(
+    earlier_restarts, unanswered_s, autojump_clock, monkeypatch
+):
+    late_starts = []
+
+    async def record_late_start(_, epoch, order, until_ms):
+        late_starts.append((epoch, order, until_ms))
+
+    monkeypatch.setattr(workers.WorkerView, "_start_late", record_late_start)
+    cluster = emulator.Cluster(3, worker_count=1)
+    job = _make_job()
+    async with trio.open_nursery() as nursery:
+        await nursery.start(cluster.run)
+        await trio.sleep(3.0)
+        for _ in range(earlier_restarts):
+            await _restart(cluster)
+            await trio.sleep(20.0)
+        cluster.workers[_WORKER].late_start_share = 1.0
+        await cluster.submit(job)
+        with trio.fail_after(5.0):
+            while not late_starts:
+                await trio.sleep(0.01)
+        await cluster.cancel(job.id)
+        await trio.sleep(4.0)
+        await _restart(cluster, unanswered_s)
+        await trio.sleep(4.0)
+        worker = cluster.workers[_WORKER]
+        worker.start_run(*late_starts[0], late=True)
+        await trio.sleep(_MAX_RUN_S)
+        running = dict(worker.tasks)
+        nursery.cancel_scope.cancel()
+    assert running == {}
