FAILING TEST: late start runs on if the next process's first poll fails

WorkerLink.run calls _stop_late_starts once, after the first poll, and that returns without a stop if the worker has not been reached. If the first poll of a new process gets no answer (or a 503), its stops are never sent; the link goes on polling until it is answered once, then waits since the worker is idle. A start carried out after that is unknown and unpolled. The added case fails: the run still goes on 3.2 s later. No code changed.

--- a/standins/emulator/tests/test_late_starts.py
+++ b/standins/emulator/tests/test_late_starts.py
@@ -47,7 +47,7 @@
 # Guards against a run of a cancelled job that nobody stops: its start was left
 # unanswered by a worker's process and is carried out by the next one.
 @pytest.mark.parametrize(
-    ("earlier_restarts", "unanswered_s"), [(0, 0.0), (1, 0.0)]
+    ("earlier_restarts", "unanswered_s"), [(0, 0.0), (0, 1.0), (1, 0.0)]
 )
 async def test_start_of_a_cancelled_job_is_stopped_on_the_next_process(
     earlier_restarts, unanswered_s, autojump_clock, monkeypatch
