FAILING TEST: late start noted after the next process got its stops

A call to a worker's process may still wait for its answer when another call finds the next process. The next process's link sends the stops of late starts once, right after its first poll; a start whose time-out comes after that is noted too late, and its run has been dropped with the previous incarnation, so nothing stops it on the next process. Needs a restart within the 0.35 s that an order waits. The port of the tests gets an adjustable delay. No code changed.

--- a/crocusrouter/pools/tests/test_worker_links.py
+++ b/crocusrouter/pools/tests/test_worker_links.py
@@ -24,10 +24,11 @@
     def __init__(self, *answers):
         self.answers = list(answers)
         self.sent = []
+        self.delay_s = 0.01
 
     async def _answer(self, order):
         self.sent.append(order)
-        await trio.sleep(0.01)
+        await trio.sleep(self.delay_s)
         return (
             self.answers.pop(0) if self.answers else worker_port.Accepted(1000)
         )
@@ -242,3 +243,45 @@
     pool_state.note_started(other, 7, 0.0)
     await link.start(worker_port.Start(member, 7, "", ""))
     assert pool_state.runs[other].phase is tracking.Phase.STOPPING
+
+
+async def test_start_unanswered_after_a_restart_is_stopped_on_the_next_process(
+    autojump_clock,
+):
+    """The next process may carry out a start whose answer is still awaited.
+
+    Its link sends the stops of late starts once, which may be before the call
+    to the earlier process has timed out.
+    """
+    first_port = _Port(_SILENT)
+    pool_state, first_link = _make_link(first_port)
+    job = build.make_job("00000000000000aa", build.make_step(1))
+    build.add_job(pool_state, job)
+    key = work.TaskKey(job.id, 0, 0, 0)
+    pool_state.add_run(key, 7, _WORKER, 0.0)
+    second_port = _Port()
+    pool_state.set_worker(build.make_entry("w0@7"), 0.0)
+    clock = clocks.Clock(trio.current_time, lambda: 1e6 + trio.current_time())
+    second_link = worker_links.WorkerLink(
+        "w0@7",
+        second_port,
+        1,
+        pool_state,
+        clock,
+        _settle,
+        _always,
+        _always,
+        lambda: None,
+        lambda *_: None,
+        first_link._pending_starts,
+    )
+    async with trio.open_nursery() as nursery:
+        first_port.delay_s = 0.35
+        nursery.start_soon(first_link.start, worker_port.Start(key, 7, ""))
+        await trio.sleep(0.05)
+        nursery.start_soon(second_link.run)
+        await trio.sleep(0.1)
+        work.note_replaced(pool_state, _WORKER, 0.15, "w0@7", [])
+        await trio.sleep(3.0)
+        nursery.cancel_scope.cancel()
+    assert worker_port.Stop(key, 7) in second_port.sent
