FAILING TEST: second run of a gang isn't stopped with its job

PoolState._close_job skips runs whose task is in progress.done, since members of a gang that has succeeded end by themselves. After a late report that an earlier run of the gang ended done (its workers were cut off for longer than their leases), the members of the present run are in progress.done too but do not end: neither the report (_apply_success exempts gangs) nor the job's cancel stops them, and their leases are renewed until they end by themselves. The case in which the report comes before the cancel fails.

--- a/crocusrouter/work/tests/test_pool_state.py
+++ b/crocusrouter/work/tests/test_pool_state.py
@@ -1,3 +1,5 @@
+import dataclasses
+
 import pytest
 
 from crocusrouter import work
@@ -327,3 +329,32 @@
     assert pool_state.jobs["j"].progress.final_state is None
     pool_state.open_due_occurrences(build.WALL + 5.0, 1.1)
     assert pool_state.jobs["j"].progress.final_state is work.State.DONE
+
+
+# Guards against a gang of a cancelled job that nobody stops: an earlier run of
+# it had ended on workers that were cut off, and was reported once they were
+# back, when the gang had been started again elsewhere.
+@pytest.mark.parametrize("ended_before_cancel", [False, True])
+def test_second_run_of_a_gang_is_stopped_with_its_job(ended_before_cancel):
+    steps = (
+        build.make_step(2, gpu=8, gang=True),
+        build.make_step(1, after=(0,)),
+    )
+    job = build.make_job("j", *steps)
+    pool_state = build.make_pool_state(job, workers=("w0", "w1", "w2", "w3"))
+    build.apply_plan(pool_state)
+    first_workers = [run.worker_id for run in pool_state.runs.values()]
+    first_number = pool_state.runs[_key("j")].number
+    for worker_id in first_workers:
+        pool_state.note_silent(worker_id, 1.0)
+        pool_state.note_lapsed(worker_id, "test", 8.0)
+    build.apply_plan(pool_state, now=9.0)
+    second_runs = list(pool_state.runs.values())
+    assert all(run.number > first_number for run in second_runs)
+    if ended_before_cancel:
+        run_end = worker_port.RunEnd(1, _key("j"), first_number, HOW.DONE)
+        report = worker_port.Report(0, (), (run_end,))
+        work.apply_report(pool_state, first_workers[0], report, 9.5, 10.0)
+    cancelled_job = dataclasses.replace(job, cancelled=True)
+    pool_state.put_job(cancelled_job, work.Progress(), 99, 10.5)
+    assert {run.phase for run in second_runs} == {tracking.Phase.STOPPING}
