FAILING TEST: a job whose write lands after its cancel's 410 runs

JobApi.cancel answers NO_JOB (410) if the job's key does not exist and leaves no trace. A write of the job that is still on its way (an unanswered write that the store carries out later, a submission that another entry is still trying, or one that arrives again) then creates the job uncancelled, and it runs to its end. No code changed.

--- a/crocusrouter/pools/tests/test_job_api.py
+++ b/crocusrouter/pools/tests/test_job_api.py
@@ -1,5 +1,7 @@
 """Tests for submissions while the store does not answer."""
 
+import dataclasses
+
 import pytest
 import trio
 
@@ -152,3 +154,29 @@
 
     await _play(submit_all, fault, 4.2)
     assert len(accepted) >= 36
+
+
+# Guards against a run of a cancelled job: the write of the job was carried out
+# after its cancel had been answered with "no such job".
+async def test_job_stored_after_its_cancel_was_answered_does_not_run(
+    autojump_clock, monkeypatch
+):
+    job = dataclasses.replace(_make_job(), pool=clusters.POOL)
+
+    async def submit_and_cancel(world):
+        store = world.cluster.store
+        with monkeypatch.context() as patch:
+            # Every write is carried out at least a second later.
+            patch.setattr(store.random, "random", lambda: 0.0)
+            with trio.move_on_after(0.9):
+                await world.submit(job, patience_s=0.0)
+        store.fault = emulator.StoreFault.NONE
+        assert not world.is_stored(job)
+        return await world.cluster.entries["e1"].job_api.cancel(job.id)
+
+    outcome, world = await _play(
+        submit_and_cancel, emulator.StoreFault.LATE, 5.0
+    )
+    assert outcome is pools.CancelOutcome.NO_JOB
+    assert world.is_stored(job)
+    assert job.id not in world.cluster.oracle.first_started_at
