FAILING TEST: a cancel isn't carried out while the watch of jobs is refused

Cancels reach the owner on one path only, its watch of jobs/. If the service refuses just these watches (429) or they fail for another reason while the renewals of the owner's lease succeed, the owner keeps the pool, stops starting tasks after 1.8 s, but goes on renewing the leases of tasks of jobs that other entries have cancelled, for as long as that lasts. Neither does the entry that acknowledges a cancel tell the owner, nor does the owner read the jobs another way, nor step down. The module's tests of late starts move with it. No code changed.

--- a/standins/emulator/tests/test_late_starts.py
+++ b/standins/emulator/tests/test_cancels.py
@@ -1,9 +1,10 @@
-"""Starts that a worker's next process carries out after their job's cancel."""
+"""Tasks that have to be gone some seconds after the cancel of their job."""
 
 import pytest
 import trio
 
 from crocusrouter import work
+from crocusrouter.pools import keys
 from standins import emulator
 from standins.emulator import cluster as clusters
 from standins.emulator import worker as workers
@@ -81,3 +82,27 @@
         running = dict(worker.tasks)
         nursery.cancel_scope.cancel()
     assert running == {}
+
+
+# Guards against tasks of a cancelled job that go on while the owner's watch of
+# the jobs alone is refused: it keeps the pool and renews their leases.
+@pytest.mark.parametrize("refused", [False, True])
+async def test_cancelled_job_is_stopped_although_its_watch_is_refused(
+    refused, autojump_clock
+):
+    cluster = emulator.Cluster(3)
+    job = _make_job()
+    async with trio.open_nursery() as nursery:
+        await nursery.start(cluster.run)
+        await trio.sleep(3.0)
+        await cluster.submit(job)
+        await trio.sleep(1.0)
+        assert any(worker.tasks for worker in cluster.workers.values())
+        if refused:
+            cluster.store.rejected_prefixes.add(keys.JOBS)
+            await trio.sleep(1.0)  # until the watch that is open has ended
+        await cluster.cancel(job.id)
+        await trio.sleep(_MAX_RUN_S)
+        running = [worker.tasks for worker in cluster.workers.values()]
+        nursery.cancel_scope.cancel()
+    assert not any(running)
