Keep the record of unanswered starts while a link to the worker uses it

Cause: the links to all incarnations of a worker share one record of unanswered starts. It was dropped when an earlier incarnation was forgotten with nothing pending, although the link to the present one went on using it. What that link recorded later was unknown to the link of the incarnation after it. So one restart, at any time, switched the protection of that worker off for the rest of the owner's time.

Evidence: test_start_of_a_cancelled_job_is_stopped_on_the_next_process[1-0.0] (no earlier restart: green, one: red before, green now).

Why this works: the record lives as long as the pool's state has any incarnation of the worker, hence any link.

--- a/crocusrouter/pools/owner.py
+++ b/crocusrouter/pools/owner.py
@@ -344,12 +344,22 @@
         ):
             return
         self.pool_state.forget_worker(incarnation)
-        if self._unanswered_starts[worker_state.entry.worker].is_settled(
-            self._clock.steady()
-        ):
-            del self._unanswered_starts[worker_state.entry.worker]
+        self._forget_unanswered_starts(worker_state.entry.worker)
         log("worker:forgotten", worker=incarnation)
 
+    def _forget_unanswered_starts(self, worker: str) -> None:
+        """Drop the record of a worker that has no incarnation left.
+
+        The links to its remaining incarnations share the record.
+        """
+        is_known = any(
+            worker_state.entry.worker == worker
+            for worker_state in self.pool_state.workers.values()
+        )
+        unanswered = self._unanswered_starts[worker]
+        if not is_known and unanswered.is_settled(self._clock.steady()):
+            del self._unanswered_starts[worker]
+
     def _may_renew_leases(self) -> bool:
         return self._owner_lease.is_valid() or self._may_renew()
 
