Stop a gang's present run once an earlier run of it is reported as done

Cause: when one member of a gang is reported as done, all positions of its step count as done, and its runs are left alone, since the members of that run end by themselves. If the report is of an earlier run (its workers were cut off for longer than their leases, and the gang was started again elsewhere), the present run does not end by itself: neither the report nor a later cancel or end of the job stopped it, and its leases were renewed until it had worked to its end.

Why this works: only the members of the run that has succeeded are left alone; all other runs of the gang are stopped when the report comes, as single tasks were already.

--- a/crocusrouter/work/reports.py
+++ b/crocusrouter/work/reports.py
@@ -226,7 +226,7 @@
         crashes.clear_working_step(pool_state, tracked_step, key.position)
     if run_end.outcome is worker_port.RunOutcome.DONE:
         _apply_success(
-            pool_state, tracked_job, tracked_step, key, worker_id, now
+            pool_state, tracked_job, tracked_step, run_end, worker_id, now
         )
         return
     if run_end.outcome is worker_port.RunOutcome.FAILED:
@@ -252,11 +252,12 @@
     pool_state: pool_states.PoolState,
     tracked_job: tracking.TrackedJob,
     tracked_step: tracking.TrackedStep,
-    key: model.TaskKey,
+    run_end: worker_port.RunEnd,
     worker_id: str,
     now: float,
 ) -> None:
     """Record that a task has succeeded."""
+    key = run_end.key
     worker_failures.note_success(pool_state.workers.get(worker_id))
     if tracked_step.step.lasting:
         # A lasting task runs again until its job is cancelled, however it ends.
@@ -272,7 +273,11 @@
         tracked_step.progress.checkpoints.pop(index, None)
         tracked_step.waiting_indices.discard(index)
         other_run = pool_state.runs.get(key._replace(position=index))
-        if other_run is not None and not tracked_step.step.gang:
+        if other_run is None:
+            continue
+        # Members of the run that has succeeded end by themselves.
+        is_member = tracked_step.step.gang and other_run.number == run_end.run
+        if not is_member:
             pool_state.stop_run(other_run, "its task has ended elsewhere", now)
     pool_state.dirty.add(tracked_job.job.id)
     pool_state.finish_if_done(tracked_job, now)
