Keep the owner alive when a worker closes its connections after each answer

What callers saw: no owner for two seconds, again and again, while a worker shuts down gracefully; tasks of jobs cancelled meanwhile run on until a successor finds them as strays and stops them (they end as stopped).

Cause: a new connection is identified by a poll, and the order goes over the same connection. A server that shuts down answers with Connection: close. httpcore then raises ConnectionNotAvailable, which platform/calls.py did not know; the error left the link, its nursery and the owner (owner:failed). The owner key was not released. Each next owner ended the same way. Class: a fault of one worker's connection ends the scheduling of a whole pool.

Why this works: the error counts as 'not sent'. To such a worker a stop is sent as the first call of a connection of its own (it can't harm another incarnation), and leases are renewed so once the worker is known to close its connections; starts and paces are not sent, and nothing is confirmed.

--- a/crocusrouter/platform/calls.py
+++ b/crocusrouter/platform/calls.py
@@ -33,6 +33,7 @@
 _NOT_SENT_ERRORS = (
     httpcore.ConnectError,
     httpcore.ConnectTimeout,
+    httpcore.ConnectionNotAvailable,  # closed by the previous response
     httpcore.PoolTimeout,
 )
 # Errors after which the request may have been processed.
--- a/crocusrouter/pools/connections.py
+++ b/crocusrouter/pools/connections.py
@@ -6,6 +6,10 @@
 at its other end. So the first call on each connection is a poll that confirms
 and renews nothing, and all other calls are sent only on a connection on which
 the expected incarnation has answered.
+
+A worker that closes each connection after one answer, as servers do while they
+shut down, gets stops and renewals as first calls: neither harms another
+incarnation, and without them its tasks could not be stopped or would end early.
 """
 
 from collections.abc import Awaitable
@@ -49,6 +53,7 @@
         self._open_connection = open_connection
         self._idle: list[worker_port.Connection] = []
         self._is_closed = False
+        self._closes_connections = False
         self._orders_in_flight = 0
         self._connection_returned = trio.Event()
         self._poll_limiter = trio.CapacityLimiter(_MAX_POLLS)
@@ -62,7 +67,16 @@
             connection = await self._take_idle()
             if connection is None:
                 connection = self._open_connection()
-                answer = await self._identify(connection, epoch, wait_s)
+                # A worker that closes each connection after one answer would
+                # never have its lease renewed otherwise.
+                renewal_ms = until_ms if self._closes_connections else None
+                answer = await self._identify(
+                    connection, epoch, wait_s, renewal_ms
+                )
+                self._closes_connections = (
+                    isinstance(answer, worker_port.Report)
+                    and not connection.is_open
+                )
             else:
                 answer = self._check_incarnation(
                     await connection.hold(epoch, seen, until_ms, wait_s)
@@ -97,6 +111,7 @@
             epoch,
             timeout_s,
             lambda connection: connection.stop(epoch, order, timeout_s),
+            is_stop=True,
         )
 
     async def pace(
@@ -120,6 +135,8 @@
         epoch: int,
         timeout_s: float,
         call: Callable[[worker_port.Connection], Awaitable[_Answer]],
+        *,
+        is_stop: bool = False,
     ) -> _Answer:
         with trio.move_on_after(timeout_s) as wait_scope:
             await self._order_limiter.acquire()
@@ -135,6 +152,9 @@
                 if not isinstance(identity, worker_port.Report):
                     await connection.aclose()
                     return _mark_unsent(identity)
+                if not connection.is_open:
+                    await connection.aclose()
+                    return await self._send_unidentified(call, is_stop=is_stop)
             self._orders_in_flight += 1
             try:
                 answer = await call(connection)
@@ -145,6 +165,27 @@
         finally:
             self._order_limiter.release()
 
+    async def _send_unidentified(
+        self,
+        call: Callable[[worker_port.Connection], Awaitable[_Answer]],
+        *,
+        is_stop: bool,
+    ) -> _Answer:
+        """Send a stop to a worker that closes connections after one answer.
+
+        Workers do so while they shut down. A stop does no harm to another
+        incarnation, which then refuses a late start. Other orders aren't sent.
+        """
+        if not is_stop:
+            return worker_port.NoAnswer(
+                "the worker closes its connections", maybe_done=False
+            )
+        connection = self._open_connection()
+        try:
+            return await call(connection)
+        finally:
+            await connection.aclose()
+
     async def _await_idle(self) -> worker_port.Connection | None:
         """Return an idle connection, waiting briefly for a busy one."""
         with trio.move_on_after(_IDLE_WAIT_S):
@@ -172,10 +213,14 @@
         self._connection_returned = trio.Event()
 
     async def _identify(
-        self, connection: worker_port.Connection, epoch: int, wait_s: float
+        self,
+        connection: worker_port.Connection,
+        epoch: int,
+        wait_s: float,
+        until_ms: int | None = None,
     ) -> worker_port.Report | _Refused:
         return self._check_incarnation(
-            await connection.hold(epoch, 0, None, wait_s)
+            await connection.hold(epoch, 0, until_ms, wait_s)
         )
 
     def _check_incarnation(
--- a/crocusrouter/pools/tests/test_connections.py
+++ b/crocusrouter/pools/tests/test_connections.py
@@ -23,6 +23,7 @@
         self.process = 0
         self.sent = []
         self.silent = False
+        self.closes = False
         self.opened = 0
 
     def restart(self, born_ms):
@@ -48,6 +49,7 @@
             self.is_open = False
             return worker_port.NoAnswer("broken")
         self._worker.sent.append(request)
+        self.is_open = not self._worker.closes
         return answer
 
     async def hold(self, epoch, seen, until_ms, wait_s):
@@ -252,3 +254,42 @@
         await trio.sleep(0.0005)
         await port.aclose()
     assert not opened_connections[0].is_open
+
+
+# Guards against tasks that nobody can stop on a worker that is shutting down:
+# each of its answers closes the connection.
+async def test_stop_reaches_a_worker_that_closes_its_connections(
+    autojump_clock,
+):
+    worker = _Worker()
+    worker.closes = True
+    port = _open_connections(worker)
+    assert await _send(port, _STOP) == worker_port.Accepted(1)
+    assert worker.sent[-1] == _STOP
+
+
+@pytest.mark.parametrize("order", [_START, _PACE])
+async def test_worker_that_closes_its_connections_gets_no_other_orders(
+    order, autojump_clock
+):
+    worker = _Worker()
+    worker.closes = True
+    port = _open_connections(worker)
+    answer = await _send(port, order)
+    assert isinstance(answer, worker_port.NoAnswer)
+    assert not answer.maybe_done
+    assert order not in worker.sent
+
+
+# Guards against a lease that ends while its worker shuts down gracefully, and
+# against ends that are confirmed on a connection without an identity.
+async def test_lease_is_renewed_on_a_worker_that_closes_its_connections(
+    autojump_clock,
+):
+    worker = _Worker()
+    worker.closes = True
+    port = _open_connections(worker)
+    for _ in range(3):
+        await port.hold(1, 57, 9000, 1.0)
+    renewal = ("hold", 0, 9000, 1.0)
+    assert worker.sent == [("hold", 0, None, 1.0), renewal, renewal]
