Take a worker's report that can't be read for no answer

Cause, by reading after, looking for the same class (a fault of one worker's connection ends the scheduling of a whole pool): a report of another form, such as a proxy's or a server's own page with status 200, raised KeyError or TypeError in the link and ended the owner (owner:failed). Not seen by callers so far.

Evidence: test_unreadable_report_is_no_answer, 7 documents, all red before (KeyError, IndexError, TypeError, AttributeError); test_accepted_order_needs_no_readable_clock red for None. The worker is silent to the owner then, as after a lost answer.

--- a/crocusrouter/platform/workers.py
+++ b/crocusrouter/platform/workers.py
@@ -33,6 +33,14 @@
 # "IP:port". Calls to an address of another form fail with errors that don't
 # name the worker.
 _ADDRESS = r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$"
+# Errors of decoding a report that does not have the published form.
+_UNREADABLE_ERRORS = (
+    AttributeError,
+    IndexError,
+    KeyError,
+    TypeError,
+    ValueError,
+)
 _RUN_OUTCOMES = {how.value: how for how in worker_port.RunOutcome}
 
 
@@ -77,7 +85,12 @@
         if failure is not None:
             return failure
         assert isinstance(result, calls.Response)
-        return _parse_report(result.document)
+        try:
+            return _parse_report(result.document)
+        except _UNREADABLE_ERRORS as error:
+            return worker_port.NoAnswer(
+                f"unreadable report: {error!r}", maybe_done=True
+            )
 
     async def start(
         self,
@@ -137,7 +150,10 @@
         if failure is not None:
             return failure
         assert isinstance(result, calls.Response)
-        return worker_port.Accepted(int(result.document.get("clock_ms", 0)))
+        clock_ms = result.document.get("clock_ms")
+        return worker_port.Accepted(
+            clock_ms if isinstance(clock_ms, int) else 0
+        )
 
 
 def _parse_failure(
