Release the pool of an owner that ends with an error

Why this works: the key is released at once, and the entry steps back for the time that its lease would have taken, so another entry takes over within its rank's delay. Evidence: test_owner_that_fails_is_replaced_at_once; before, the same entry owned the pool again.

--- a/crocusrouter/pools/entry.py
+++ b/crocusrouter/pools/entry.py
@@ -445,14 +445,17 @@
             log("owner:deposed", pool=pool, cause=repr(errors.exceptions))
         except* Exception as errors:
             # A fault in one pool's scheduling must not end the entry, which
-            # serves callers too. The lease of the owner key expires and another
-            # entry takes over.
+            # serves callers too. Another entry takes over at once.
             self.metrics.count_event("owner-failed")
             log(
                 "owner:failed",
                 pool=pool,
                 error="".join(traceback.format_exception(errors)),
             )
+            if owner_lease.epoch:
+                await owner_lease.release()
+                # Lets others try first: the fault may lie in this entry.
+                await trio.sleep(owner_leases.TTL_S)
         finally:
             del self._owner_leases[pool]
 
--- a/standins/emulator/tests/test_takeover.py
+++ b/standins/emulator/tests/test_takeover.py
@@ -216,3 +216,26 @@
         cluster.oracle.check_final_states(await cluster.read_states())
         nursery.cancel_scope.cancel()
     assert cluster.oracle.broken == []
+
+
+# Guards against a pool without an owner until the lease of an owner that ended
+# with an error runs out, and against the same entry failing again and again.
+async def test_owner_that_fails_is_replaced_at_once(autojump_clock):
+    def fail(*_):
+        raise RuntimeError("test")
+
+    cluster = emulator.Cluster(3)
+    async with trio.open_nursery() as nursery:
+        await nursery.start(cluster.run)
+        await trio.sleep(3.0)
+        failed_owner = cluster.find_owner()
+        entry = cluster.entries[failed_owner]
+        entry.pool_owners[clusters.POOL]._decide = fail
+        while clusters.POOL in entry.pool_owners:
+            await trio.sleep(0.02)
+        failed_at = trio.current_time()
+        await _wait_for_owner(cluster)
+        assert cluster.find_owner() != failed_owner
+        assert trio.current_time() < failed_at + _START_LIMIT_S
+        assert entry.metrics.counts["event:owner-failed"] == 1
+        nursery.cancel_scope.cancel()
