Read a prefix whose watches alone are refused

The owner keeps the pool and renews the leases of these tasks.

Cause: cancels reach the owner by its watch of jobs alone; starts need a recent view, stops don't.

Why this works: a follower whose watches have been refused at once for a second reads its prefix, again each second. Watches without an answer don't count, since a read would wait for nothing too, and a follower would notice the service's return later. Cost: one read a second for each follower that is refused. The owner's view stays fresh enough for starts too.

Not taken: telling the owner of each cancel through the mesh (a call more for each cancel, and no help if the owner reaches no peer).

--- a/crocusrouter/pools/prefix_follower.py
+++ b/crocusrouter/pools/prefix_follower.py
@@ -26,6 +26,11 @@
 _PROBE_WAIT_S = 0.001
 # Delay from the beginning of a failed attempt to the next one.
 _RETRY_DELAY_S = 0.2
+# If watches have been refused for this long, the prefix is read instead. A
+# refused watch fails within `_REFUSAL_S`; one without an answer takes longer, and
+# a read would have no answer either.
+_READ_AFTER_S = 1.0
+_REFUSAL_S = 0.2
 # A follower that may have missed changes has them all this long after the
 # service answers again, if it answers within a fifth of a second.
 MAX_CATCH_UP_S = 1.0
@@ -73,6 +78,7 @@
         self._known_keys: set[str] = set()
         self._revision = 0
         self._last_answer_at: float | None = None
+        self._refused_since: float | None = None
 
     @property
     def last_event_revision(self) -> int:
@@ -159,18 +165,37 @@
         while True:
             began_at = trio.current_time()
             try:
-                if not self._revision:
+                if not self._revision or self._should_read(began_at):
+                    self._refused_since = None
                     await self.load()
                 await self._follow_once()
+                self._refused_since = None
             except client.StoreUnavailableError as error:
                 if not self.is_failing:
                     log("watch:lost", prefix=self._prefix, cause=str(error))
                 self.is_failing = True
+                self._note_failure(began_at, trio.current_time())
                 await trio.sleep_until(began_at + _RETRY_DELAY_S)
             except key_value.HistoryGoneError:
                 log("watch:history-gone", prefix=self._prefix)
                 self._revision = 0
 
+    def _note_failure(self, began_at: float, now: float) -> None:
+        """Record whether a failed attempt was refused."""
+        if now - began_at > _REFUSAL_S:
+            self._refused_since = None
+        elif self._refused_since is None:
+            self._refused_since = now
+
+    def _should_read(self, now: float) -> bool:
+        """Return whether watches have been refused for long.
+
+        The service may refuse watches and serve other calls, such as the
+        renewals that keep a pool with its owner.
+        """
+        since = self._refused_since
+        return since is not None and now >= since + _READ_AFTER_S
+
     def _choose_wait(self) -> float:
         if not self._may_wait_long:
             return _PROBE_WAIT_S if self.is_failing else _SHORT_WAIT_S
--- a/crocusrouter/pools/tests/test_prefix_follower.py
+++ b/crocusrouter/pools/tests/test_prefix_follower.py
@@ -4,6 +4,7 @@
 import trio
 
 from crocusrouter.pools import prefix_follower
+from crocusrouter.store import client
 from crocusrouter.store import key_value
 from crocusrouter.store import records
 from crocusrouter.telemetry import Metrics
@@ -54,3 +55,36 @@
         nursery.cancel_scope.cancel()
     assert received_events == [_CHANGE]
     assert store.watches <= 4
+
+
+class _RefusingStore:
+    """Serves reads; fails each watch after a delay."""
+
+    def __init__(self, failure_s):
+        self.failure_s = failure_s
+        self.reads = 0
+
+    async def read_prefix(self, prefix):
+        self.reads += 1
+        return records.Snapshot((_CHANGE.record,), 9)
+
+    async def watch(self, prefix, revision, wait_s):
+        await trio.sleep(self.failure_s)
+        raise client.StoreUnavailableError("status 429")
+
+
+# Guards against an owner that misses cancels while its watch alone is refused,
+# and against reads that wait for an answer where watches get none.
+@pytest.mark.parametrize(
+    ("failure_s", "least", "most"), [(0.0, 5, 11), (0.1, 5, 11), (0.4, 1, 1)]
+)
+async def test_prefix_is_read_while_its_watches_are_refused(
+    failure_s, least, most, autojump_clock
+):
+    store = _RefusingStore(failure_s)
+    follower = prefix_follower.PrefixFollower(
+        store, "a/", lambda _: None, Metrics()
+    )
+    with trio.move_on_after(10.0):
+        await follower.run()
+    assert least <= store.reads <= most
