--- a/crocusrouter/pools/prefix_follower.py
+++ b/crocusrouter/pools/prefix_follower.py
@@ -27,8 +27,8 @@
 # Delay from the beginning of a failed attempt to the next one.
 _RETRY_DELAY_S = 0.2
 # If watches have been refused for this long, the prefix is read instead. A
-# refused watch fails within `_REFUSAL_S`; one without an answer takes longer, and
-# a read would have no answer either.
+# refused watch fails within `_REFUSAL_S`. One without an answer takes longer,
+# and a read would have no answer either.
 _READ_AFTER_S = 1.0
 _REFUSAL_S = 0.2
 # A follower that may have missed changes has them all this long after the
