Repeat the stop of a run that its worker still reports

A stop was put into the outbox once. If no link took it, or the link was being closed, it was lost without a line: the run is STOPPING from then on, further stops of it return at once, reports that list it send nothing, and its lease is renewed.

Evidence: test_stop_of_a_run_that_is_still_reported_is_repeated, rows 2 and 3 red before (1 stop instead of 2 and 3).

Why this works: what is wanted (the run must stop) is compared with what is reported at each report, instead of being sent once.

--- a/crocusrouter/pools/state_log.py
+++ b/crocusrouter/pools/state_log.py
@@ -10,6 +10,7 @@
     "run:kept": "run-spared-from-stop",
     "run:lost": "run-lost-with-its-worker",
     "run:missing": "run-missing-on-its-worker",
+    "run:stop-repeated": "stop-repeated",
     "run:stray-ended": "stray-run-ended",
     "run:on-leaving": "start-on-leaving-worker",
     "worker:restarted": "worker-restarted",
--- a/crocusrouter/pools/tests/test_worker_links.py
+++ b/crocusrouter/pools/tests/test_worker_links.py
@@ -349,3 +349,14 @@
         await trio.sleep(3.0)
         nursery.cancel_scope.cancel()
     assert worker_port.Stop(key, 7) in second_port.sent
+
+
+async def test_stop_is_delivered_once_at_a_time(autojump_clock):
+    """A repeated stop must not add to the calls to a worker that is slow."""
+    port = _Port(*[_SILENT] * 3)
+    _, link = _make_link(port)
+    order = worker_port.Stop(work.TaskKey("00000000000000aa", 0, 0, 0), 7)
+    async with trio.open_nursery() as nursery:
+        for _ in range(5):
+            nursery.start_soon(link.stop, order)
+    assert port.sent == [order] * 4
--- a/crocusrouter/pools/worker_links.py
+++ b/crocusrouter/pools/worker_links.py
@@ -81,6 +81,7 @@
         self._on_replaced = on_replaced
         self._pending_starts = pending_starts
         self._confirmed_number = 0
+        self._stops_in_flight: set[worker_port.Stop] = set()
         self._wake_event = trio.Event()
         self._is_abandoned = False
 
@@ -348,6 +349,8 @@
     async def stop(self, order: worker_port.Stop) -> None:
         """Deliver a stop, repeated until it is answered or pointless.
 
+        Does nothing if the same stop is being delivered already.
+
         The pool's state may not hold the run, for example if a late order
         started a task of a cancelled job. If the only stop of such a run were
         lost, the run would go on until its lease ends, because an idle worker
@@ -356,6 +359,15 @@
         Raises:
             DeposedError: The worker knows a later owner.
         """
+        if order in self._stops_in_flight:
+            return
+        self._stops_in_flight.add(order)
+        try:
+            await self._deliver_stop(order)
+        finally:
+            self._stops_in_flight.discard(order)
+
+    async def _deliver_stop(self, order: worker_port.Stop) -> None:
         is_known_run = self._is_current_run(order)
         began_at = self._clock.steady()
         tries = 0
--- a/crocusrouter/work/pool_state.py
+++ b/crocusrouter/work/pool_state.py
@@ -21,6 +21,8 @@
 # Pause before a failed task starts again, so that a task which fails at once
 # does not use up its attempts during a short disturbance of the workers.
 RETRY_PAUSE_S = 0.3
+# A run that is still reported this long after its stop is stopped again.
+STOP_REPEAT_S = 1.5
 WorkerStop = tuple[str, worker_port.Stop]
 
 
@@ -465,10 +467,31 @@
         worker = self.workers.get(run.worker_id)
         fields = stop_limits.mark_stopping(run, worker, reason, now)
         self.note("run:stop", **fields)
+        self._queue_stop(run, now)
+
+    def _queue_stop(self, run: tracking.Run, now: float) -> None:
+        run.stop_queued_at = now
         self.outbox.append(
             (run.worker_id, worker_port.Stop(run.key, run.number))
         )
 
+    def repeat_stop(self, run: tracking.Run, now: float) -> None:
+        """Order the stop of a run again that its worker still reports.
+
+        A stop that was answered takes effect within a second. One that was
+        lost on its way would otherwise never be sent again.
+        """
+        is_stopping = run.phase is tracking.Phase.STOPPING
+        if is_stopping and now >= run.stop_queued_at + STOP_REPEAT_S:
+            self.note(
+                "run:stop-repeated",
+                task=run.key,
+                run=run.number,
+                worker=run.worker_id,
+                after_s=round(now - run.stop_ordered_at, 3),
+            )
+            self._queue_stop(run, now)
+
     def note_kept(self, runs: Iterable[tracking.Run]) -> None:
         """Log once for each run that it is not stopped because of the bound."""
         for run in runs:
--- a/crocusrouter/work/reports.py
+++ b/crocusrouter/work/reports.py
@@ -83,6 +83,7 @@
         and run.worker_id == worker_id
     ):
         pool_state.note_started(reported_run.key, reported_run.run, now)
+        pool_state.repeat_stop(run, now)
         gang_progress.record_progress(run, reported_run.percent, now)
         run.load = reported_run.load
         run.checkpoint = reported_run.checkpoint or run.checkpoint
--- a/crocusrouter/work/tests/test_pool_state.py
+++ b/crocusrouter/work/tests/test_pool_state.py
@@ -358,3 +358,19 @@
     cancelled_job = dataclasses.replace(job, cancelled=True)
     pool_state.put_job(cancelled_job, work.Progress(), 99, 10.5)
     assert {run.phase for run in second_runs} == {tracking.Phase.STOPPING}
+
+
+# Guards against a stop that was lost on its way and is never sent again.
+@pytest.mark.parametrize(
+    ("reports_at", "expected"),
+    [([2.0, 2.9], 1), ([2.0, 3.1], 2), ([3.1, 3.2, 4.7], 3)],
+)
+def test_stop_of_a_run_that_is_still_reported_is_repeated(reports_at, expected):
+    pool_state = build.make_pool_state(build.make_job("j", build.make_step(1)))
+    build.apply_plan(pool_state)
+    run = pool_state.runs[_key("j")]
+    pool_state.stop_run(run, "test", 1.5)
+    for now in reports_at:
+        build.apply_report(pool_state, run.worker_id, now=now)
+    stop = worker_port.Stop(run.key, run.number)
+    assert pool_state.outbox == [(run.worker_id, stop)] * expected
--- a/crocusrouter/work/tracking.py
+++ b/crocusrouter/work/tracking.py
@@ -48,6 +48,8 @@
         stop_reason: Reason for the stop, for the log.
         stop_ordered_at: Steady time at which the stop was decided; 0 if no stop
             was decided.
+        stop_queued_at: Steady time at which the stop was last queued for
+            delivery.
         tracked_step: Step of the task; None if its job is unknown.
         pace: Percent of its speed that the worker was last told to give it.
         paced_at: Steady time at which the worker confirmed `pace`.
@@ -71,6 +73,7 @@
     maybe_started: bool = False
     stop_reason: str = ""
     stop_ordered_at: float = 0.0
+    stop_queued_at: float = 0.0
     tracked_step: "TrackedStep | None" = None
     pace: int = 100
     paced_at: float = 0.0
