--- a/crocusrouter/pools/tests/test_worker_links.py
+++ b/crocusrouter/pools/tests/test_worker_links.py
@@ -360,3 +360,18 @@
         for _ in range(5):
             nursery.start_soon(link.stop, order)
     assert port.sent == [order] * 4
+
+
+# Guards against an owner that ends with an error because a poll is answered, or
+# fails, after its worker was forgotten.
+@pytest.mark.parametrize("poll", [_SILENT, worker_port.Report(1000, (), ())])
+@pytest.mark.parametrize("forgotten_after_s", [0.0, 0.005])
+async def test_poll_may_outlive_its_worker(
+    poll, forgotten_after_s, autojump_clock
+):
+    port = _Port(polls=[poll] * 3)
+    pool_state, link = _make_link(port)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(link.run)
+        await trio.sleep(forgotten_after_s)
+        pool_state.forget_worker(_WORKER)
--- a/crocusrouter/pools/worker_links.py
+++ b/crocusrouter/pools/worker_links.py
@@ -129,7 +129,9 @@
 
     async def _poll(self, wait_s: float) -> None:
         now = self._clock.steady()
-        worker_state = self._pool_state.workers[self.incarnation]
+        worker_state = self._pool_state.workers.get(self.incarnation)
+        if worker_state is None:
+            return
         until_ms = None
         # A silent worker is polled without renewals. Each unanswered renewal
         # may have been carried out, so the end of its lease would be postponed
@@ -174,7 +176,9 @@
     async def _handle_silence(self) -> None:
         now = self._clock.steady()
         work.note_silent(self._pool_state, self.incarnation, now)
-        worker_state = self._pool_state.workers[self.incarnation]
+        worker_state = self._pool_state.workers.get(self.incarnation)
+        if worker_state is None:
+            return
         if not worker_state.all_runs_ended and self.lease.has_lapsed(now):
             why = "the worker's lease expired"
             work.note_lapsed(self._pool_state, self.incarnation, why, now)
