Judge in the emulator whether runs of cancelled jobs end in time

The rule UNASKED has two halves: a start that comes too late after a cancel, and a run that goes on cancel_ms + stop_timeout_ms (3.2 s) after it without an impairment. The oracle checked the first alone, so the fault that users saw with real processes (a run went on to its lease's end or longer) passed.

JobOracle.check_cancelled_runs checks the second half from what workers run at each clock step. The time counts from the confirmation of the cancel or from the latest impairment; for late starts from the stable window after the start, if that is later. judged_cancels counts what was judged, so that an oracle that judges nothing is seen.

Graceful shutdowns of workers, closures, cancels and changes of the configuration don't excuse a run. ImpairmentLog therefore records shutdowns apart (find_calm_since leaves them out; is_unimpaired_since counts them as before), and links between entries and refused watches for find_calm_since alone: they excuse nothing that they didn't excuse before.

--- a/standins/emulator/cluster.py
+++ b/standins/emulator/cluster.py
@@ -3,6 +3,7 @@
 import collections
 from collections.abc import Callable
 import dataclasses
+import itertools
 import math
 import random
 from typing import Any
@@ -486,16 +487,30 @@
     def _note_impairments(self, now: float) -> None:
         """Record which workers and entries are impaired, and the store."""
         for name, worker in self.workers.items():
-            if worker.is_impaired(now):
+            if worker.is_impaired(now, counts_shutdown=False):
                 self.impairments.note_impaired(name, now)
+            if worker.is_shutting_down(now):
+                self.impairments.note_shutting_down(now)
         if self.store.is_impaired(now):
             self.impairments.note_store_impaired(now)
+        if self.partitioned_entries or self.store.rejected_prefixes:
+            self.impairments.note_links_impaired(now)
         for name in self.entry_names:
             impaired = name in self.store.entry_faults
             impaired |= name not in self.entries
             if impaired or self.suspensions.is_suspended(name):
                 self.impairments.note_impaired(name, now)
 
+    def _check_cancelled_runs(self, now: float) -> None:
+        """Report runs that go on for too long after a cancel of their job."""
+        self.oracle.check_cancelled_runs(
+            itertools.chain.from_iterable(
+                worker.list_runs() for worker in self.workers.values()
+            ),
+            self.impairments.find_calm_since(),
+            now,
+        )
+
     def _check_drains(self, now: float) -> None:
         """Report starts on workers that have been draining for too long.
 
@@ -552,6 +567,7 @@
                 self.oracle.check_incomplete_gangs(
                     self.impairments.is_unimpaired_since
                 )
+                self._check_cancelled_runs(now)
                 self.store.note_silences(self.entry_names, now)
                 self._check_drains(now)
                 self._check_closures(now)
--- a/standins/emulator/impairment_log.py
+++ b/standins/emulator/impairment_log.py
@@ -1,4 +1,4 @@
-"""Tells which entries are in touch, as the platform's rules define it."""
+"""Records impairments; tells which entries are in touch, and what is calm."""
 
 # `stable_window_ms` of the users' sites.
 STABLE_WINDOW_S = 3.0
@@ -14,6 +14,8 @@
     def __init__(self) -> None:
         self._impaired_at: dict[str, float] = {}
         self._store_impaired_at = float("-inf")
+        self._links_impaired_at = float("-inf")
+        self._shut_down_at = float("-inf")
 
     def note_impaired(self, entry: str, now: float) -> None:
         """Record that an entry or worker, or a path to it, is impaired."""
@@ -23,6 +25,17 @@
         """Record that the key-value service is impaired."""
         self._store_impaired_at = now
 
+    def note_links_impaired(self, now: float) -> None:
+        """Record that links between entries, or some watches, are impaired.
+
+        Only `find_calm_since` counts it.
+        """
+        self._links_impaired_at = now
+
+    def note_shutting_down(self, now: float) -> None:
+        """Record that a worker drains, or has left after it drained."""
+        self._shut_down_at = now
+
     def explain_impairment(self, entry: str, at: float) -> str:
         """Return why an entry was not in touch at a time; empty if it was.
 
@@ -37,6 +50,21 @@
         return "entry impaired" if impaired_at >= at - STABLE_WINDOW_S else ""
 
     def is_unimpaired_since(self, since: float) -> bool:
-        """Tell whether nothing has been impaired since a time."""
-        latest = max(self._impaired_at.values(), default=float("-inf"))
-        return max(latest, self._store_impaired_at) < since
+        """Tell whether nothing was impaired or shutting down since a time."""
+        latest = max(
+            *self._impaired_at.values(),
+            self._store_impaired_at,
+            self._shut_down_at,
+        )
+        return latest < since
+
+    def find_calm_since(self) -> float:
+        """Return the time of the latest impairment of anything.
+
+        Graceful shutdowns of workers don't count. Minus infinity without any.
+        """
+        return max(
+            *self._impaired_at.values(),
+            self._store_impaired_at,
+            self._links_impaired_at,
+        )
--- a/standins/emulator/oracle.py
+++ b/standins/emulator/oracle.py
@@ -2,6 +2,8 @@
 
 import collections
 from collections.abc import Callable
+from collections.abc import Iterable
+import dataclasses
 
 from crocusrouter import work
 from standins.emulator import impairment_log as impairment_logs
@@ -10,6 +12,9 @@
 # A start that was on its way when a cancel was confirmed is allowed for this
 # long.
 _CANCEL_NOTICE_S = 3.0
+# `stop_timeout_ms` of the users' sites. A run of a cancelled job has to be over
+# that much later than the last start of such a job is allowed.
+_STOP_TIMEOUT_S = 0.2
 _NOTED_S = 1.0
 # How many workers a task may crash, and which further start after that breaks
 # the rule.
@@ -42,6 +47,25 @@
 )
 
 
+@dataclasses.dataclass(frozen=True)
+class ObservedRun:
+    """A run that a worker has at one moment.
+
+    Attributes:
+        key: The task.
+        run: Number of the run.
+        worker: Id of the worker's incarnation.
+        started_at: When it was started, in seconds.
+        was_late: Whether its start was delayed by seconds on its way.
+    """
+
+    key: work.TaskKey
+    run: int
+    worker: str
+    started_at: float
+    was_late: bool
+
+
 class JobOracle:
     """Checks the rules on jobs and collects the broken ones, each as one line.
 
@@ -65,6 +89,11 @@
         crashes_caused: How many workers each task has crashed.
         crashes_met: How often a worker was crashed by a task while each task
             ran on it, the causing task included.
+        judged_cancels: How many runs of cancelled jobs `check_cancelled_runs`
+            has judged: reported, or seen to go on and then to end in time.
+            Runs that ended while an impairment excused them aren't counted.
+        longest_after_cancel: For how many seconds a run of a cancelled job went
+            on at most, from the moment from which it was judged.
     """
 
     def __init__(self) -> None:
@@ -94,6 +123,12 @@
         self._starts_after_crashes: collections.Counter[work.TaskKey] = (
             collections.Counter()
         )
+        self.judged_cancels = 0
+        self.longest_after_cancel = 0.0
+        # Runs of cancelled jobs by worker, with the time for which they have
+        # gone on, and those of them that were reported.
+        self._cancelled_runs: dict[tuple[str, work.TaskKey, int], float] = {}
+        self._reported_runs: set[tuple[str, work.TaskKey, int]] = set()
         self._rerun_allowed: set[work.TaskKey] = set()
         self._running: dict[work.TaskKey, set[tuple[str, int]]] = (
             collections.defaultdict(set)
@@ -245,6 +280,55 @@
             else:
                 self.excused_gangs += 1
 
+    def check_cancelled_runs(
+        self, runs: Iterable[ObservedRun], calm_since: float, now: float
+    ) -> None:
+        """Report each run that goes on for too long after a cancel of its job.
+
+        The time counts from the confirmation of the cancel or from the latest
+        impairment; for a run whose start was late, from the stable window after
+        its start, if that is later.
+
+        Args:
+            runs: All that runs now on workers that are up.
+            calm_since: Time of the latest impairment, in seconds.
+            now: Seconds.
+        """
+        if not self.cancelled:
+            return
+        before, self._cancelled_runs = self._cancelled_runs, {}
+        for run in runs:
+            cancelled_at = self.cancelled.get(run.key.job)
+            if cancelled_at is None:
+                continue
+            judged_from = max(cancelled_at, calm_since)
+            if run.was_late:
+                judged_from = max(
+                    judged_from,
+                    run.started_at + impairment_logs.STABLE_WINDOW_S,
+                )
+            row = run.worker, run.key, run.run
+            lasted_s = now - judged_from
+            self._cancelled_runs[row] = lasted_s
+            self.longest_after_cancel = max(self.longest_after_cancel, lasted_s)
+            if (
+                lasted_s > _CANCEL_NOTICE_S + _STOP_TIMEOUT_S
+                and row not in self._reported_runs
+            ):
+                self._reported_runs.add(row)
+                self.judged_cancels += 1
+                self.broken.append(
+                    f"{now:.3f} unasked: {run.key} run {run.run} on "
+                    f"{run.worker} goes on, cancelled {cancelled_at:.3f}, "
+                    f"judged from {judged_from:.3f}"
+                )
+        self.judged_cancels += sum(
+            lasted_s > 0
+            for row, lasted_s in before.items()
+            if row not in self._cancelled_runs
+            and row not in self._reported_runs
+        )
+
     def note_lost(self, worker: str, key: work.TaskKey, run: int) -> None:
         """Record that a run ended because its worker crashed."""
         self._running[key].discard((worker, run))
--- a/standins/emulator/tests/test_oracle.py
+++ b/standins/emulator/tests/test_oracle.py
@@ -278,6 +278,80 @@
     assert oracle.excused_gangs == (impaired_at == 8.0)
 
 
+# A run of a cancelled job isn't stopped, or only seconds after the cancel.
+@pytest.mark.parametrize(
+    ("cancelled_at", "calm_since", "was_late", "checks", "broken", "judged"),
+    [
+        (None, 0.0, False, (20.0, 40.0, None), 0, 0),
+        (10.0, 0.0, False, (10.1, None), 0, 1),
+        (10.0, 0.0, False, (13.1, None), 0, 1),
+        (10.0, 0.0, False, (13.3, None), 1, 1),
+        (10.0, 0.0, False, (13.3, 13.4, 20.0), 1, 1),
+        (10.0, 0.0, False, (13.1,), 0, 0),
+        (10.0, 12.0, False, (15.1, None), 0, 1),
+        (10.0, 12.0, False, (15.3, None), 1, 1),
+        (10.0, 12.0, False, (12.0, None), 0, 0),
+        (10.0, 0.0, True, (15.9, None), 0, 0),
+        (10.0, 0.0, True, (19.1, None), 0, 1),
+        (10.0, 0.0, True, (19.3, None), 1, 1),
+        (10.0, 17.0, True, (20.1, None), 0, 1),
+        (20.0, 0.0, True, (23.1, None), 0, 1),
+        (20.0, 0.0, True, (23.3, None), 1, 1),
+    ],
+)
+def test_run_that_goes_on_after_a_cancel(
+    cancelled_at, calm_since, was_late, checks, broken, judged
+):
+    oracle = _make_oracle()
+    if cancelled_at is not None:
+        oracle.cancelled["j"] = cancelled_at
+    started_at = 13.0
+    run = oracles.ObservedRun(_FIRST_TASK, 1, "w0", started_at, was_late)
+    for at in checks:
+        runs = [run] if at is not None else []
+        now = at if at is not None else 50.0
+        oracle.check_cancelled_runs(runs, calm_since, now)
+    kinds = [line.split()[1] for line in oracle.broken]
+    assert kinds == ["unasked:"] * broken
+    assert oracle.judged_cancels == judged
+
+
+def test_each_run_of_a_cancelled_job_is_judged_by_itself():
+    oracle = _make_oracle()
+    oracle.cancelled["j"] = 10.0
+    runs = [
+        oracles.ObservedRun(key, number, worker, 0.0, False)
+        for key in (_FIRST_TASK, _SECOND_TASK)
+        for number in (1, 2)
+        for worker in ("w0", "w1")
+    ]
+    oracle.check_cancelled_runs(runs, 0.0, 12.5)
+    oracle.check_cancelled_runs(runs[:3], 0.0, 13.5)
+    assert len(oracle.broken) == 3
+    assert oracle.judged_cancels == 8
+    assert oracle.longest_after_cancel == pytest.approx(3.5)
+
+
+# Runs of cancelled jobs are excused for as long as anything is impaired, but
+# not because a worker shuts down gracefully.
+@pytest.mark.parametrize(
+    ("note", "calm_since"),
+    [
+        (lambda log: log.note_impaired("w0", 5.0), 5.0),
+        (lambda log: log.note_impaired("e0", 5.0), 5.0),
+        (lambda log: log.note_store_impaired(5.0), 5.0),
+        (lambda log: log.note_links_impaired(5.0), 5.0),
+        (lambda log: log.note_shutting_down(5.0), 1.0),
+    ],
+)
+def test_calm_begins_after_the_latest_impairment(note, calm_since):
+    impairments = impairment_logs.ImpairmentLog()
+    assert impairments.find_calm_since() == float("-inf")
+    impairments.note_impaired("e1", 1.0)
+    note(impairments)
+    assert impairments.find_calm_since() == calm_since
+
+
 # Two holders of a lease order the upkeep of one VM in the same epoch, or a
 # holder does so after the holder of a later epoch.
 @pytest.mark.parametrize(
--- a/standins/emulator/worker.py
+++ b/standins/emulator/worker.py
@@ -55,6 +55,7 @@
         lasting: Whether it runs until it is stopped.
         pace: Its speed in percent, as the owner ordered.
         crashes_worker: Whether its end crashes the worker.
+        was_late: Whether its start was delayed by seconds on its way.
     """
 
     key: work.TaskKey
@@ -67,6 +68,7 @@
     lasting: bool = False
     pace: int = 100
     crashes_worker: bool = False
+    was_late: bool = False
 
 
 class Gangs:
@@ -333,7 +335,7 @@
             )
         if not self.checks_room and not late:
             self._check_room(order.key, step.charge)
-        self._add_run(order, job, step)
+        self._add_run(order, job, step, was_late=late)
         if not late:
             self.recent_starts.append(
                 closure_oracles.ObservedStart(
@@ -348,16 +350,43 @@
             self.starts_while_draining.append((order.key, trio.current_time()))
         return worker_port.Accepted(int(clock))
 
-    def is_impaired(self, now: float) -> bool:
-        """Tell whether orders to this worker may fail or come late."""
+    def list_runs(self) -> list[oracles.ObservedRun]:
+        """Return what runs here now."""
+        return [
+            oracles.ObservedRun(
+                task_run.key,
+                task_run.run,
+                self.entry.id,
+                task_run.started_at,
+                task_run.was_late,
+            )
+            for task_run in self.tasks.values()
+        ]
+
+    def is_shutting_down(self, now: float) -> bool:
+        """Tell whether this worker drains, or has just left after that."""
+        return self.entry.draining and (
+            self.alive or now < self._crashed_at + _DELISTING_DELAY_S
+        )
+
+    def is_impaired(self, now: float, *, counts_shutdown: bool = True) -> bool:
+        """Tell whether orders to this worker may fail or come late.
+
+        Args:
+            now: Seconds.
+            counts_shutdown: Whether a graceful shutdown alone counts.
+        """
+        if counts_shutdown and self.is_shutting_down(now):
+            return True
         if not self.alive:
-            return now < self._crashed_at + _DELISTING_DELAY_S
+            was_lost = not self.entry.draining or self.crashed_by_task
+            return was_lost and now < self._crashed_at + _DELISTING_DELAY_S
         shrunk = any(at + _ROOM_NOTICE_S > now for at, _ in self._past_rooms)
         impaired = (
             self.unreachable_from or self.late_start_share or self.fails_all
         )
         impaired = impaired or self.speed < 1.0
-        return shrunk or bool(impaired) or self.entry.draining
+        return shrunk or bool(impaired)
 
     def drain(self, now: float) -> None:
         """Mark this worker as draining."""
@@ -407,11 +436,18 @@
         return free
 
     def _add_run(
-        self, order: worker_port.Start, job: work.Job, step: work.Step
+        self,
+        order: worker_port.Start,
+        job: work.Job,
+        step: work.Step,
+        *,
+        was_late: bool,
     ) -> None:
         now = trio.current_time()
         self._check_placement(order.key, now)
-        task_run = TaskRun(order.key, order.run, now, now, None)
+        task_run = TaskRun(
+            order.key, order.run, now, now, None, was_late=was_late
+        )
         task_run.lasting = step.lasting
         task_run.ends_at = None if step.lasting else now + step.expected_s
         poisoned = job.payload == "poison"
