Carry out late, in the emulator, stops as well as starts

The platform's workers leave any order unanswered and carry it out seconds later; the emulator did so to starts alone, so a stop that was sent once would never be lost on a worker that answers. The share counts for stops now too, and is named late_order_share.

--- a/standins/emulator/faults.py
+++ b/standins/emulator/faults.py
@@ -530,9 +530,9 @@
             await trio.sleep(event.duration_s)
             worker.unreachable_from = set()
         case Fault.LATE_ORDERS:
-            worker.late_start_share = 0.5
+            worker.late_order_share = 0.5
             await trio.sleep(event.duration_s)
-            worker.late_start_share = 0.0
+            worker.late_order_share = 0.0
         case Fault.FAIL_ALL:
             worker.fails_all = True
             await trio.sleep(event.duration_s)
@@ -583,7 +583,7 @@
                 *_RESTART_RANGE_BEHIND_CUT_S
             )
         case Fault.RESTART_BESIDE_LATE:
-            worker.late_start_share = _LATE_SHARE
+            worker.late_order_share = _LATE_SHARE
             await trio.sleep(event.duration_s)
     if not worker.alive:
         return
--- a/standins/emulator/worker.py
+++ b/standins/emulator/worker.py
@@ -14,6 +14,8 @@
 
 _STOP_DELAY_S = 0.15
 _ORDER_DELAY_S = 0.001
+# By how many seconds orders are delayed that are carried out late.
+_LATE_RANGE_S = (2.0, 12.0)
 _MAX_LEASE_MS = 10_000
 _SLOWEST_CLOCK_RATE = 0.98
 # A lasting task reports that it is at work after this time.
@@ -122,7 +124,7 @@
         self.speed = 1.0
         self._last_step_at: float | None = None
         self.unreachable_from: set[str] = set()
-        self.late_start_share = 0.0
+        self.late_order_share = 0.0
         self.highest_epoch = 0
         self.lease_end_ms = 0.0
         self.tasks: dict[work.TaskKey, TaskRun] = {}
@@ -383,7 +385,7 @@
             return was_lost and now < self._crashed_at + _DELISTING_DELAY_S
         shrunk = any(at + _ROOM_NOTICE_S > now for at, _ in self._past_rooms)
         impaired = (
-            self.unreachable_from or self.late_start_share or self.fails_all
+            self.unreachable_from or self.late_order_share or self.fails_all
         )
         impaired = impaired or self.speed < 1.0
         return shrunk or bool(impaired)
@@ -667,7 +669,7 @@
             )
         if not self._is_reachable():
             return await self._wait_without_answer(timeout_s)
-        if self._worker.random.random() < self._worker.late_start_share:
+        if self._worker.random.random() < self._worker.late_order_share:
             trio.lowlevel.spawn_system_task(
                 self._start_late, epoch, order, until_ms
             )
@@ -685,14 +687,19 @@
     async def _start_late(
         self, epoch: int, order: worker_port.Start, until_ms: int
     ) -> None:
-        await trio.sleep(self._worker.random.uniform(2.0, 12.0))
+        await trio.sleep(self._worker.random.uniform(*_LATE_RANGE_S))
         if self._worker.alive:
             self._worker.start_run(epoch, order, until_ms, late=True)
 
+    async def _stop_late(self, epoch: int, order: worker_port.Stop) -> None:
+        await trio.sleep(self._worker.random.uniform(*_LATE_RANGE_S))
+        if self._worker.alive:
+            self._worker.stop_run(epoch, order)
+
     async def stop(
         self, epoch: int, order: worker_port.Stop, timeout_s: float
     ) -> worker_port.Accepted | worker_port.Rejected | worker_port.NoAnswer:
-        """Order the stop of a run."""
+        """Order the stop of a run; some stops are carried out late."""
         await trio.sleep(_ORDER_DELAY_S)
         if self._worker.superseded:
             return worker_port.Rejected(
@@ -700,6 +707,14 @@
             )
         if not self._is_reachable():
             return await self._wait_without_answer(timeout_s)
+        # No random number is used if the share is 0, so that days without late
+        # orders stay the same.
+        share = self._worker.late_order_share
+        if share > 0 and self._worker.random.random() < share:
+            trio.lowlevel.spawn_system_task(self._stop_late, epoch, order)
+            self.is_open = False
+            await trio.sleep(timeout_s)
+            return worker_port.NoAnswer("late")
         outcome = self._worker.stop_run(epoch, order)
         await trio.sleep(_ORDER_DELAY_S)
         return outcome
