--- a/standins/emulator/cluster.py
+++ b/standins/emulator/cluster.py
@@ -54,6 +54,8 @@
 # incarnation until three heartbeats of 1.5 s have been missed.
 _REPLACEMENT_DELAY_S = 3.2
 _DELISTING_DELAY_S = 4.5
+_MAX_CANCEL_ATTEMPTS = 12
+_CANCEL_RETRY_DELAY_S = 0.5
 _WALL_CLOCK_START_S = 1_700_000_000.0
 
 
@@ -453,6 +455,26 @@
                 self.oracle.cancelled[job_id] = trio.current_time()
                 return
 
+    async def cancel_until_confirmed(self, job_id: str, seed: int) -> None:
+        """Cancel a job at drawn entries, in several attempts.
+
+        Args:
+            job_id: The job.
+            seed: Determines the entries.
+        """
+        rng = random.Random(f"{seed} {job_id}")
+        self.oracle.cancels_sent.add(job_id)
+        for _ in range(_MAX_CANCEL_ATTEMPTS):
+            entry = self.entries.get(rng.choice(self.entry_names))
+            if entry is not None and entry.is_ready:
+                outcome = await entry.job_api.cancel(job_id)
+                if outcome is pools.CancelOutcome.DONE:
+                    self.oracle.cancelled.setdefault(
+                        job_id, trio.current_time()
+                    )
+                    return
+            await trio.sleep(_CANCEL_RETRY_DELAY_S)
+
     async def read_states(self) -> dict[str, str | None]:
         """Return the state that a caller reads for each accepted job."""
         states: dict[str, str | None] = {}
--- a/standins/emulator/faults.py
+++ b/standins/emulator/faults.py
@@ -248,12 +248,17 @@
             )
             nursery.start_soon(call_all_entries, cluster, seed)
         async with trio.open_nursery() as day:
-            for at, job in load.draw(seed):
-                day.start_soon(_submit, cluster, at, job)
+            jobs = load.draw(seed)
+            cancel_delays_s = load.draw_cancels(seed, jobs)
+            for at, job in jobs:
+                day.start_soon(
+                    _submit, cluster, at, job, cancel_delays_s.get(job.id), seed
+                )
             for event in faults:
                 day.start_soon(inject_fault, cluster, event)
+        end_limit_s = _END_LIMIT_S * max(1.0, load.duration_factor)
         await _wait_until_idle(
-            cluster, _END_LIMIT_S + _sum_full_closures(faults)
+            cluster, end_limit_s + _sum_full_closures(faults)
         )
         cluster.oracle.check_final_states(await cluster.read_states())
         cluster.oracle.broken += cluster.list_owner_failures()
@@ -263,9 +268,19 @@
     return cluster
 
 
-async def _submit(cluster: clusters.Cluster, at: float, job: work.Job) -> None:
+async def _submit(
+    cluster: clusters.Cluster,
+    at: float,
+    job: work.Job,
+    cancel_delay_s: float | None,
+    seed: int,
+) -> None:
+    """Submit a job, and cancel it some seconds later if it was accepted."""
     await trio.sleep(at)
-    await cluster.submit(job)
+    outcome = await cluster.submit(job)
+    if outcome == "accepted" and cancel_delay_s is not None:
+        await trio.sleep(cancel_delay_s)
+        await cluster.cancel_until_confirmed(job.id, seed)
 
 
 async def _change_configuration(
--- a/standins/emulator/load.py
+++ b/standins/emulator/load.py
@@ -10,6 +10,7 @@
 _WALL_CLOCK_START_S = 1_700_000_000.0
 # Labels in a cluster of six workers: of all of them, and of each rack.
 _LABELS = ("a", "r0-0", "r0-1")
+_LONGEST_CANCEL_DELAYS_S = (0.0, 0.3, 3.0, 8.0)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -25,6 +26,9 @@
         crashing: Share of jobs whose tasks crash each worker they start on.
         restricted: Share of jobs that require a label and, unless they have a
             gang, at most one task of a step on a worker.
+        cancels: Share of jobs that their callers cancel once accepted, at once
+            or within seconds.
+        duration_factor: Multiplies the durations of all tasks.
     """
 
     per_s: float = 1.0
@@ -34,6 +38,8 @@
     advised: float = 0.0
     crashing: float = 0.0
     restricted: float = 0.0
+    cancels: float = 0.0
+    duration_factor: float = 1.0
 
     def draw(self, seed: int) -> list[tuple[float, work.Job]]:
         """Return jobs with the times at which they are submitted."""
@@ -45,6 +51,26 @@
             at += rng.expovariate(self.per_s)
         return jobs
 
+    def draw_cancels(
+        self, seed: int, jobs: list[tuple[float, work.Job]]
+    ) -> dict[str, float]:
+        """Return how many seconds after its acceptance each job is cancelled.
+
+        Args:
+            seed: Seed of the draws.
+            jobs: The jobs that `draw` has returned.
+
+        Returns:
+            The delays by job id; jobs that aren't cancelled are left out.
+        """
+        # The draws are independent of those of the jobs.
+        rng = random.Random(f"cancels {seed}")
+        return {
+            job.id: rng.uniform(0.0, rng.choice(_LONGEST_CANCEL_DELAYS_S))
+            for _, job in jobs
+            if rng.random() < self.cancels
+        }
+
     def _draw_job(self, rng: random.Random, number: int, at: float) -> work.Job:
         priority = rng.choice((0, 1, 1, 2))
         is_gang = rng.random() < self.gangs
@@ -99,7 +125,7 @@
         return work.Step(
             count,
             room,
-            rng.uniform(0.5, 4.0),
+            rng.uniform(0.5, 4.0) * self.duration_factor,
             after,
             is_gang,
             one_rack=is_gang and rng.random() < 0.5,
--- a/standins/emulator/tests/test_histories.py
+++ b/standins/emulator/tests/test_histories.py
@@ -38,6 +38,8 @@
     gangs=strategies.sampled_from((0.1, 0.4, 0.8)),
     advised=strategies.sampled_from((0.0, 0.3)),
     crashing=strategies.sampled_from((0.0, 0.0, 0.15)),
+    cancels=strategies.sampled_from((0.0, 0.5, 0.8)),
+    duration_factor=strategies.sampled_from((1.0, 3.0)),
 )
 
 
