--- a/standins/emulator/cluster.py
+++ b/standins/emulator/cluster.py
@@ -452,7 +452,9 @@
         for entry in list(self.entries.values()):
             outcome = await entry.job_api.cancel(job_id)
             if outcome is pools.CancelOutcome.DONE:
-                self.oracle.cancelled[job_id] = trio.current_time()
+                self.oracle.cancelled.setdefault(
+                    job_id, trio.current_time()
+                )
                 return
 
     async def cancel_until_confirmed(self, job_id: str, seed: int) -> None:
