--- a/standins/emulator/oracle.py
+++ b/standins/emulator/oracle.py
@@ -158,7 +158,8 @@
                 self.broken.append(
                     f"{now:.3f} order: {key} before step {earlier}"
                 )
-        if self.failed[key] - self._maybe_uncounted[key] >= job.max_attempts:
+        failed_count = self.failed[key] - self._maybe_uncounted[key]
+        if failed_count >= job.max_attempts and not step.lasting:
             self.broken.append(f"{now:.3f} budget: {key}")
         self._check_starts_after_crashes(key, now)
         cancelled = self.cancelled.get(key.job)
--- a/standins/emulator/tests/test_oracle.py
+++ b/standins/emulator/tests/test_oracle.py
@@ -107,6 +107,17 @@
     assert [line.split()[1].rstrip(":") for line in oracle.broken] == broken
 
 
+@pytest.mark.parametrize("lasting", [False, True])
+def test_only_tasks_that_end_have_a_limit_of_attempts(lasting):
+    oracle = _make_oracle()
+    step = work.Step(1, work.Room(), lasting=lasting)
+    oracle.jobs["j"] = dataclasses.replace(oracle.jobs["j"], steps=(step,))
+    for run in (1, 2, 3):
+        oracle.note_start("w0", _FIRST_TASK, run, 1.0)
+        oracle.note_end("w0", _FIRST_TASK, run, "failed", 2.0)
+    assert bool(oracle.broken) is not lasting
+
+
 @pytest.mark.parametrize(
     ("refused", "accepted", "done", "state", "broken"),
     [
