--- a/standins/emulator/tests/test_cancels.py
+++ b/standins/emulator/tests/test_cancels.py
@@ -30,6 +30,7 @@
 _KINDS = tuple(emulator.Fault)
 _DISTANCE_IN_PAIRS = 7
 _LEAST_JUDGED = 3
+_ROOM = work.Room(1000, 4096, 1)
 
 
 def _play_in_order(order, seed, load, events):
@@ -87,6 +88,12 @@
     assert judged_count >= 8 * _SEED_COUNT
 
 
+def _build_job(job_id, *steps):
+    return work.Job(
+        job_id, "q", clusters.POOL, "a", 1, 3, 1.0, 1.0, "", steps, 0.0
+    )
+
+
 async def _delay_orders(cluster):
     for worker in cluster.workers.values():
         worker.late_order_share = 1.0
@@ -108,23 +115,8 @@
     disturb, autojump_clock
 ):
     cluster = emulator.Cluster(5)
-    step = work.Step(2, work.Room(1000, 4096, 1), lasting=True)
-    jobs = [
-        work.Job(
-            f"{number:016x}",
-            "q",
-            clusters.POOL,
-            "a",
-            1,
-            3,
-            1.0,
-            1.0,
-            "",
-            (step,),
-            0.0,
-        )
-        for number in range(6)
-    ]
+    step = work.Step(2, _ROOM, lasting=True)
+    jobs = [_build_job(f"{number:016x}", step) for number in range(6)]
     async with trio.open_nursery() as nursery:
         await nursery.start(cluster.run)
         await trio.sleep(2.0)
