Show that the second run of a done gang outlives a cancel (red)

A gang ends as done on a worker that is cut off from all entries. Its owner waits for the lease's end and starts the gang again elsewhere. Then the worker is back and lists the end: the step is done, and, without further steps, the job. Nobody stops the second run. _apply_success (work/reports.py) stops other runs of tasks that aren't gangs alone, and _close_job (work/pool_state.py) spares members whose position is done, since members of a gang that has succeeded end by themselves; neither compares run numbers.

Red for now: the fix is outside of this part.

--- a/standins/emulator/tests/test_cancels.py
+++ b/standins/emulator/tests/test_cancels.py
@@ -131,3 +131,40 @@
         nursery.cancel_scope.cancel()
     assert cluster.oracle.broken == []
     assert cluster.oracle.judged_cancels == 12
+
+
+async def _wait_until(is_met):
+    with trio.fail_after(30.0):
+        while not is_met():
+            await trio.sleep(0.05)
+
+
+# A gang is done on a worker that is cut off, and runs again elsewhere. When its
+# end is learnt, nobody stops the second run, not even if the job is cancelled.
+@pytest.mark.parametrize("later_steps", [0, 1])
+async def test_second_run_of_a_done_gang_ends_after_a_cancel(
+    later_steps, autojump_clock
+):
+    cluster = clusters.Cluster(5)
+    gang = work.Step(2, _ROOM, 8.0, gang=True)
+    later_step = work.Step(1, _ROOM, 30.0, after=(0,))
+    job = _build_job("0" * 16, gang, *[later_step] * later_steps)
+    async with trio.open_nursery() as nursery:
+        await nursery.start(cluster.run)
+        await trio.sleep(2.0)
+        await cluster.submit(job)
+        await trio.sleep(7.0)
+        cut = [worker for worker in cluster.workers.values() if worker.tasks]
+        others = [w for w in cluster.workers.values() if w not in cut]
+        for worker in cut:
+            worker.unreachable_from = set(cluster.entry_names)
+        await _wait_until(lambda: any(worker.tasks for worker in others))
+        for worker in cut:
+            worker.unreachable_from = set()
+        # The end is learnt meanwhile; the second run would last 5 s more.
+        await trio.sleep(3.0)
+        await cluster.cancel(job.id)
+        await trio.sleep(6.0)
+        nursery.cancel_scope.cancel()
+    assert cluster.oracle.broken == []
+    assert not any(worker.tasks for worker in others)
