Show that a lasting task runs twice after an earlier end is learnt late (red)

A run of a lasting task ends as done on a worker that is cut off; after the end of its lease the owner starts the task elsewhere. When the worker is back it lists the end, and _apply_success (work/reports.py) lets the task wait again without a look at whether the ended run is the current one or whether another one is under way. The next plan starts the task beside its second run: TWICE. An end as failed doesn't do this (the other row of the test).

Red for now: the fix is outside of this part.

--- a/crocusrouter/work/tests/test_pool_state.py
+++ b/crocusrouter/work/tests/test_pool_state.py
@@ -327,3 +327,22 @@
     assert pool_state.jobs["j"].progress.final_state is None
     pool_state.open_due_occurrences(build.WALL + 5.0, 1.1)
     assert pool_state.jobs["j"].progress.final_state is work.State.DONE
+
+
+@pytest.mark.parametrize("how", [HOW.DONE, HOW.FAILED])
+def test_lasting_task_runs_once_when_an_earlier_end_is_learnt_late(how):
+    """A lasting task ran twice after its earlier run was listed as done."""
+    job = build.make_job("j", build.make_step(1, lasting=True))
+    pool_state = build.make_pool_state(job)
+    build.apply_plan(pool_state)
+    first_run = pool_state.runs[_key("j")]
+    pool_state.note_lapsed(first_run.worker_id, "test", 10.0)
+    pool_state.unlist_worker(first_run.worker_id)
+    build.apply_plan(pool_state, now=20.0)
+    second_run = pool_state.runs[_key("j")]
+    assert second_run.worker_id != first_run.worker_id
+    run_end = worker_port.RunEnd(1, _key("j"), first_run.number, how)
+    report = worker_port.Report(0, (), (run_end,))
+    work.apply_report(pool_state, first_run.worker_id, report, 21.0, 21.0)
+    assert build.apply_plan(pool_state, now=30.0).placements == []
+    assert pool_state.runs[_key("j")] is second_run
