Start a lasting task no second time for the late report of an earlier end

What callers would see: a lasting task runs twice (TWICE) after the end of an earlier run is reported late, by a worker that was cut off for longer than its lease.

Cause: such an end let the task wait again without regard to its present run.

--- a/crocusrouter/work/reports.py
+++ b/crocusrouter/work/reports.py
@@ -262,7 +262,9 @@
     worker_failures.note_success(pool_state.workers.get(worker_id))
     if tracked_step.step.lasting:
         # A lasting task runs again until its job is cancelled, however it ends.
-        tracked_step.waiting_indices.add(key.position)
+        # The end may be of an earlier run.
+        if key not in pool_state.runs:
+            tracked_step.waiting_indices.add(key.position)
         return
     indices = (
         range(tracked_step.step.count)
