Start nothing on a worker before a durable record names it

A worker that had just registered got a task at once, and the record of known workers named it up to 0.25 s later.

Cause: the set of workers that an owner starts tasks on was not the one that its successor reckons with. A worker is now usable only if the stored record certainly names it as able to run any job. While a write is unanswered, both versions of the record must name it; a write that is certainly not carried out changes nothing; a mismatch tells what is stored. A worker that waits for its record wakes the write instead of waiting for the interval; all workers of one answer of the list share a write, and the answer to the write brings the next decision at once. A new owner writes at once. As with the record of parked jobs, a write that fails on the guard of the owner's key deposes the owner.

An owner that reads a record in which listed workers are missing starts nothing on them until it has written its own: whether the list drops them meanwhile does not matter, as no owner has started anything there. Gangs take recorded workers only; the planner sees the others as it sees workers that have not answered yet. A draining worker's row names single jobs, so it does not count as recorded.

Tests and benches that make workers usable by hand mark them as recorded too.

--- a/bench/replay/day.py
+++ b/bench/replay/day.py
@@ -131,6 +131,7 @@
             name, "pool", "", "dc", False, self.site.room, labels
         )
         self.pool_state.set_worker(entry, now)
+        self.pool_state.workers[name].is_recorded = True
         self.pool_state.workers[name].reached = True
         self.unreported_ends[name] = []
         self.last_end_numbers[name] = 0
--- a/bench/steps.py
+++ b/bench/steps.py
@@ -123,6 +123,7 @@
             f"w{number:04}", "pool", "", "dc", False, room, labels
         )
         pool_state.set_worker(entry, 0.0)
+        pool_state.workers[entry.id].is_recorded = True
         pool_state.workers[entry.id].reached = True
     tasks = 0
     while tasks < 1.05 * _LARGE_TASK_COUNT:
--- a/crocusrouter/pools/known_workers.py
+++ b/crocusrouter/pools/known_workers.py
@@ -1,15 +1,19 @@
 """Persists the workers that may run tasks, for the owner's successor.
 
 The platform's own list drops workers that are cut off, and all workers while it
-is unavailable; a successor must know which leases it has to wait for. A
-draining worker gets no new work, so the jobs still running there are recorded
-too: if the worker is gone, a successor need not hold back all other jobs.
+is unavailable; a successor must know which leases it has to wait for. Nothing
+starts on a worker before a durable record names it. A draining worker gets no
+new work, so the jobs still running there are recorded too: if the worker is
+gone, a successor need not hold back all other jobs.
 """
 
+from collections.abc import Callable
+
 import cbor2
 import trio
 
 from crocusrouter import work
+from crocusrouter.pools import journal
 from crocusrouter.pools import keys
 from crocusrouter.pools import owner_leases
 from crocusrouter.store import key_value
@@ -18,7 +22,16 @@
 from crocusrouter.work import tracking
 from crocusrouter.work import worker_port
 
+# Changes within this interval share a write. A worker that can't take tasks
+# before it is recorded does not wait for it.
 _WRITE_INTERVAL_S = 0.25
+# Timeout of the first try of a write; each further try doubles it.
+_FIRST_TIMEOUT_S = 0.3
+_MAX_TIMEOUT_S = 1.2
+_RETRY_DELAY_S = 0.25
+
+# Incarnation, address, and jobs that may run there; None for any job.
+_Row = tuple[str, str, list[str] | None]
 
 
 class KnownWorkers:
@@ -29,16 +42,39 @@
         store: key_value.KeyValueStore,
         owner_lease: owner_leases.OwnerLease,
         pool_state: work.PoolState,
+        on_recorded: Callable[[], None],
     ) -> None:
+        """Prepare; `load` reads the record of the previous owner.
+
+        Args:
+            store: The key-value service.
+            owner_lease: This owner's lease; guards each write.
+            pool_state: The workers of the pool.
+            on_recorded: Called when workers have become recorded.
+        """
         self._store = store
         self._owner_lease = owner_lease
         self._pool_state = pool_state
+        self._on_recorded = on_recorded
         self._key = keys.KNOWN_WORKERS + owner_lease.pool
         self._loaded_record: records.Record | None = None
+        self._revision = 0
+        # The stored value; None while a write is unanswered.
+        self._stored_value: bytes | None = b""
+        # Workers that the stored record certainly names as able to run any job.
+        # While a write is unanswered, both versions of the record must do so.
+        self._recorded: frozenset[str] = frozenset()
+        self._wake_event = trio.Event()
+        self._wake_event.set()  # A new owner records its workers at once.
 
     async def load(self) -> None:
         """Read the previous owner's record; raises StoreUnavailableError."""
         self._loaded_record = await self._store.read(self._key)
+        self._note_stored(self._loaded_record)
+
+    def wake(self) -> None:
+        """Record changes now, because a worker must be recorded to be used."""
+        self._wake_event.set()
 
     def restore_unlisted(self, now: float) -> list[tracking.Worker]:
         """Add to the state recorded workers that the platform no longer lists.
@@ -63,10 +99,11 @@
             if job_ids is not None:
                 worker_state.was_draining = True
                 worker_state.possible_jobs = frozenset(job_ids)
+        self._mark_recorded()
         return restored
 
-    def _encode(self) -> bytes:
-        rows = []
+    def _list_rows(self) -> list[_Row]:
+        rows: list[_Row] = []
         for incarnation, worker_state in sorted(
             self._pool_state.workers.items()
         ):
@@ -89,35 +126,96 @@
                 worker_state.all_runs_ended and not worker_state.listed
             ):
                 continue
-            rows.append([incarnation, worker_state.entry.address, job_ids])
-        return cbor2.dumps(rows)
+            rows.append((incarnation, worker_state.entry.address, job_ids))
+        return rows
 
     async def run(self) -> None:
-        """Write changes until cancelled."""
-        revision = self._loaded_record.revision if self._loaded_record else 0
-        written_value = (
-            self._loaded_record.value if self._loaded_record else b""
-        )
+        """Write changes until cancelled; raises DeposedError."""
+        timeout_s = _FIRST_TIMEOUT_S
         while True:
-            await trio.sleep(_WRITE_INTERVAL_S)
-            value = self._encode()
-            if value == written_value:
+            with trio.move_on_after(_WRITE_INTERVAL_S):
+                await self._wake_event.wait()
+            self._wake_event = trio.Event()
+            rows = self._list_rows()
+            value = cbor2.dumps(rows)
+            if value == self._stored_value:
+                self._mark_recorded()
                 continue
-            outcome = await self._store.write(
-                (self._owner_lease.guard, key_value.Guard(self._key, revision)),
-                (key_value.Write(self._key, value),),
-            )
+            outcome = await self._write(value, _list_usable(rows), timeout_s)
+            self._mark_recorded()
             if isinstance(outcome, key_value.Written):
-                revision, written_value = outcome.revision, value
-            elif isinstance(outcome, key_value.Mismatched):
-                current_record = outcome.current.get(self._key)
-                revision = current_record.revision if current_record else 0
+                timeout_s = _FIRST_TIMEOUT_S
+                continue
+            log("roster:not-written", outcome=type(outcome).__name__)
+            timeout_s = min(_MAX_TIMEOUT_S, 2 * timeout_s)
+            self._wake_event.set()
+            await trio.sleep(_RETRY_DELAY_S)
+
+    async def _write(
+        self, value: bytes, usable: frozenset[str], timeout_s: float
+    ) -> key_value.WriteOutcome:
+        """Replace the record; raises DeposedError."""
+        previous_value, previous_recorded = self._stored_value, self._recorded
+        # An unanswered write may still be carried out, until a later version of
+        # the record makes its guard fail.
+        self._stored_value = None
+        self._recorded &= usable
+        self._mark_recorded()
+        outcome = await self._store.write(
+            (
+                self._owner_lease.guard,
+                key_value.Guard(self._key, self._revision),
+            ),
+            (key_value.Write(self._key, value),),
+            timeout_s=timeout_s,
+        )
+        match outcome:
+            case key_value.Written(revision):
+                self._revision = revision
+                self._stored_value = value
+                self._recorded = usable
+            case key_value.Mismatched(current_records):
+                owner_record = current_records.get(self._owner_lease.key)
+                if (
+                    owner_record is None
+                    or owner_record.revision != self._owner_lease.epoch
+                ):
+                    raise journal.DeposedError(
+                        f"{self._owner_lease.key} changed"
+                    )
+                self._note_stored(current_records.get(self._key))
+            case key_value.NotWritten():
+                self._stored_value = previous_value
+                self._recorded = previous_recorded
+        return outcome
+
+    def _note_stored(self, record: records.Record | None) -> None:
+        """Note what the store holds, from an answer that certainly tells."""
+        self._revision = record.revision if record else 0
+        self._stored_value = record.value if record else b""
+        self._recorded = (
+            _list_usable(_parse_rows(record)) if record else frozenset()
+        )
+
+    def _mark_recorded(self) -> None:
+        any_added = False
+        for incarnation, worker_state in self._pool_state.workers.items():
+            is_recorded = incarnation in self._recorded
+            any_added |= is_recorded and not worker_state.is_recorded
+            worker_state.is_recorded = is_recorded
+        if any_added:
+            self._on_recorded()
+
+
+def _list_usable(rows: list[_Row]) -> frozenset[str]:
+    """Return the workers on which a successor takes any job to be possible."""
+    return frozenset(
+        incarnation for incarnation, _, job_ids in rows if job_ids is None
+    )
 
 
-def _parse_rows(
-    record: records.Record,
-) -> list[tuple[str, str, list[str] | None]]:
-    """Decode the record; an unreadable record names no worker.
+def _parse_rows(record: records.Record) -> list[_Row]:
+    """Decode a record; an unreadable record names no worker.
 
     If an owner failed here, each of its successors would fail too.
     """
--- a/crocusrouter/pools/owner.py
+++ b/crocusrouter/pools/owner.py
@@ -129,7 +129,7 @@
         self._wake_event = trio.Event()
         self._nursery: trio.Nursery | None = None
         self._known_workers = known_workers.KnownWorkers(
-            store, owner_lease, self.pool_state
+            store, owner_lease, self.pool_state, self.wake
         )
         self._speed_record = speed_record.SpeedRecord(
             store, owner_lease, self.pool_state, clock
@@ -198,7 +198,6 @@
             nursery.start_soon(self._journal.run)
             nursery.start_soon(self._backlog.run)
             nursery.start_soon(self._worker_list.run)
-            nursery.start_soon(self._known_workers.run)
             nursery.start_soon(self._speed_record.run)
             nursery.start_soon(self._parked_jobs.run)
             nursery.start_soon(self._advisor.run)
@@ -216,6 +215,7 @@
                 self._open_link(
                     worker_state.entry.id, worker_state.entry.address
                 )
+            nursery.start_soon(self._known_workers.run)
             for worker_state in list(self.pool_state.workers.values()):
                 self._open_link(
                     worker_state.entry.id, worker_state.entry.address
@@ -273,6 +273,8 @@
             # `run` opens the links to all loaded workers.
             return
         worker_state = self.pool_state.workers[incarnation]
+        if worker_state.may_take_tasks_later and not worker_state.is_recorded:
+            self._known_workers.wake()
         if incarnation in self._links or worker_state.replaced:
             return
         open_connection = functools.partial(
--- a/crocusrouter/pools/tests/test_worker_links.py
+++ b/crocusrouter/pools/tests/test_worker_links.py
@@ -57,7 +57,7 @@
 def _make_link(port, may_start=_always):
     pool_state = work.PoolState(1)
     pool_state.set_worker(build.make_entry(_WORKER), 0.0)
-    pool_state.workers[_WORKER].reached = True
+    build.mark_usable(pool_state.workers[_WORKER])
     clock = clocks.Clock(trio.current_time, lambda: 1e6 + trio.current_time())
     link = worker_links.WorkerLink(
         _WORKER,
--- a/crocusrouter/work/tests/build.py
+++ b/crocusrouter/work/tests/build.py
@@ -51,12 +51,18 @@
     for number, worker_id in enumerate(workers):
         rack = racks[number] if racks else "r0-0"
         pool_state.set_worker(make_entry(worker_id, rack), 0.0)
-        pool_state.workers[worker_id].reached = True
+        mark_usable(pool_state.workers[worker_id])
     for number, job in enumerate(jobs):
         add_job(pool_state, job, created=number + 2)
     return pool_state
 
 
+def mark_usable(worker):
+    """Mark a worker as recorded and reached by the pool's owner."""
+    worker.is_recorded = True
+    worker.reached = True
+
+
 def add_job(pool_state, job, created=99, now=0.0, wall=WALL):
     pool_state.put_job(job, work.Progress(), created, now)
     pool_state.open_due_occurrences(wall, now)
--- a/crocusrouter/work/tests/test_closures.py
+++ b/crocusrouter/work/tests/test_closures.py
@@ -111,7 +111,7 @@
                 run.key, run.number, tracking.DATA_CENTRE_CLOSED, 0.1
             )
     pool_state.set_worker(build.make_entry("w4", "r0-0"), 0.2)
-    pool_state.workers["w4"].reached = True
+    build.mark_usable(pool_state.workers["w4"])
     assert pool_state.workers["w4"].closed
     work.set_closed_data_centres(pool_state, frozenset())
     plan = work.plan(pool_state, 0.5, build.WALL)
--- a/crocusrouter/work/tests/test_crash_causes.py
+++ b/crocusrouter/work/tests/test_crash_causes.py
@@ -140,7 +140,7 @@
     _journal_crashes(pool_state)
     for worker_id in _WORKERS[1:]:
         pool_state.set_worker(build.make_entry(worker_id), now)
-        pool_state.workers[worker_id].reached = True
+        build.mark_usable(pool_state.workers[worker_id])
     return pool_state, now
 
 
--- a/crocusrouter/work/tests/test_crashes.py
+++ b/crocusrouter/work/tests/test_crashes.py
@@ -194,7 +194,7 @@
     _journal_crashes(pool_state)
     for worker_id in _WORKERS[1:]:
         pool_state.set_worker(build.make_entry(worker_id), now)
-        pool_state.workers[worker_id].reached = True
+        build.mark_usable(pool_state.workers[worker_id])
     build.apply_plan(pool_state, now)
     bad_run, good_run = (
         pool_state.runs[_key("bad")],
@@ -377,7 +377,7 @@
     pool_state.runs[_key("j")].progressed_at = 2.5
     assert build.apply_plan(pool_state, 2.5).placements == []
     pool_state.set_worker(build.make_entry("w1"), 2.5)
-    pool_state.workers["w1"].reached = True
+    build.mark_usable(pool_state.workers["w1"])
     build.apply_plan(pool_state, 2.5)
     assert pool_state.runs[_key("j", 1)].worker_id == "w1"
 
--- a/crocusrouter/work/tests/test_planner.py
+++ b/crocusrouter/work/tests/test_planner.py
@@ -384,7 +384,7 @@
     )
     large_worker = build.make_entry("w3", gpu=9, rack="r0-1")
     pool_state.set_worker(large_worker, 0.0)
-    pool_state.workers["w3"].reached = True
+    build.mark_usable(pool_state.workers["w3"])
     tracked_step = pool_state.find_tracked_step(work.TaskKey("j", 0, 0, 0))
     tracked_step.avoided_workers |= avoided
     plan = work.plan(pool_state, 0.0, build.WALL)
--- a/crocusrouter/work/tests/test_restarts.py
+++ b/crocusrouter/work/tests/test_restarts.py
@@ -128,10 +128,10 @@
     pool_state.set_worker(build.make_entry(_OLD_WORKER, draining=True), 0.0)
     if known:
         work.add_successor(pool_state, _OLD_WORKER, _NEW_WORKER, 1.0)
-        pool_state.workers[_NEW_WORKER].reached = True
+        build.mark_usable(pool_state.workers[_NEW_WORKER])
         assert not pool_state.workers[_NEW_WORKER].may_start_tasks(1.0)
     pool_state.set_worker(build.make_entry(_NEW_WORKER), 2.0)
-    pool_state.workers[_NEW_WORKER].reached = True
+    build.mark_usable(pool_state.workers[_NEW_WORKER])
     assert pool_state.workers[_NEW_WORKER].may_start_tasks(2.0)
     assert pool_state.workers[_OLD_WORKER].was_draining
 
--- a/crocusrouter/work/tracking.py
+++ b/crocusrouter/work/tracking.py
@@ -86,6 +86,8 @@
     Attributes:
         entry: The worker as the platform lists it.
         listed: Whether the platform still lists the worker.
+        is_recorded: Whether a durable record names this worker to a successor
+            of this owner.
         reached: Whether the worker has answered under this owner's epoch.
         silent_since: Since when the worker has not answered; None if it does.
         last_report_at: When the worker last reported its runs; None if never.
@@ -115,6 +117,7 @@
 
     entry: worker_port.WorkerEntry
     listed: bool = True
+    is_recorded: bool = False
     reached: bool = False
     silent_since: float | None = None
     last_report_at: float | None = None
@@ -171,6 +174,9 @@
         """Tell whether new tasks may start there."""
         return (
             self.listed
+            # A successor that does not know of the worker would start the tasks
+            # that run there again.
+            and self.is_recorded
             and self.reached
             and not self.was_draining
             and not self.closed
