bench: time from a worker's registration to its first start

24, 176 and 1,000 workers register in the emulator, at once and within 4 s, while a task waits for each; on a virtual clock, so without the time of decisions.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -13,6 +13,7 @@
 from bench import policy
 from bench import polling
 from bench import recovery
+from bench import registration
 from bench import steady
 from bench import steps
 
@@ -31,6 +32,7 @@
     "overload": overload.measure_overload,
     "slow_runner": overload.measure_slow_runner,
     "policy": policy.measure_policy,
+    "registration": registration.measure_registration,
     "steps": steps.measure_steps,
     "steps_large": steps.measure_large_decisions,
     "edits": recovery.measure_edits,
