Keep a worker in the record until its ends are journaled

Cause (seed 56): a task ended on an unlisted worker while the store was losing answers. The worker was idle, so its link closed, it was forgotten, and the record left it out. Then the owner was lost. Its successor knew neither the end nor the worker that still listed it, and started the task again.

The link of an unlisted worker now stays open until the ends that the worker lists are journaled, or until its lease has lapsed in silence; the record names the worker as long.

--- a/crocusrouter/pools/known_workers.py
+++ b/crocusrouter/pools/known_workers.py
@@ -42,6 +42,7 @@
         store: key_value.KeyValueStore,
         owner_lease: owner_leases.OwnerLease,
         pool_state: work.PoolState,
+        is_durable: Callable[[str], bool],
         on_recorded: Callable[[], None],
     ) -> None:
         """Prepare; `load` reads the record of the previous owner.
@@ -50,11 +51,14 @@
             store: The key-value service.
             owner_lease: This owner's lease; guards each write.
             pool_state: The workers of the pool.
+            is_durable: Returns whether the journal holds all ended tasks of a
+                job.
             on_recorded: Called when workers have become recorded.
         """
         self._store = store
         self._owner_lease = owner_lease
         self._pool_state = pool_state
+        self._is_durable = is_durable
         self._on_recorded = on_recorded
         self._key = keys.KNOWN_WORKERS + owner_lease.pool
         self._loaded_record: records.Record | None = None
@@ -64,6 +68,8 @@
         # Workers that the stored record certainly names as able to run any job.
         # While a write is unanswered, both versions of the record must do so.
         self._recorded: frozenset[str] = frozenset()
+        # Jobs in the rows of draining workers that have reported their runs.
+        self._draining_jobs: dict[str, frozenset[str]] = {}
         self._wake_event = trio.Event()
         self._wake_event.set()  # A new owner records its workers at once.
 
@@ -104,20 +110,22 @@
 
     def _list_rows(self) -> list[_Row]:
         rows: list[_Row] = []
+        draining_jobs: dict[str, frozenset[str]] = {}
         for incarnation, worker_state in sorted(
             self._pool_state.workers.items()
         ):
             job_ids: list[str] | None = None
-            if worker_state.was_draining:
-                job_ids = sorted({key.job for key in worker_state.runs})
-                if worker_state.has_unknown_runs:
-                    possible_jobs = worker_state.possible_jobs
-                    job_ids = (
-                        sorted(possible_jobs)
-                        if possible_jobs is not None
-                        else None
-                    )
-                elif not job_ids and not worker_state.listed:
+            if worker_state.was_draining and worker_state.has_unknown_runs:
+                possible_jobs = worker_state.possible_jobs
+                job_ids = (
+                    sorted(possible_jobs) if possible_jobs is not None else None
+                )
+            elif worker_state.was_draining:
+                draining_jobs[incarnation] = self._find_possible_jobs(
+                    incarnation, worker_state
+                )
+                job_ids = sorted(draining_jobs[incarnation])
+                if not job_ids and not worker_state.listed:
                     # A listed worker stays in the record. A successor that knew
                     # nothing of it would hold back all older jobs until its
                     # lease had ended.
@@ -127,8 +135,23 @@
             ):
                 continue
             rows.append((incarnation, worker_state.entry.address, job_ids))
+        self._draining_jobs = draining_jobs
         return rows
 
+    def _find_possible_jobs(
+        self, incarnation: str, worker_state: tracking.Worker
+    ) -> frozenset[str]:
+        """Return the jobs of which a draining worker has runs or unsaved ends.
+
+        A successor has to hear of an end from its worker until it is journaled.
+        """
+        candidates = self._draining_jobs.get(
+            incarnation, self._pool_state.jobs.keys()
+        )
+        return frozenset(
+            job_id for job_id in candidates if not self._is_durable(job_id)
+        ).union(key.job for key in worker_state.runs)
+
     async def run(self) -> None:
         """Write changes until cancelled; raises DeposedError."""
         timeout_s = _FIRST_TIMEOUT_S
--- a/crocusrouter/pools/owner.py
+++ b/crocusrouter/pools/owner.py
@@ -129,7 +129,11 @@
         self._wake_event = trio.Event()
         self._nursery: trio.Nursery | None = None
         self._known_workers = known_workers.KnownWorkers(
-            store, owner_lease, self.pool_state, self.wake
+            store,
+            owner_lease,
+            self.pool_state,
+            self._journal.is_durable,
+            self.wake,
         )
         self._speed_record = speed_record.SpeedRecord(
             store, owner_lease, self.pool_state, clock
--- a/crocusrouter/pools/tests/test_foreign_records.py
+++ b/crocusrouter/pools/tests/test_foreign_records.py
@@ -38,7 +38,7 @@
         view, "match", owner_leases.Holder("e0"), clocks.Clock()
     )
     known = known_workers.KnownWorkers(
-        view, owner_lease, work.PoolState(1), lambda: None
+        view, owner_lease, work.PoolState(1), lambda _: True, lambda: None
     )
     await known.load()
     assert known.restore_unlisted(0.0) == []
--- a/crocusrouter/pools/tests/test_known_workers.py
+++ b/crocusrouter/pools/tests/test_known_workers.py
@@ -22,7 +22,7 @@
 _NO_FAULT = stores.StoreFault.NONE
 
 
-async def _open_known_workers(store, pool_state):
+async def _open_known_workers(store, pool_state, is_durable=lambda _: True):
     """Return loaded known workers under an owner lease that has just begun."""
     view = stores.StoreView(store, "e0")
     clock = clocks.Clock(trio.current_time, trio.current_time)
@@ -31,7 +31,7 @@
     )
     assert await owner_lease.acquire()
     known = known_workers.KnownWorkers(
-        view, owner_lease, pool_state, lambda: None
+        view, owner_lease, pool_state, is_durable, lambda: None
     )
     await known.load()
     return known
@@ -39,9 +39,12 @@
 
 def _read_usable(store):
     """Return the workers on which a successor takes any job to be possible."""
+    return {name for name, _, job_ids in _read_rows(store) if job_ids is None}
+
+
+def _read_rows(store):
     item = store.items.get(_KEY)
-    rows = cbor2.loads(item.value) if item is not None else []
-    return {incarnation for incarnation, _, job_ids in rows if job_ids is None}
+    return cbor2.loads(item.value) if item is not None else []
 
 
 @pytest.mark.parametrize(
@@ -235,6 +238,37 @@
     assert store.calls == calls_before + 1
 
 
+@pytest.mark.parametrize("ends_before_notice", [False, True])
+async def test_draining_worker_is_recorded_until_its_ends_are_journaled(
+    ends_before_notice, autojump_clock
+):
+    """A successor must hear of an end that the journal does not hold."""
+    store = stores.Store(1)
+    job = build.make_job(_JOB, build.make_step())
+    pool_state = build.make_pool_state(job, workers=("w0",))
+    undurable = {_JOB}
+    known = await _open_known_workers(
+        store, pool_state, lambda job_id: job_id not in undurable
+    )
+    run = pool_state.add_run(work.TaskKey(_JOB, 0, 0, 0), 1, "w0", 0.0)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(known.run)
+        await trio.sleep(1.0)
+        if ends_before_notice:
+            pool_state.drop_run(run)
+        pool_state.set_worker(build.make_entry("w0", draining=True), 1.0)
+        await trio.sleep(1.0)
+        if not ends_before_notice:
+            pool_state.drop_run(run)
+        pool_state.unlist_worker("w0")
+        await trio.sleep(1.0)
+        assert _read_rows(store) == [["w0", "w0:1", [_JOB]]]
+        undurable.clear()
+        await trio.sleep(1.0)
+        assert _read_rows(store) == []
+        nursery.cancel_scope.cancel()
+
+
 async def test_deposed_owner_stops_writing(autojump_clock):
     store = stores.Store(1)
     pool_state = build.make_pool_state()
--- a/crocusrouter/pools/tests/test_worker_links.py
+++ b/crocusrouter/pools/tests/test_worker_links.py
@@ -21,8 +21,9 @@
 class _Port:
     """Answers orders with the given answers, then accepts all."""
 
-    def __init__(self, *answers):
+    def __init__(self, *answers, ended=()):
         self.answers = list(answers)
+        self.ended = ended
         self.sent = []
 
     async def _answer(self, order):
@@ -40,7 +41,7 @@
 
     async def hold(self, epoch, seen, until_ms, wait_s):
         await trio.sleep(0.01)
-        return worker_port.Report(1000, (), ())
+        return worker_port.Report(1000, (), self.ended)
 
     async def aclose(self):
         pass
@@ -54,7 +55,7 @@
     return True
 
 
-def _make_link(port, may_start=_always):
+def _make_link(port, may_start=_always, settle=_settle):
     pool_state = work.PoolState(1)
     pool_state.set_worker(build.make_entry(_WORKER), 0.0)
     build.mark_usable(pool_state.workers[_WORKER])
@@ -65,7 +66,7 @@
         1,
         pool_state,
         clock,
-        _settle,
+        settle,
         _always,
         may_start,
         lambda: None,
@@ -103,6 +104,35 @@
         await link.stop(worker_port.Stop(key, 7))
 
 
+async def test_link_to_an_unlisted_worker_stays_until_its_ends_are_journaled(
+    autojump_clock,
+):
+    """A successor must hear of an end that the journal does not hold.
+
+    The owner forgot an idle worker that was no longer listed, and the record of
+    known workers left it out. The journal was late, the owner was lost, and the
+    next one started a task again that had ended there.
+    """
+    key = work.TaskKey("00000000000000aa", 0, 0, 0)
+    ended = worker_port.RunEnd(1, key, 7, worker_port.RunOutcome.DONE)
+    journaled = trio.Event()
+    pool_state, link = _make_link(_Port(ended=(ended,)), settle=journaled.wait)
+    pool_state.unlist_worker(_WORKER)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(_run_and_forget, link, pool_state)
+        await trio.sleep(3.0)
+        assert _WORKER in pool_state.workers
+        journaled.set()
+        await trio.sleep(1.0)
+        assert _WORKER not in pool_state.workers
+
+
+async def _run_and_forget(link, pool_state):
+    """Run a link and forget its worker afterwards, as the owner does."""
+    await link.run()
+    pool_state.forget_worker(_WORKER)
+
+
 @pytest.mark.parametrize(
     ("answer", "waits_again"), [(_NOT_SENT, True), (_SILENT, False)]
 )
--- a/crocusrouter/pools/worker_links.py
+++ b/crocusrouter/pools/worker_links.py
@@ -81,6 +81,8 @@
         self._on_replaced = on_replaced
         self._pending_starts = pending_starts
         self._confirmed_number = 0
+        # Whether the worker has listed ends that the journal may not hold.
+        self._has_unsaved_ends = False
         self._wake_event = trio.Event()
         self._is_abandoned = False
 
@@ -103,9 +105,10 @@
                     return
                 is_idle = not worker_state.runs and not worker_state.stray_runs
                 if is_idle and worker_state.silent_since is None:
-                    if not worker_state.listed:
+                    if worker_state.listed:
+                        await self._wake_event.wait()
+                    elif not self._has_unsaved_ends:
                         return
-                    await self._wake_event.wait()
                 self._wake_event = trio.Event()
                 if not self._is_abandoned:
                     await self._poll(_POLL_WAIT_S)
@@ -150,12 +153,14 @@
             self._pool_state, self.incarnation, report, sent_at, now
         )
         self._on_change()
+        self._has_unsaved_ends = bool(report.ended)
         if not report.ended:
             return
         last_number = max(ended.number for ended in report.ended)
         with trio.move_on_after(_UNCONFIRMED_POLL_DELAY_S):
             await self._settle()
             self._confirmed_number = max(self._confirmed_number, last_number)
+            self._has_unsaved_ends = False
 
     async def _handle_silence(self) -> None:
         now = self._clock.steady()
