--- a/crocusrouter/pools/tests/test_worker_links.py
+++ b/crocusrouter/pools/tests/test_worker_links.py
@@ -23,13 +23,15 @@
 
     Attributes:
         answers: Answers to the next orders.
-        polls: Answers to the next polls; later ones report nothing.
+        ended: Ends that later polls list.
+        polls: Answers to the next polls; later ones report no runs.
         polls_sent: How many polls came.
         sent: Orders in the order in which they came.
     """
 
-    def __init__(self, *answers, polls=()):
+    def __init__(self, *answers, ended=(), polls=()):
         self.answers = list(answers)
+        self.ended = ended
         self.polls = list(polls)
         self.polls_sent = 0
         self.sent = []
@@ -53,9 +55,9 @@
         await trio.sleep(0.01)
         if self.polls:
             return self.polls.pop(0)
-        if wait_s:
+        if wait_s and not self.ended:
             await trio.sleep(wait_s)
-        return worker_port.Report(1000, (), ())
+        return worker_port.Report(1000, (), self.ended)
 
     async def aclose(self):
         pass
@@ -69,10 +71,10 @@
     return True
 
 
-def _make_link(port, may_start=_always, pending_starts=None):
+def _make_link(port, may_start=_always, settle=_settle, pending_starts=None):
     pool_state = work.PoolState(1)
     pool_state.set_worker(build.make_entry(_WORKER), 0.0)
-    pool_state.workers[_WORKER].reached = True
+    build.mark_usable(pool_state.workers[_WORKER])
     clock = clocks.Clock(trio.current_time, lambda: 1e6 + trio.current_time())
     link = worker_links.WorkerLink(
         _WORKER,
@@ -80,7 +82,7 @@
         1,
         pool_state,
         clock,
-        _settle,
+        settle,
         _always,
         may_start,
         lambda: None,
@@ -118,6 +120,35 @@
         await link.stop(worker_port.Stop(key, 7))
 
 
+async def test_link_to_an_unlisted_worker_stays_until_its_ends_are_journaled(
+    autojump_clock,
+):
+    """A successor must hear of an end that the journal does not hold.
+
+    The owner forgot an idle worker that was no longer listed, and the record of
+    known workers left it out. The journal was late, the owner was lost, and the
+    next one started a task again that had ended there.
+    """
+    key = work.TaskKey("00000000000000aa", 0, 0, 0)
+    ended = worker_port.RunEnd(1, key, 7, worker_port.RunOutcome.DONE)
+    journaled = trio.Event()
+    pool_state, link = _make_link(_Port(ended=(ended,)), settle=journaled.wait)
+    pool_state.unlist_worker(_WORKER)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(_run_and_forget, link, pool_state)
+        await trio.sleep(3.0)
+        assert _WORKER in pool_state.workers
+        journaled.set()
+        await trio.sleep(1.0)
+        assert _WORKER not in pool_state.workers
+
+
+async def _run_and_forget(link, pool_state):
+    """Run a link and forget its worker afterwards, as the owner does."""
+    await link.run()
+    pool_state.forget_worker(_WORKER)
+
+
 @pytest.mark.parametrize(
     ("answer", "waits_again"), [(_NOT_SENT, True), (_SILENT, False)]
 )
