--- a/standins/emulator/faults.py
+++ b/standins/emulator/faults.py
@@ -41,6 +41,8 @@
     keys.JOBS,
     keys.SYSTEM,
 )
+_DOWN = (stores.StoreFault.BUSY, stores.StoreFault.SILENT)
+_RETRY_DELAY_S = 0.1
 # Interval of calls to all entries on routes and keys that the operators add and
 # remove.
 _CALL_INTERVAL_S = 0.25
@@ -99,6 +101,9 @@
     # All entries and workers of one data centre, the owner's first.
     LOSE_DATA_CENTRE = "lose-data-centre"  # its power, for a second or two
     CUT_DATA_CENTRE = "cut-data-centre"  # from the others and from the store
+    # The store is down twice, soon after workers have registered, and the
+    # entries of all workers expire.
+    LAPSE_TWICE = "lapse-twice"
 
 
 _STORE_FAULTS = {
@@ -131,11 +136,12 @@
     Fault.CLOSE_BY_TURNS,
 )
 DATA_CENTRE_FAULTS = (Fault.LOSE_DATA_CENTRE, Fault.CUT_DATA_CENTRE)
+LAPSE_FAULTS = (Fault.LAPSE_TWICE,)
 # The kinds that existed before data centres were closed or lost.
 FAULTS_BEFORE_CLOSURES = tuple(
     fault
     for fault in Fault
-    if fault not in (*CLOSURE_FAULTS, *DATA_CENTRE_FAULTS)
+    if fault not in (*CLOSURE_FAULTS, *DATA_CENTRE_FAULTS, *LAPSE_FAULTS)
 )
 # Speed of a worker's tasks under a fault, as a share of the usual speed.
 SPEED_BY_FAULT = {Fault.SLOW_WORKER: 0.25, Fault.STALL_WORKER: 0.0}
@@ -596,6 +602,39 @@
         cluster.write_worker_entry(name)
 
 
+async def _lapse_twice(cluster: clusters.Cluster, event: FaultEvent) -> None:
+    """Take the store down twice; the event's duration is not used.
+
+    A new worker registers a moment before each outage, and the others register
+    again between the outages. The store may be late with writes then.
+    """
+    async with trio.open_nursery() as nursery:
+        for _ in range(2):
+            cluster.store.fault = cluster.random.choice(
+                (stores.StoreFault.NONE, stores.StoreFault.LATE)
+            )
+            number = cluster.random.getrandbits(16)
+            cluster.add_worker(f"n{number}", f"r0-{number % 2}")
+            await trio.sleep(cluster.random.uniform(0.0, _HEARTBEAT_S))
+            cluster.store.fault = cluster.random.choice(_DOWN)
+            await trio.sleep(_DELISTING_DELAY_S)
+            names = [n for n, worker in cluster.workers.items() if worker.alive]
+            for name in names:
+                cluster.store.remove(clusters.WORKERS_PREFIX + name)
+            cluster.store.fault = stores.StoreFault.NONE
+            for name in names:
+                nursery.start_soon(_register_again, cluster, name)
+
+
+async def _register_again(cluster: clusters.Cluster, name: str) -> None:
+    """Have a worker's next heartbeat stored once the store is up."""
+    await trio.sleep(cluster.random.uniform(0.0, _HEARTBEAT_S))
+    while cluster.store.fault in _DOWN:
+        await trio.sleep(_RETRY_DELAY_S)
+    if cluster.workers[name].alive:
+        cluster.write_worker_entry(name)
+
+
 async def _shrink_worker(
     cluster: clusters.Cluster, name: str, duration_s: float
 ) -> None:
@@ -665,4 +704,5 @@
     (RESTART_FAULTS, _inject_restarts),
     (CLOSURE_FAULTS, _close_data_centres),
     (DATA_CENTRE_FAULTS, _inject_data_centre_fault),
+    (LAPSE_FAULTS, _lapse_twice),
 )
--- /dev/null
+++ b/standins/emulator/tests/test_lapses.py
@@ -0,0 +1,51 @@
+"""Workers register while the store goes away and its leases run out."""
+
+import os
+
+import pytest
+import trio
+
+from crocusrouter.pools import known_workers
+from standins import emulator
+from standins.emulator import faults
+
+_SEED_COUNT = int(os.environ.get("CROCUSROUTER_DAYS", "4"))
+# Seeds of days on which tasks ran twice.
+_KEPT_SEEDS = (16, 24, 37, 46, 56)
+_LOAD = emulator.Load(per_s=4.0, poison=0.0)
+
+
+# Guards against a task that runs twice, because the next owner does not know of
+# a worker that registered and got the task right before an outage.
+@pytest.mark.parametrize("seed", sorted({*range(_SEED_COUNT), *_KEPT_SEEDS}))
+@pytest.mark.parametrize("beside", [(), faults.FAULTS_BEFORE_CLOSURES])
+async def test_days_of_lapsing_lists_keep_the_rules(
+    beside, seed, autojump_clock
+):
+    events = _choose_lapses(seed)
+    if beside:
+        events += emulator.choose_faults(seed + 3, 4, _LOAD.length_s, beside)
+    cluster = await emulator.play(seed, _LOAD, events)
+    assert cluster.oracle.broken == []
+    assert len(cluster.oracle.accepted) > 5
+
+
+# Guards against an oracle that sees nothing: with an owner that records no
+# worker it must find tasks that run twice.
+async def test_oracle_finds_tasks_on_unrecorded_workers(
+    autojump_clock, monkeypatch
+):
+    monkeypatch.setattr(known_workers.KnownWorkers, "run", _use_unrecorded)
+    cluster = await emulator.play(1, _LOAD, _choose_lapses(1))
+    assert any(" twice: " in line for line in cluster.oracle.broken)
+
+
+def _choose_lapses(seed):
+    return emulator.choose_faults(seed, 3, _LOAD.length_s, faults.LAPSE_FAULTS)
+
+
+async def _use_unrecorded(self):
+    while True:
+        for worker_state in self._pool_state.workers.values():
+            worker_state.is_recorded = True
+        await trio.sleep(0.01)
