Worker leases: a lease from an old clock reading is no longer than others

Cause: `extend` took the worker's clock to have run at full speed since its last reading.

The end is now computed from the lower estimate of the clock, so a lease is at most LEASE_S. It is shorter by the uncertainty of the reading; a start on a worker whose clock was last read more than 60 s ago polls it first, else the lease of a start after 300 s of idle time would have ended before it began.

test_older_answers_do_not_turn_the_clock_back pins the new figure (107,098 in place of 107,100 ms: 2% of 0.1 s).

The other new test of worker_leases is green before and after: once no lease is longer than LEASE_S ahead of the worker's clock, the first renewal of a successor ends no sooner than any lease of an earlier owner. Tests of pools, mesh, work and the emulator pass (4:20 min).

--- a/crocusrouter/pools/tests/test_worker_leases.py
+++ b/crocusrouter/pools/tests/test_worker_leases.py
@@ -2,6 +2,8 @@
 
 from crocusrouter.pools import worker_leases
 
+_CLOCK_MS = 100_000.0
+
 
 @pytest.mark.parametrize(
     ("asked_at", "has_lapsed"),
@@ -33,4 +35,39 @@
     lease = worker_leases.WorkerLease(opened_at=0.0)
     lease.note(101_000, 1.0)
     lease.note(100_500, 1.1)
-    assert lease.extend(1.1) == 107_100
+    # The lower estimate of the clock, 0.1 s after the later reading.
+    assert lease.extend(1.1) == 107_098
+
+
+# Guards against a lease that outlasts what a successor assumes because it was
+# computed for a full-speed clock since an old reading.
+@pytest.mark.parametrize("clock_rate", [0.98, 1.0, 1.02])
+@pytest.mark.parametrize("idle_s", [0.0, 1.0, 30.0, 80.0, 600.0])
+def test_lease_from_an_old_reading_is_no_longer_than_any_other(
+    clock_rate, idle_s
+):
+    lease = worker_leases.WorkerLease(opened_at=0.0)
+    lease.note(_CLOCK_MS, 0.0)
+    clock_ms = _CLOCK_MS + idle_s * 1000 * clock_rate
+    assert lease.extend(idle_s) <= clock_ms + worker_leases.LEASE_S * 1000
+
+
+# Guards against a successor that forgets the leases of earlier owners once it
+# has read the worker's clock or has sent a lease of its own.
+@pytest.mark.parametrize("clock_rate", [0.98, 1.0, 1.02])
+@pytest.mark.parametrize("has_renewed", [False, True])
+def test_leases_of_earlier_owners_end_before_they_count_as_ended(
+    clock_rate, has_renewed
+):
+    """An earlier owner renews until the worker hears of its successor."""
+    answered_at = 1.4
+    lease = worker_leases.WorkerLease(opened_at=0.0)
+    clock_ms = _CLOCK_MS + answered_at * 1000 * clock_rate
+    predecessor_end_ms = clock_ms + worker_leases.LEASE_S * 1000
+    lease.note(clock_ms, answered_at)
+    if has_renewed:
+        lease.extend(answered_at)
+    now = answered_at
+    while not lease.has_lapsed(now):
+        now += 0.01
+    assert _CLOCK_MS + now * 1000 * clock_rate > predecessor_end_ms
--- a/crocusrouter/pools/tests/test_worker_links.py
+++ b/crocusrouter/pools/tests/test_worker_links.py
@@ -24,23 +24,33 @@
     def __init__(self, *answers):
         self.answers = list(answers)
         self.sent = []
+        self.lease_ends_ms = []
+        self.poll_count = 0
+        self.clock_rate = 0.0
 
     async def _answer(self, order):
         self.sent.append(order)
         await trio.sleep(0.01)
         return (
-            self.answers.pop(0) if self.answers else worker_port.Accepted(1000)
+            self.answers.pop(0)
+            if self.answers
+            else worker_port.Accepted(self._read_clock())
         )
 
+    def _read_clock(self):
+        return int(1000 + trio.current_time() * 1000 * self.clock_rate)
+
     async def start(self, epoch, order, until_ms, timeout_s):
+        self.lease_ends_ms.append(until_ms)
         return await self._answer(order)
 
     async def stop(self, epoch, order, timeout_s):
         return await self._answer(order)
 
     async def hold(self, epoch, seen, until_ms, wait_s):
+        self.poll_count += 1
         await trio.sleep(0.01)
-        return worker_port.Report(1000, (), ())
+        return worker_port.Report(self._read_clock(), (), ())
 
     async def aclose(self):
         pass
@@ -242,3 +252,29 @@
     pool_state.note_started(other, 7, 0.0)
     await link.start(worker_port.Start(member, 7, "", ""))
     assert pool_state.runs[other].phase is tracking.Phase.STOPPING
+
+
+# Guards against starts whose lease ends before a takeover does because the
+# worker's clock was last read minutes ago.
+@pytest.mark.parametrize("clock_rate", [0.98, 1.0, 1.02])
+@pytest.mark.parametrize(
+    ("idle_s", "poll_count"), [(1.0, 0), (50.0, 0), (80.0, 1), (600.0, 1)]
+)
+async def test_start_on_a_worker_that_was_idle_for_long(
+    idle_s, poll_count, clock_rate, autojump_clock
+):
+    port = _Port()
+    port.clock_rate = clock_rate
+    pool_state, link = _make_link(port)
+    link.lease.note(1000, trio.current_time())
+    job = build.make_job("00000000000000aa", build.make_step(1))
+    pool_state.put_job(job, work.Progress(), 1, 0.0)
+    pool_state.open_due_occurrences(2e6, 0.0)
+    key = work.TaskKey(job.id, 0, 0, 0)
+    pool_state.add_run(key, 7, _WORKER, 0.0)
+    await trio.sleep(idle_s)
+    await link.start(worker_port.Start(key, 7, "", ""))
+    assert port.poll_count == poll_count
+    sent_at = idle_s + 0.01 * poll_count
+    lease_ms = port.lease_ends_ms[0] - 1000 - sent_at * 1000 * clock_rate
+    assert 3900 <= lease_ms <= 6000
--- a/crocusrouter/pools/worker_leases.py
+++ b/crocusrouter/pools/worker_leases.py
@@ -12,6 +12,8 @@
 LEASE_S = 6.0
 _MIN_CLOCK_RATE = 0.98
 _SAFETY_MARGIN_MS = 50.0
+# A reading of this age shortens a lease by 1.2 s.
+_MAX_READING_AGE_S = 60.0
 # An earlier owner may have renewed the lease for this long after its successor
 # began, until a heartbeat or a fence informed it.
 _PREDECESSOR_RENEWAL_S = 1.5
@@ -42,13 +44,24 @@
             self.heard_at = now
 
     def extend(self, now: float) -> int | None:
-        """Return the end of a new lease in the worker's milliseconds."""
+        """Return the end of a new lease in the worker's milliseconds.
+
+        It is at most `LEASE_S` ahead of the worker's clock, and less by the
+        uncertainty of a reading that is not recent.
+        """
         if self.clock_ms is None:
             return None
-        until = self.clock_ms + (now - self.heard_at + LEASE_S) * 1000
+        until = self._estimate_earliest_ms(now) + LEASE_S * 1000
         self.until_ms = max(self.until_ms, until)
         return int(until)
 
+    def has_old_reading(self, now: float) -> bool:
+        """Return whether a lease would be clearly shorter than `LEASE_S`."""
+        return (
+            self.clock_ms is not None
+            and now > self.heard_at + _MAX_READING_AGE_S
+        )
+
     def has_lapsed(self, now: float) -> bool:
         """Return whether no run leased by us or an earlier owner can go on.
 
--- a/crocusrouter/pools/worker_links.py
+++ b/crocusrouter/pools/worker_links.py
@@ -82,6 +82,7 @@
         self._pending_starts = pending_starts
         self._confirmed_number = 0
         self._wake_event = trio.Event()
+        self._clock_lock = trio.Lock()
         self._is_abandoned = False
 
     def wake(self) -> None:
@@ -191,6 +192,7 @@
         """
         give_up_at = self._clock.steady() + _START_TIMEOUT_S
         maybe_begun = False
+        await self._refresh_clock_reading()
         while self._may_send(order):
             now = self._clock.steady()
             until_ms = self.lease.extend(now)
@@ -238,6 +240,17 @@
                         await trio.sleep(_RETRY_DELAY_S)
         await self._resolve_unconfirmed_start(order, maybe_begun)
 
+    async def _refresh_clock_reading(self) -> None:
+        """Poll a worker that has been idle for long.
+
+        A lease that is computed from an old reading of its clock may end before
+        a takeover does.
+        """
+        async with self._clock_lock:
+            if self.lease.has_old_reading(self._clock.steady()):
+                await self._poll(0.0)
+                self.wake()
+
     def _may_send(self, order: worker_port.Start) -> bool:
         """Return whether a start may be sent, or sent again.
 
