Worker links: a start needs the right to renew leases

Cause: a start is repeated for up to 2 s after its decision, and each try extends the lease of all that runs on its worker. The owner lease was only checked at the decision, so leases could be sent up to 2 s after it had ended, while a successor counts on 1.5 s at most.

A start is now sent only while leases may be renewed. What was not sent waits again, as with a stale list of workers.

Red before: test_start_is_not_sent_once_leases_may_not_be_renewed, 6 of 6 rows.

--- a/crocusrouter/pools/tests/test_worker_links.py
+++ b/crocusrouter/pools/tests/test_worker_links.py
@@ -64,7 +64,7 @@
     return True
 
 
-def _make_link(port, may_start=_always):
+def _make_link(port, may_start=_always, may_renew=_always):
     pool_state = work.PoolState(1)
     pool_state.set_worker(build.make_entry(_WORKER), 0.0)
     pool_state.workers[_WORKER].reached = True
@@ -76,7 +76,7 @@
         pool_state,
         clock,
         _settle,
-        _always,
+        may_renew,
         may_start,
         lambda: None,
         lambda *_: None,
@@ -278,3 +278,32 @@
     sent_at = idle_s + 0.01 * poll_count
     lease_ms = port.lease_ends_ms[0] - 1000 - sent_at * 1000 * clock_rate
     assert 3900 <= lease_ms <= 6000
+
+
+# Guards against a start that is repeated, and extends the lease of all that
+# runs on its worker, after its owner may no longer renew leases.
+@pytest.mark.parametrize("answer", [_NOT_SENT, _SILENT])
+@pytest.mark.parametrize("renewable_s", [-1.0, 0.1, 0.6])
+async def test_start_is_not_sent_once_leases_may_not_be_renewed(
+    answer, renewable_s, autojump_clock
+):
+    sent_at = []
+
+    class Port(_Port):
+        async def start(self, epoch, order, until_ms, timeout_s):
+            sent_at.append(trio.current_time())
+            await trio.sleep(0.05)
+            return await super().start(epoch, order, until_ms, timeout_s)
+
+    port = Port(*[answer] * 50)
+    pool_state, link = _make_link(
+        port, may_renew=lambda: trio.current_time() < renewable_s
+    )
+    job = build.make_job("00000000000000aa", build.make_step(1))
+    pool_state.put_job(job, work.Progress(), 1, 0.0)
+    pool_state.open_due_occurrences(2e6, 0.0)
+    key = work.TaskKey(job.id, 0, 0, 0)
+    pool_state.add_run(key, 7, _WORKER, 0.0)
+    await link.start(worker_port.Start(key, 7, "", ""))
+    assert all(at < renewable_s for at in sent_at)
+    assert bool(sent_at) is (renewable_s > 0)
--- a/crocusrouter/pools/worker_links.py
+++ b/crocusrouter/pools/worker_links.py
@@ -256,7 +256,8 @@
 
         A worker that drains or shrinks in the meantime, or whose data centre
         is closed, must not get it: a start is repeated for up to 2 s after the
-        decision, which is later than the worker may get anything new.
+        decision, which is later than the worker may get anything new. It also
+        extends the lease of all that runs there.
         """
         run = self._pool_state.runs.get(order.key)
         worker_state = self._pool_state.workers.get(self.incarnation)
@@ -269,6 +270,7 @@
             and not worker_state.closed
             and run.tracked_step is not None
             and not worker_state.is_overcommitted(run.tracked_step.step.charge)
+            and self._may_renew()
             and self._may_start(self._clock.steady())
         )
 
