Worker leases: an owner without a valid lease renews by a stated contract

In a partition of its data centre the entries within it answer and know of no successor either, so it renewed without end, while its successor counted on 1.5 s. Tasks ran twice.

lease_contract.py states what both sides may assume: the length of a lease, how long an owner may go on, what fencing implies, and when a successor counts the leases of earlier owners as ended. worker_leases.py and attestations.py compute from it. An owner goes on for RENEWAL_GRACE_S (1.5 s, as successors assumed before) after the latest time at which certainly no successor existed. That time is the end of its owner lease, or the latest by which every other member, asked directly, has attested that its process has not succeeded it. A heartbeat tells how long its process has known of its own pools; one that restarted since attests nothing. While unsure, the owner sends its heartbeats to all members: one call a member and second.

Refused connections prove nothing: a cut may refuse them as well. An owner that knows no other member relies on its own lease; before it renewed for ever.

Tests: would_know_successor is gone. What its two tests guarded is checked by test_late_answer_counts_from_its_request (the time of an answer is that of its request), test_all_members_must_attest and, with heartbeats of all other members in place of one, test_unrequested_heartbeat_confirms_nothing.

--- /dev/null
+++ b/crocusrouter/pools/attestations.py
@@ -0,0 +1,74 @@
+"""Finds out until when no other entry can have succeeded a pool's owner.
+
+An owner whose lease is no longer valid may have a successor that it does not
+hear of. Any other member may be that successor, so all of them must attest that
+they are not. Answers of some members prove nothing: the owner may be cut off
+together with them.
+"""
+
+from collections.abc import Callable
+from collections.abc import Collection
+
+from crocusrouter.mesh import messages
+from crocusrouter.pools import lease_contract
+from crocusrouter.pools import owner_leases
+
+
+class Attestations:
+    """Answers of the other members about one pool, while an entry owns it."""
+
+    def __init__(
+        self,
+        owner_lease: owner_leases.OwnerLease,
+        list_others: Callable[[], Collection[str]],
+    ) -> None:
+        """Start without any answer.
+
+        Args:
+            owner_lease: The lease and epoch under which the entry owns it.
+            list_others: Returns the names of all other members.
+        """
+        self._owner_lease = owner_lease
+        self._list_others = list_others
+        self._attested_at: dict[str, float] = {}
+
+    def note_answer(
+        self, heartbeat: messages.Beat, asked_at: float, now: float
+    ) -> None:
+        """Record a member's answer to a heartbeat.
+
+        It attests nothing if it names a later owner, or if its process may have
+        started after the member was last known not to own the pool: the
+        process before it may have been the successor.
+
+        Args:
+            heartbeat: The answer.
+            asked_at: Steady time at which it was requested.
+            now: Present steady time.
+        """
+        if heartbeat.process_age_s is None or any(
+            pool == self._owner_lease.pool and epoch > self._owner_lease.epoch
+            for pool, epoch, _ in heartbeat.owners
+        ):
+            return
+        known_at = self._find_attested_at(heartbeat.name)
+        if now - heartbeat.process_age_s <= known_at:
+            self._attested_at[heartbeat.name] = max(known_at, asked_at)
+
+    def find_unsucceeded_at(self) -> float:
+        """Return the latest time at which certainly no successor existed."""
+        attested_at = (
+            self._find_attested_at(name) for name in self._list_others()
+        )
+        return min(attested_at, default=self._owner_lease.valid_until)
+
+    def may_renew(self, now: float) -> bool:
+        """Return whether worker leases may be renewed."""
+        return lease_contract.may_renew(self.find_unsucceeded_at(), now)
+
+    def _find_attested_at(self, name: str) -> float:
+        """Return when a member was last known not to own the pool."""
+        return max(
+            self._owner_lease.valid_until,
+            self._attested_at.get(name, float("-inf")),
+        )
--- a/crocusrouter/pools/entry.py
+++ b/crocusrouter/pools/entry.py
@@ -9,6 +9,7 @@
 from crocusrouter import mesh
 from crocusrouter import queues
 from crocusrouter.mesh import messages
+from crocusrouter.pools import attestations
 from crocusrouter.pools import clocks
 from crocusrouter.pools import closures
 from crocusrouter.pools import config_refresh
@@ -110,6 +111,7 @@
         self.name = identity.name
         self.metrics = metrics
         self.clock = clock or clocks.Clock()
+        self._started_at = self.clock.steady()
         self.is_stopping = False
         self.secret = ""
         self.pool_owners: dict[str, owners.PoolOwner] = {}
@@ -135,6 +137,7 @@
             self._holder, self._stop_replaced_owner
         )
         self._owner_leases: dict[str, owner_leases.OwnerLease] = {}
+        self._attestations: dict[str, attestations.Attestations] = {}
         self.peers = peer_links.Peers(
             identity.name,
             make_link
@@ -145,6 +148,7 @@
             self._build_heartbeat,
             self._handle_heartbeat_answer,
             self._ownership.list_names,
+            self._is_unsure_of_ownership,
         )
         self._members: dict[str, members.Member] = {}
         own_member = members.Member(identity.mesh_address, identity.cores)
@@ -276,6 +280,19 @@
             tuple(sorted(self.closures.data_centres)),
             self.closures.revision,
             self.closures.measure_age(now),
+            now - self._started_at,
+        )
+
+    def may_renew_leases(self, pool: str) -> bool:
+        """Return whether this entry may renew the leases of workers."""
+        attested = self._attestations.get(pool)
+        return attested is not None and attested.may_renew(self.clock.steady())
+
+    def _is_unsure_of_ownership(self) -> bool:
+        """Return whether a pool of ours may have another owner by now."""
+        return any(
+            not self._owner_leases[pool].is_valid()
+            for pool in self._attestations
         )
 
     def _handle_heartbeat_answer(
@@ -293,6 +310,9 @@
             self.configuration.confirm_newest(
                 asked_at - heartbeat.confirmed_age_s
             )
+        now = self.clock.steady()
+        for attested in self._attestations.values():
+            attested.note_answer(heartbeat, asked_at, now)
         self._handle_heartbeat(heartbeat, asked_at)
 
     def _handle_heartbeat(
@@ -457,13 +477,17 @@
             del self._owner_leases[pool]
 
     async def _run_owner(self, owner_lease: owner_leases.OwnerLease) -> None:
+        attested = attestations.Attestations(
+            owner_lease,
+            lambda: set(self.peers.list_members()) - {self.name},
+        )
         pool_owner = owners.PoolOwner(
             owner_lease,
             self._store,
             self._platform,
             self.clock,
             self.metrics,
-            lambda: self.peers.would_know_successor(self.clock.steady()),
+            lambda: self.may_renew_leases(owner_lease.pool),
             self.closures,
         )
         self._ownership.note_owner(
@@ -473,6 +497,7 @@
             pool_owner.set_config(self.configuration.current)
         pool_owner.apply_closures()
         self.pool_owners[owner_lease.pool] = pool_owner
+        self._attestations[owner_lease.pool] = attested
         self.config_refresher.request_check()
         pool_upkeep = upkeep_controller.UpkeepController(
             owner_lease,
@@ -497,6 +522,7 @@
         finally:
             del self.pool_owners[owner_lease.pool]
             del self._owner_scopes[owner_lease.pool]
+            del self._attestations[owner_lease.pool]
             if self._ownership.find_owner(owner_lease.pool) == self.name:
                 self._ownership.forget_owner(owner_lease.pool)
             log("owner:ended", pool=owner_lease.pool, epoch=owner_lease.epoch)
--- /dev/null
+++ b/crocusrouter/pools/lease_contract.py
@@ -0,0 +1,92 @@
+"""The contract of worker leases between an owner and its successors.
+
+An owner that has lost touch with the key-value service can't tell whether
+another entry has succeeded it, and a successor can't ask workers that it does
+not reach. Both rely on these rules:
+
+1.  Length: a lease ends at most `LEASE_S` after it was sent, on the worker's
+    clock. That clock runs at `MIN_CLOCK_RATE` of full speed at least.
+2.  Renewal: an owner sends leases until `RENEWAL_GRACE_S` after the latest time
+    at which certainly no successor existed. Its own owner lease proves that
+    while it is valid, and attestations of all other members do.
+3.  Fencing: a worker that has answered a call of an owner takes no lease of an
+    earlier owner. At that answer, leases of earlier owners end at most
+    `LEASE_S` ahead on the worker's clock.
+4.  End: an owner counts the leases of earlier owners as ended when rule 3 says
+    so, or, on a worker that has not answered, when rules 1 and 2 do.
+
+Times without a unit in their names are seconds of a steady clock.
+"""
+
+# How long tasks run without a renewal. The lease outlasts a takeover (about 2.5
+# s) and a power loss of all entries (about 4.5 s). An unreachable worker delays
+# the tasks that it had by no more than this and the grace time.
+LEASE_S = 6.0
+RENEWAL_GRACE_S = 1.5
+MIN_CLOCK_RATE = 0.98
+SAFETY_MARGIN_S = 0.05
+_LEASE_MS = LEASE_S * 1000
+_SAFETY_MARGIN_MS = SAFETY_MARGIN_S * 1000
+
+
+def estimate_earliest_clock(clock_ms: float, passed_s: float) -> float:
+    """Return the least that a worker's clock can show by now.
+
+    Args:
+        clock_ms: An earlier reading, in milliseconds.
+        passed_s: Seconds since that reading arrived.
+    """
+    return clock_ms + passed_s * 1000 * MIN_CLOCK_RATE
+
+
+def compute_lease_end(earliest_clock_ms: float) -> float:
+    """Return the end of a lease that is sent now, on the worker's clock.
+
+    Args:
+        earliest_clock_ms: The least that the worker's clock can show by now.
+    """
+    return earliest_clock_ms + _LEASE_MS
+
+
+def compute_fenced_end(clock_ms: float) -> float:
+    """Return when leases of earlier owners have ended, on the worker's clock.
+
+    Args:
+        clock_ms: Reading of the worker's clock in its first answer to the
+            present owner.
+    """
+    return clock_ms + _LEASE_MS
+
+
+def has_ended(end_ms: float, earliest_clock_ms: float) -> bool:
+    """Return whether a lease has certainly ended.
+
+    Args:
+        end_ms: Its end on the worker's clock.
+        earliest_clock_ms: The least that the worker's clock can show by now.
+    """
+    return earliest_clock_ms > end_ms + _SAFETY_MARGIN_MS
+
+
+def may_renew(unsucceeded_at: float, now: float) -> bool:
+    """Return whether an owner may send leases.
+
+    Args:
+        unsucceeded_at: Latest time at which certainly no successor existed.
+        now: Present time.
+    """
+    return now < unsucceeded_at + RENEWAL_GRACE_S
+
+
+def have_unfenced_ended(owned_since: float, now: float) -> bool:
+    """Return whether leases of earlier owners have ended without an answer.
+
+    Args:
+        owned_since: When the present owner began, or later.
+        now: Present time.
+
+    >>> have_unfenced_ended(0.0, 7.5), have_unfenced_ended(0.0, 7.8)
+    (False, True)
+    """
+    longest_s = RENEWAL_GRACE_S + LEASE_S / MIN_CLOCK_RATE
+    return now > owned_since + longest_s + SAFETY_MARGIN_S
--- a/crocusrouter/pools/owner_leases.py
+++ b/crocusrouter/pools/owner_leases.py
@@ -107,6 +107,11 @@
         """The condition under which this owner may write."""
         return key_value.Guard(self.key, self.epoch)
 
+    @property
+    def valid_until(self) -> float:
+        """Steady time until which certainly no other entry owns the pool."""
+        return self._valid_until
+
     def is_valid(self) -> bool:
         """Return whether certainly no other entry owns the pool yet.
 
--- a/crocusrouter/pools/peers.py
+++ b/crocusrouter/pools/peers.py
@@ -5,7 +5,8 @@
 peer drawn at random each time, so their number grows linearly with the number
 of entries. The random peer is necessary: entries that the store refuses
 together may have only each other as neighbours, and then believed in a replaced
-owner for as long as the store refused them.
+owner for as long as the store refused them. An owner without a valid lease
+sends them to all members, since any of them may have succeeded it.
 """
 
 from collections.abc import Callable
@@ -24,9 +25,6 @@
 _HEARTBEAT_INTERVAL_S = 1.0
 _CALL_TIMEOUT_S = 0.7
 _NEIGHBOUR_COUNT = 2
-# An owner that the store refuses keeps renewing worker leases only while it has
-# heard from a peer within this time, which would report a successor.
-_CONTACT_TIMEOUT_S = 2.5
 # A peer that the store served within this time is asked for help first.
 _SERVED_TIMEOUT_S = 3.0
 # Peers notice an outage within this time of each other.
@@ -60,6 +58,7 @@
         build_heartbeat: Callable[[], messages.Beat],
         on_answer: Callable[[messages.Beat, float], None],
         find_owners: Callable[[], set[str]],
+        must_ask_all: Callable[[], bool],
     ) -> None:
         """Prepare the connections; `run` starts the heartbeats.
 
@@ -71,6 +70,7 @@
             on_answer: Called with a peer's heartbeat and the time at which it
                 was requested.
             find_owners: Returns the names of the pools' owners.
+            must_ask_all: Returns whether heartbeats go to all members.
         """
         self._name = name
         self._make_link = make_link
@@ -78,10 +78,10 @@
         self._build_heartbeat = build_heartbeat
         self._on_answer = on_answer
         self._find_owners = find_owners
+        self._must_ask_all = must_ask_all
         self._addresses: dict[str, str] = {}
         self._links: dict[str, tuple[str, PeerPort, trio.CancelScope]] = {}
         self._nursery: trio.Nursery | None = None
-        self._last_answer_at: float | None = None
         self._answered_at: dict[str, float] = {}
         self._served_at: dict[str, float] = {}
         self._random = random.Random(name)
@@ -102,15 +102,6 @@
         """Return the names of all members, including this entry."""
         return sorted({*self._addresses, self._name})
 
-    def would_know_successor(self, now: float) -> bool:
-        """Return whether some peer would have reported a successor by now."""
-        if not self._addresses:
-            return True
-        return (
-            self._last_answer_at is not None
-            and now - self._last_answer_at < _CONTACT_TIMEOUT_S
-        )
-
     def shares_outage(self, since: float) -> bool:
         """Return whether peers answered since a time and the store serves none.
 
@@ -129,7 +120,6 @@
 
     def note_answer(self, heartbeat: messages.Beat, asked_at: float) -> None:
         """Record a peer's answer, which is no older than its request."""
-        self._last_answer_at = max(asked_at, self._last_answer_at or asked_at)
         self._answered_at[heartbeat.name] = asked_at
         if heartbeat.has_store_access:
             self._served_at[heartbeat.name] = asked_at
@@ -214,12 +204,16 @@
 
     async def _send_heartbeats(self, nursery: trio.Nursery) -> None:
         while True:
-            owners = self._find_owners() - {self._name}
-            receivers = owners | self._choose_neighbours()
-            for name in receivers | self._draw_random_peer():
+            for name in self._choose_receivers():
                 nursery.start_soon(self._send_heartbeat, name)
             await trio.sleep(_HEARTBEAT_INTERVAL_S)
 
+    def _choose_receivers(self) -> set[str]:
+        owners = self._find_owners() - {self._name}
+        receivers = owners | self._choose_neighbours()
+        receivers |= self._draw_random_peer()
+        return set(self._addresses) if self._must_ask_all() else receivers
+
     async def _send_heartbeat(self, name: str) -> None:
         asked_at = self._clock.steady()
         reply = await self.call(name, self._build_heartbeat())
--- /dev/null
+++ b/crocusrouter/pools/tests/test_attestations.py
@@ -0,0 +1,89 @@
+"""Tests for the proof that nobody has succeeded an owner."""
+
+import dataclasses
+
+import pytest
+
+from crocusrouter.mesh import messages
+from crocusrouter.pools import attestations
+from crocusrouter.pools import lease_contract
+
+_VALID_UNTIL = 100.0
+_EPOCH = 7
+
+
+@dataclasses.dataclass
+class _OwnerLease:
+    pool: str = "p"
+    epoch: int = _EPOCH
+    valid_until: float = _VALID_UNTIL
+
+
+def _attest(answers, others=("b", "c"), owners=(), age_s=50.0):
+    """Return the attestations after answers, given as names and times."""
+    attested = attestations.Attestations(_OwnerLease(), lambda: others)
+    for name, asked_at in answers:
+        beat = messages.Beat(name, 1, None, owners, False, process_age_s=age_s)
+        attested.note_answer(beat, asked_at, asked_at + 0.01)
+    return attested
+
+
+# Guards against an owner that takes the answer of an entry with which it is cut
+# off as proof that it has no successor.
+@pytest.mark.parametrize(
+    ("answers", "unsucceeded_at"),
+    [
+        ([], _VALID_UNTIL),
+        ([("b", 101.0)], _VALID_UNTIL),
+        ([("b", 101.0), ("b", 109.0)], _VALID_UNTIL),
+        ([("b", 101.0), ("c", 102.0)], 101.0),
+        ([("b", 109.0), ("c", 102.0)], 102.0),
+        ([("b", 109.0), ("c", 102.0), ("c", 101.0)], 102.0),
+        ([("b", 99.0), ("c", 99.0)], _VALID_UNTIL),
+        ([("b", 101.0), ("c", 102.0), ("d", 100.5)], 101.0),
+    ],
+)
+def test_all_members_must_attest(answers, unsucceeded_at):
+    assert _attest(answers).find_unsucceeded_at() == unsucceeded_at
+
+
+@pytest.mark.parametrize(
+    ("owners", "is_proof"),
+    [
+        ((), True),
+        ((("p", _EPOCH, "a"),), True),
+        ((("p", _EPOCH - 1, "b"),), True),
+        ((("other", _EPOCH + 1, "b"),), True),
+        ((("p", _EPOCH + 1, "b"),), False),
+        ((("p", _EPOCH + 1, ""),), False),
+    ],
+)
+def test_member_that_knows_a_later_owner_attests_nothing(owners, is_proof):
+    """Also one that has been the owner itself and no longer is."""
+    attested = _attest([("b", 101.0), ("c", 101.0)], owners=owners)
+    assert (attested.find_unsucceeded_at() > _VALID_UNTIL) is is_proof
+
+
+# Guards against a restarted member: its earlier process may have been the
+# successor, and the new one does not know.
+@pytest.mark.parametrize(
+    ("age_s", "is_proof"),
+    [(None, False), (0.5, False), (1.0, False), (1.02, True), (50.0, True)],
+)
+def test_member_that_has_restarted_attests_nothing(age_s, is_proof):
+    attested = _attest([("b", 101.0), ("c", 101.0)], age_s=age_s)
+    assert (attested.find_unsucceeded_at() > _VALID_UNTIL) is is_proof
+
+
+def test_owner_without_known_members_relies_on_its_own_lease():
+    """Members that it doesn't know of may have succeeded it."""
+    attested = _attest([], others=())
+    assert attested.find_unsucceeded_at() == _VALID_UNTIL
+
+
+@pytest.mark.parametrize("answers", [[], [("b", 104.0), ("c", 103.0)]])
+def test_leases_are_renewed_for_the_grace_time(answers):
+    attested = _attest(answers)
+    end = attested.find_unsucceeded_at() + lease_contract.RENEWAL_GRACE_S
+    assert attested.may_renew(end - 0.01)
+    assert not attested.may_renew(end)
--- a/crocusrouter/pools/tests/test_config_refresh.py
+++ b/crocusrouter/pools/tests/test_config_refresh.py
@@ -217,17 +217,21 @@
     async with trio.open_nursery() as nursery:
         await nursery.start(cluster.run)
         await trio.sleep(6.0)
-        name, other = cluster.entry_names[:2]
+        name = cluster.find_owner()
+        others = [other for other in cluster.entry_names if other != name]
         entry = cluster.entries[name]
         cluster.store.entry_faults[name] = emulator.StoreFault.SILENT
         cluster.partitioned_entries.add(name)
         await trio.sleep(4.0)
         version = entry.configuration.version
-        beat = messages.Beat(other, version, 0.0, (), True, 0)
-        await entry.answer_peer(beat)
+        for other in others:
+            beat = messages.Beat(
+                other, version, 0.0, (), True, 0, process_age_s=100.0
+            )
+            await entry.answer_peer(beat)
         now = trio.current_time()
         assert entry.configuration.measure_age(now) > 3.9
-        assert not entry.peers.would_know_successor(now)
+        assert not entry.may_renew_leases(clusters.POOL)
         nursery.cancel_scope.cancel()
 
 
--- a/crocusrouter/pools/tests/test_peers.py
+++ b/crocusrouter/pools/tests/test_peers.py
@@ -1,5 +1,7 @@
 """Tests for calls and heartbeats of peers, and the end of a stop."""
 
+import collections
+
 import pytest
 import trio
 
@@ -22,14 +24,15 @@
         return messages.Beat("b", 1, 0.0, (), True)
 
 
-def _make_peers(answer_s=0.0):
+def _make_peers(answer_s=0.0, on_answer=lambda beat, at: None, asks_all=False):
     entry_peers = peers.Peers(
         "a",
         lambda name, address: _Link(answer_s),
         clocks.Clock(trio.current_time, trio.current_time),
         lambda: messages.Beat("a", 1, 0.0, (), True),
-        lambda beat, at: None,
+        on_answer,
         set,
+        lambda: asks_all,
     )
     entry_peers.set_members({"b": "b:1"})
     return entry_peers
@@ -72,11 +75,40 @@
     autojump_clock,
 ):
     """An owner must not renew leases because of a peer's late answer."""
-    entry_peers = _make_peers(0.6)
+    asked_times = []
+    entry_peers = _make_peers(0.6, lambda _, at: asked_times.append(at))
     with trio.move_on_after(0.65):
         await entry_peers.run()
-    assert entry_peers.would_know_successor(2.4)
-    assert not entry_peers.would_know_successor(2.6)
+    assert asked_times == [0.0]
+
+
+# Guards against an owner that hears only of some members whether they have
+# succeeded it, and against more calls than one a member and second.
+@pytest.mark.parametrize("asks_all", [False, True])
+async def test_all_members_are_asked_while_ownership_is_unsure(
+    asks_all, autojump_clock
+):
+    asked_names = collections.Counter()
+
+    class Link(_Link):
+        def __init__(self, name):
+            super().__init__()
+            self._name = name
+
+        async def call(self, message, timeout_s):
+            asked_names[self._name] += 1
+            return await super().call(message, timeout_s)
+
+    entry_peers = _make_peers(asks_all=asks_all)
+    entry_peers._make_link = lambda name, address: Link(name)
+    names = {f"e{number}" for number in range(96)}
+    entry_peers.set_members({name: f"{name}:1" for name in names})
+    with trio.move_on_after(9.5):
+        await entry_peers.run()
+    if asks_all:
+        assert asked_names == dict.fromkeys(names, 10)
+    else:
+        assert asked_names.total() <= 3 * 10
 
 
 async def test_served_peers_are_asked_for_help_first(autojump_clock):
--- a/crocusrouter/pools/tests/test_worker_leases.py
+++ b/crocusrouter/pools/tests/test_worker_leases.py
@@ -1,5 +1,6 @@
 import pytest
 
+from crocusrouter.pools import lease_contract
 from crocusrouter.pools import worker_leases
 
 _CLOCK_MS = 100_000.0
@@ -49,7 +50,7 @@
     lease = worker_leases.WorkerLease(opened_at=0.0)
     lease.note(_CLOCK_MS, 0.0)
     clock_ms = _CLOCK_MS + idle_s * 1000 * clock_rate
-    assert lease.extend(idle_s) <= clock_ms + worker_leases.LEASE_S * 1000
+    assert lease.extend(idle_s) <= clock_ms + lease_contract.LEASE_S * 1000
 
 
 # Guards against a successor that forgets the leases of earlier owners once it
@@ -63,7 +64,7 @@
     answered_at = 1.4
     lease = worker_leases.WorkerLease(opened_at=0.0)
     clock_ms = _CLOCK_MS + answered_at * 1000 * clock_rate
-    predecessor_end_ms = clock_ms + worker_leases.LEASE_S * 1000
+    predecessor_end_ms = clock_ms + lease_contract.LEASE_S * 1000
     lease.note(clock_ms, answered_at)
     if has_renewed:
         lease.extend(answered_at)
