Emulator: partitions of a data centre whose entries reach each other

CUT_DATA_CENTRE cut each entry of the data centre from all peers, also from those beside it, and lasted 6 s at most. PARTITION_DATA_CENTRE lets them reach each other and lasts four times as long as drawn.

--- a/standins/emulator/cluster.py
+++ b/standins/emulator/cluster.py
@@ -154,11 +154,9 @@
 
     async def _exchange(self, message: object, timeout_s: float) -> object:
         target = self._cluster.entries.get(self._target)
-        partitioned = {
-            self._source,
-            self._target,
-        } & self._cluster.partitioned_entries
-        if target is None or partitioned:
+        if target is None or self._cluster.are_partitioned(
+            self._source, self._target
+        ):
             await trio.sleep(timeout_s)
             raise mesh.PeerUnreachableError("cut", maybe_received=False)
         with trio.move_on_after(timeout_s):
@@ -187,6 +185,8 @@
         self.workers: dict[str, workers.Worker] = {}
         self.entries: dict[str, pools.PoolEntry] = {}
         self.partitioned_entries: set[str] = set()
+        # Their entries and workers reach each other, and nothing else.
+        self.partitioned_data_centres: set[str] = set()
         self.suspensions = suspension.Suspensions()
         self.entry_names = [f"e{number}" for number in range(entries)]
         self._cancel_scopes: dict[str, trio.CancelScope] = {}
@@ -239,6 +239,14 @@
             if DATA_CENTRES[number % len(DATA_CENTRES)] == data_centre
         ]
 
+    def are_partitioned(self, name: str, peer: str) -> bool:
+        """Tell whether two entries can't reach each other."""
+        return bool({name, peer} & self.partitioned_entries) or any(
+            len({name, peer}.intersection(self.list_entries_in(data_centre)))
+            == 1
+            for data_centre in self.partitioned_data_centres
+        )
+
     def list_workers_in(self, data_centre: str) -> list[str]:
         """Return the names of a data centre's workers that are up."""
         return [
@@ -505,6 +513,7 @@
         """
         has_fault = self.store.fault is not stores.StoreFault.NONE
         has_fault |= self.suspensions.is_any_suspended()
+        has_fault |= bool(self.partitioned_data_centres)
         if has_fault or self.store.entry_faults or self.partitioned_entries:
             self._last_fault_at = now
         for name, worker in self.workers.items():
--- a/standins/emulator/faults.py
+++ b/standins/emulator/faults.py
@@ -35,6 +35,9 @@
 # how much a closure outlasts another fault of the same drawn duration.
 _MAX_TURN_S = 0.5
 _CLOSURE_FACTOR = 2.5
+# A partition of a data centre outlasts another fault of the same drawn duration
+# by this factor: up to 24 s, three times what a successor waits for a lease.
+_PARTITION_FACTOR = 4.0
 _WATCHED_PREFIXES = (
     clusters.OPERATORS_PREFIX,
     clusters.WORKERS_PREFIX,
@@ -99,6 +102,8 @@
     # All entries and workers of one data centre, the owner's first.
     LOSE_DATA_CENTRE = "lose-data-centre"  # its power, for a second or two
     CUT_DATA_CENTRE = "cut-data-centre"  # from the others and from the store
+    # The same for longer than leases last; entries within reach each other.
+    PARTITION_DATA_CENTRE = "partition-data-centre"
 
 
 _STORE_FAULTS = {
@@ -131,11 +136,12 @@
     Fault.CLOSE_BY_TURNS,
 )
 DATA_CENTRE_FAULTS = (Fault.LOSE_DATA_CENTRE, Fault.CUT_DATA_CENTRE)
+PARTITION_FAULTS = (Fault.PARTITION_DATA_CENTRE,)
 # The kinds that existed before data centres were closed or lost.
 FAULTS_BEFORE_CLOSURES = tuple(
     fault
     for fault in Fault
-    if fault not in (*CLOSURE_FAULTS, *DATA_CENTRE_FAULTS)
+    if fault not in (*CLOSURE_FAULTS, *DATA_CENTRE_FAULTS, *PARTITION_FAULTS)
 )
 # Speed of a worker's tasks under a fault, as a share of the usual speed.
 SPEED_BY_FAULT = {Fault.SLOW_WORKER: 0.25, Fault.STALL_WORKER: 0.0}
@@ -253,7 +259,8 @@
             for event in faults:
                 day.start_soon(inject_fault, cluster, event)
         await _wait_until_idle(
-            cluster, _END_LIMIT_S + _sum_full_closures(faults)
+            cluster,
+            _END_LIMIT_S + _sum_full_closures(faults) + _sum_partitions(faults),
         )
         cluster.oracle.check_final_states(await cluster.read_states())
         cluster.oracle.broken += cluster.list_owner_failures()
@@ -298,6 +305,15 @@
     )
 
 
+def _sum_partitions(events: list[FaultEvent]) -> float:
+    """Return for how many seconds a data centre is cut off."""
+    return sum(
+        _PARTITION_FACTOR * event.duration_s
+        for event in events
+        if event.fault is Fault.PARTITION_DATA_CENTRE
+    )
+
+
 async def _wait_until_idle(
     cluster: clusters.Cluster, end_limit_s: float
 ) -> None:
@@ -413,10 +429,20 @@
         ),
         cluster.random.choice(clusters.DATA_CENTRES),
     )
-    if event.fault is Fault.LOSE_DATA_CENTRE:
-        await _lose_data_centre(cluster, name)
-    else:
-        await _cut_data_centre(cluster, name, event.duration_s)
+    match event.fault:
+        case Fault.LOSE_DATA_CENTRE:
+            await _lose_data_centre(cluster, name)
+        case Fault.CUT_DATA_CENTRE:
+            inside = cluster.list_entries_in(name)
+            cluster.partitioned_entries.update(inside)
+            await _cut_data_centre(cluster, name, event.duration_s)
+            cluster.partitioned_entries.difference_update(inside)
+        case Fault.PARTITION_DATA_CENTRE:
+            cluster.partitioned_data_centres.add(name)
+            await _cut_data_centre(
+                cluster, name, _PARTITION_FACTOR * event.duration_s
+            )
+            cluster.partitioned_data_centres.discard(name)
 
 
 async def _lose_data_centre(cluster: clusters.Cluster, name: str) -> None:
@@ -433,7 +459,10 @@
 async def _cut_data_centre(
     cluster: clusters.Cluster, name: str, duration_s: float
 ) -> None:
-    """Cut a data centre off; its entries reach only its own workers."""
+    """Cut a data centre from the store and from workers elsewhere.
+
+    Its entries reach its own workers. Links between entries are not changed.
+    """
     inside = cluster.list_entries_in(name)
     outside = set(cluster.entry_names) - set(inside)
     cut_workers = {
@@ -443,13 +472,11 @@
     }
     for entry in inside:
         cluster.store.entry_faults[entry] = stores.StoreFault.SILENT
-    cluster.partitioned_entries.update(inside)
     for worker_name, entries in cut_workers.items():
         cluster.workers[worker_name].unreachable_from |= entries
     await trio.sleep(duration_s)
     for entry in inside:
         cluster.store.entry_faults.pop(entry, None)
-    cluster.partitioned_entries.difference_update(inside)
     for worker_name, entries in cut_workers.items():
         cluster.workers[worker_name].unreachable_from -= entries
 
@@ -665,4 +692,5 @@
     (RESTART_FAULTS, _inject_restarts),
     (CLOSURE_FAULTS, _close_data_centres),
     (DATA_CENTRE_FAULTS, _inject_data_centre_fault),
+    (PARTITION_FAULTS, _inject_data_centre_fault),
 )
