Worker leases: restarted members attest as others do

An earlier process that was a successor has ended: it counts no lease as ended any more, and when it had counted one, the owner had stopped renewing (the process never attested). A later successor is a process of its own.

--- a/crocusrouter/mesh/messages.py
+++ b/crocusrouter/mesh/messages.py
@@ -161,8 +161,6 @@
         closures_revision: Revision up to which the sender knows all closures.
         closures_age_s: Seconds since that list was certainly complete; None if
             it never was.
-        process_age_s: Seconds for which the sender's process has known which
-            pools it owned; None if unknown.
     """
 
     name: str
@@ -174,7 +172,6 @@
     closed_data_centres: tuple[str, ...] = ()
     closures_revision: int = 0
     closures_age_s: float | None = None
-    process_age_s: float | None = None
 
 
 @dataclasses.dataclass(frozen=True)
--- a/crocusrouter/pools/attestations.py
+++ b/crocusrouter/pools/attestations.py
@@ -32,31 +32,30 @@
         self._list_others = list_others
         self._attested_at: dict[str, float] = {}
 
-    def note_answer(
-        self, heartbeat: messages.Beat, asked_at: float, now: float
-    ) -> None:
-        """Record a member's answer to a heartbeat.
+    def note_answer(self, heartbeat: messages.Beat, asked_at: float) -> None:
+        """Record a member's answer, which attests nothing by a later owner.
 
-        It attests nothing if it names a later owner, or if its process may have
-        started after the member was last known not to own the pool: the
-        process before it may have been the successor.
+        An earlier process of the member may have been a successor. It has
+        ended, so it will count no lease as ended any more, and what it had
+        counted has ended.
 
         Args:
             heartbeat: The answer.
             asked_at: Steady time at which it was requested.
-            now: Present steady time.
         """
-        if heartbeat.process_age_s is None or any(
+        if any(
             pool == self._owner_lease.pool and epoch > self._owner_lease.epoch
             for pool, epoch, _ in heartbeat.owners
         ):
             return
         known_at = self._find_attested_at(heartbeat.name)
-        if now - heartbeat.process_age_s <= known_at:
-            self._attested_at[heartbeat.name] = max(known_at, asked_at)
+        self._attested_at[heartbeat.name] = max(known_at, asked_at)
 
     def find_unsucceeded_at(self) -> float:
-        """Return the latest time at which certainly no successor existed."""
+        """Return the latest time at which certainly no successor existed.
+
+        One that has ended since doesn't count.
+        """
         attested_at = (
             self._find_attested_at(name) for name in self._list_others()
         )
--- a/crocusrouter/pools/entry.py
+++ b/crocusrouter/pools/entry.py
@@ -111,7 +111,6 @@
         self.name = identity.name
         self.metrics = metrics
         self.clock = clock or clocks.Clock()
-        self._started_at = self.clock.steady()
         self.is_stopping = False
         self.secret = ""
         self.pool_owners: dict[str, owners.PoolOwner] = {}
@@ -280,7 +279,6 @@
             tuple(sorted(self.closures.data_centres)),
             self.closures.revision,
             self.closures.measure_age(now),
-            now - self._started_at,
         )
 
     def may_renew_leases(self, pool: str) -> bool:
@@ -310,9 +308,8 @@
             self.configuration.confirm_newest(
                 asked_at - heartbeat.confirmed_age_s
             )
-        now = self.clock.steady()
         for attested in self._attestations.values():
-            attested.note_answer(heartbeat, asked_at, now)
+            attested.note_answer(heartbeat, asked_at)
         self._handle_heartbeat(heartbeat, asked_at)
 
     def _handle_heartbeat(
--- a/crocusrouter/pools/lease_contract.py
+++ b/crocusrouter/pools/lease_contract.py
@@ -7,8 +7,8 @@
 1.  Length: a lease ends at most `LEASE_S` after it was sent, on the worker's
     clock. That clock runs at `MIN_CLOCK_RATE` of full speed at least.
 2.  Renewal: an owner sends leases until `RENEWAL_GRACE_S` after the latest time
-    at which certainly no successor existed. Its own owner lease proves that
-    while it is valid, and attestations of all other members do.
+    at which certainly no successor existed that still runs. Its own owner lease
+    proves that while it is valid, and attestations of all other members do.
 3.  Fencing: a worker that has answered a call of an owner takes no lease of an
     earlier owner. At that answer, leases of earlier owners end at most
     `LEASE_S` ahead on the worker's clock.
