Worker links: a suspension after the check prolongs no lease of a start

Cause: a start checked whether leases may be sent and read the clock for its lease afterwards. A process that was suspended between the two sent a lease for the time at which it woke, beyond the contract. Polls read the clock first.

Red before: test_suspension_after_the_check_prolongs_no_lease. Found by reading; no run shows it.

--- a/crocusrouter/pools/attestations.py
+++ b/crocusrouter/pools/attestations.py
@@ -33,7 +33,7 @@
         self._attested_at: dict[str, float] = {}
 
     def note_answer(self, heartbeat: messages.Beat, asked_at: float) -> None:
-        """Record a member's answer, which attests nothing by a later owner.
+        """Record a member's answer; one with a later owner proves nothing.
 
         An earlier process of the member may have been a successor. It has
         ended, so it will count no lease as ended any more, and what it had
--- a/crocusrouter/pools/tests/test_worker_links.py
+++ b/crocusrouter/pools/tests/test_worker_links.py
@@ -64,11 +64,13 @@
     return True
 
 
-def _make_link(port, may_start=_always, may_renew=_always):
+def _make_link(port, may_start=_always, may_renew=_always, steady=None):
     pool_state = work.PoolState(1)
     pool_state.set_worker(build.make_entry(_WORKER), 0.0)
     pool_state.workers[_WORKER].reached = True
-    clock = clocks.Clock(trio.current_time, lambda: 1e6 + trio.current_time())
+    clock = clocks.Clock(
+        steady or trio.current_time, lambda: 1e6 + trio.current_time()
+    )
     link = worker_links.WorkerLink(
         _WORKER,
         port,
@@ -307,3 +309,30 @@
     await link.start(worker_port.Start(key, 7, "", ""))
     assert all(at < renewable_s for at in sent_at)
     assert bool(sent_at) is (renewable_s > 0)
+
+
+# Guards against a lease for the time after a suspension of the process that
+# followed the check whether leases may be sent.
+async def test_suspension_after_the_check_prolongs_no_lease(autojump_clock):
+    suspended_s = 0.0
+
+    def read_steady():
+        return trio.current_time() + suspended_s
+
+    def suspend_after_check():
+        nonlocal suspended_s
+        may_renew = read_steady() < 1.0
+        suspended_s = 10.0
+        return may_renew
+
+    port = _Port()
+    pool_state, link = _make_link(
+        port, may_renew=suspend_after_check, steady=read_steady
+    )
+    job = build.make_job("00000000000000aa", build.make_step(1))
+    pool_state.put_job(job, work.Progress(), 1, 0.0)
+    pool_state.open_due_occurrences(2e6, 0.0)
+    key = work.TaskKey(job.id, 0, 0, 0)
+    pool_state.add_run(key, 7, _WORKER, 0.0)
+    await link.start(worker_port.Start(key, 7, "", ""))
+    assert port.lease_ends_ms == [500 + 6000]
--- a/crocusrouter/pools/worker_links.py
+++ b/crocusrouter/pools/worker_links.py
@@ -193,10 +193,13 @@
         give_up_at = self._clock.steady() + _START_TIMEOUT_S
         maybe_begun = False
         await self._refresh_clock_reading()
-        while self._may_send(order):
+        while True:
+            # Read before the check: the process may be suspended after it.
             now = self._clock.steady()
+            if now > give_up_at or not self._may_send(order):
+                break
             until_ms = self.lease.extend(now)
-            if until_ms is None or now > give_up_at:
+            if until_ms is None:
                 break
             answer = await self._port.start(
                 self._epoch, order, until_ms, _ORDER_TIMEOUT_S
