--- a/crocusrouter/pools/tests/test_worker_links.py
+++ b/crocusrouter/pools/tests/test_worker_links.py
@@ -26,6 +26,8 @@
         ended: Ends that later polls list.
         polls: Answers to the next polls; later ones report no runs.
         polls_sent: How many polls came.
+        lease_ends_ms: Ends of the leases in the starts that came.
+        clock_rate: Speed of the worker's clock; 0 for one that stands still.
         sent: Orders in the order in which they came.
     """
 
@@ -36,15 +38,23 @@
         self.polls_sent = 0
         self.sent = []
         self.delay_s = 0.01
+        self.lease_ends_ms = []
+        self.clock_rate = 0.0
 
     async def _answer(self, order):
         self.sent.append(order)
         await trio.sleep(self.delay_s)
         return (
-            self.answers.pop(0) if self.answers else worker_port.Accepted(1000)
+            self.answers.pop(0)
+            if self.answers
+            else worker_port.Accepted(self._read_clock())
         )
 
+    def _read_clock(self):
+        return int(1000 + trio.current_time() * 1000 * self.clock_rate)
+
     async def start(self, epoch, order, until_ms, timeout_s):
+        self.lease_ends_ms.append(until_ms)
         return await self._answer(order)
 
     async def stop(self, epoch, order, timeout_s):
@@ -57,7 +67,7 @@
             return self.polls.pop(0)
         if wait_s and not self.ended:
             await trio.sleep(wait_s)
-        return worker_port.Report(1000, (), self.ended)
+        return worker_port.Report(self._read_clock(), (), self.ended)
 
     async def aclose(self):
         pass
@@ -71,11 +81,20 @@
     return True
 
 
-def _make_link(port, may_start=_always, settle=_settle, pending_starts=None):
+def _make_link(
+    port,
+    may_start=_always,
+    settle=_settle,
+    pending_starts=None,
+    may_renew=_always,
+    steady=None,
+):
     pool_state = work.PoolState(1)
     pool_state.set_worker(build.make_entry(_WORKER), 0.0)
     build.mark_usable(pool_state.workers[_WORKER])
-    clock = clocks.Clock(trio.current_time, lambda: 1e6 + trio.current_time())
+    clock = clocks.Clock(
+        steady or trio.current_time, lambda: 1e6 + trio.current_time()
+    )
     link = worker_links.WorkerLink(
         _WORKER,
         port,
@@ -83,7 +102,7 @@
         pool_state,
         clock,
         settle,
-        _always,
+        may_renew,
         may_start,
         lambda: None,
         lambda *_: None,
@@ -406,3 +425,85 @@
         nursery.start_soon(link.run)
         await trio.sleep(forgotten_after_s)
         pool_state.forget_worker(_WORKER)
+
+
+# Guards against starts whose lease ends before a takeover does because the
+# worker's clock was last read minutes ago.
+@pytest.mark.parametrize("clock_rate", [0.98, 1.0, 1.02])
+@pytest.mark.parametrize(
+    ("idle_s", "polls_sent"), [(1.0, 0), (50.0, 0), (80.0, 1), (600.0, 1)]
+)
+async def test_start_on_a_worker_that_was_idle_for_long(
+    idle_s, polls_sent, clock_rate, autojump_clock
+):
+    port = _Port()
+    port.clock_rate = clock_rate
+    pool_state, link = _make_link(port)
+    link.lease.note(1000, trio.current_time())
+    job = build.make_job("00000000000000aa", build.make_step(1))
+    pool_state.put_job(job, work.Progress(), 1, 0.0)
+    pool_state.open_due_occurrences(2e6, 0.0)
+    key = work.TaskKey(job.id, 0, 0, 0)
+    pool_state.add_run(key, 7, _WORKER, 0.0)
+    await trio.sleep(idle_s)
+    await link.start(worker_port.Start(key, 7, "", ""))
+    assert port.polls_sent == polls_sent
+    sent_at = idle_s + 0.01 * polls_sent
+    lease_ms = port.lease_ends_ms[0] - 1000 - sent_at * 1000 * clock_rate
+    assert 3900 <= lease_ms <= 6000
+
+
+# Guards against a start that is repeated, and extends the lease of all that
+# runs on its worker, after its owner may no longer renew leases.
+@pytest.mark.parametrize("answer", [_NOT_SENT, _SILENT])
+@pytest.mark.parametrize("renewable_s", [-1.0, 0.1, 0.6])
+async def test_start_is_not_sent_once_leases_may_not_be_renewed(
+    answer, renewable_s, autojump_clock
+):
+    sent_at = []
+
+    class Port(_Port):
+        async def start(self, epoch, order, until_ms, timeout_s):
+            sent_at.append(trio.current_time())
+            await trio.sleep(0.05)
+            return await super().start(epoch, order, until_ms, timeout_s)
+
+    port = Port(*[answer] * 50)
+    pool_state, link = _make_link(
+        port, may_renew=lambda: trio.current_time() < renewable_s
+    )
+    job = build.make_job("00000000000000aa", build.make_step(1))
+    pool_state.put_job(job, work.Progress(), 1, 0.0)
+    pool_state.open_due_occurrences(2e6, 0.0)
+    key = work.TaskKey(job.id, 0, 0, 0)
+    pool_state.add_run(key, 7, _WORKER, 0.0)
+    await link.start(worker_port.Start(key, 7, "", ""))
+    assert all(at < renewable_s for at in sent_at)
+    assert bool(sent_at) is (renewable_s > 0)
+
+
+# Guards against a lease for the time after a suspension of the process that
+# followed the check whether leases may be sent.
+async def test_suspension_after_the_check_prolongs_no_lease(autojump_clock):
+    suspended_s = 0.0
+
+    def read_steady():
+        return trio.current_time() + suspended_s
+
+    def suspend_after_check():
+        nonlocal suspended_s
+        may_renew = read_steady() < 1.0
+        suspended_s = 10.0
+        return may_renew
+
+    port = _Port()
+    pool_state, link = _make_link(
+        port, may_renew=suspend_after_check, steady=read_steady
+    )
+    job = build.make_job("00000000000000aa", build.make_step(1))
+    pool_state.put_job(job, work.Progress(), 1, 0.0)
+    pool_state.open_due_occurrences(2e6, 0.0)
+    key = work.TaskKey(job.id, 0, 0, 0)
+    pool_state.add_run(key, 7, _WORKER, 0.0)
+    await link.start(worker_port.Start(key, 7, "", ""))
+    assert port.lease_ends_ms == [500 + 6000]
--- a/crocusrouter/pools/worker_links.py
+++ b/crocusrouter/pools/worker_links.py
@@ -85,6 +85,7 @@
         # Whether the worker has listed ends that the journal may not hold.
         self._has_unsaved_ends = False
         self._wake_event = trio.Event()
+        self._clock_lock = trio.Lock()
         self._is_abandoned = False
 
     def wake(self) -> None:
@@ -214,10 +215,14 @@
         """
         give_up_at = self._clock.steady() + _START_TIMEOUT_S
         maybe_begun = False
-        while self._may_send(order):
+        await self._refresh_clock_reading()
+        while True:
+            # Read before the check: the process may be suspended after it.
             now = self._clock.steady()
+            if now > give_up_at or not self._may_send(order):
+                break
             until_ms = self.lease.extend(now)
-            if until_ms is None or now > give_up_at:
+            if until_ms is None:
                 break
             answer = await self._port.start(
                 self._epoch, order, until_ms, _ORDER_TIMEOUT_S
@@ -261,12 +266,24 @@
                         await trio.sleep(_RETRY_DELAY_S)
         await self._resolve_unconfirmed_start(order, maybe_begun)
 
+    async def _refresh_clock_reading(self) -> None:
+        """Poll a worker that has been idle for long.
+
+        A lease that is computed from an old reading of its clock may end before
+        a takeover does.
+        """
+        async with self._clock_lock:
+            if self.lease.has_old_reading(self._clock.steady()):
+                await self._poll(0.0)
+                self.wake()
+
     def _may_send(self, order: worker_port.Start) -> bool:
         """Return whether a start may be sent, or sent again.
 
         A worker that drains or shrinks in the meantime, or whose data centre
         is closed, must not get it: a start is repeated for up to 2 s after the
-        decision, which is later than the worker may get anything new.
+        decision, which is later than the worker may get anything new. It also
+        extends the lease of all that runs there.
         """
         run = self._pool_state.runs.get(order.key)
         worker_state = self._pool_state.workers.get(self.incarnation)
@@ -279,6 +296,7 @@
             and not worker_state.closed
             and run.tracked_step is not None
             and not worker_state.is_overcommitted(run.tracked_step.step.charge)
+            and self._may_renew()
             and self._may_start(self._clock.steady())
         )
 
