Soak: judge runs of cancelled jobs; cancels, planned replacements, small VMs

Users see tasks of cancelled jobs run on; the soak could not: it cancelled one job in ten, once, with tasks of at most 1.5 s, and judged no end.

The world asks the job oracle in each step whether runs of cancelled jobs go on. A CancelLoad cancels a larger share at drawn times, at one entry after another until confirmed, with long tasks and tasks that last. New faults: bursts of cancels, also as an entry stops; orders carried out late; connections to the store, to workers and between entries that go silent for good; slow answers; workers that close connections; workers that are drained and replaced, under other ids or their own. Faults can be injected in series. Entries can be limited to a share of a processor, as small VMs are.

--- a/standins/soak/__init__.py
+++ b/standins/soak/__init__.py
@@ -6,10 +6,11 @@
 what callers and workers observe is judged.
 """
 
+from standins.soak.cancels import CancelLoad
 from standins.soak.run import CHECKED
 from standins.soak.run import Fault
 from standins.soak.run import Result
 from standins.soak.run import Shape
 from standins.soak.run import soak
 
-__all__ = ["CHECKED", "Fault", "Result", "Shape", "soak"]
+__all__ = ["CHECKED", "CancelLoad", "Fault", "Result", "Shape", "soak"]
--- a/standins/soak/platform_server.py
+++ b/standins/soak/platform_server.py
@@ -1,6 +1,8 @@
 """The emulated store and workers behind the platform's HTTP interface."""
 
 import base64
+import dataclasses
+import random
 from typing import Any
 import urllib.parse
 
@@ -11,6 +13,7 @@
 import trio
 
 from crocusrouter.platform import names
+from crocusrouter.pools import keys
 from crocusrouter.store import client
 from crocusrouter.store import key_value
 from crocusrouter.store import records
@@ -30,17 +33,44 @@
 Answer = tuple[int, dict[str, Any]]
 
 
+# Share of the answers of a slow worker that are delayed, and by how much.
+_SLOW_SHARE = 0.4
+_SLOW_DELAY_S = (0.1, 1.2)
+
+
 class _NoAnswerError(Exception):
     """The call must stay unanswered until the caller times out."""
 
 
+@dataclasses.dataclass
+class AnswerManners:
+    """How a worker answers HTTP calls.
+
+    Attributes:
+        is_slow: Whether some calls are carried out or answered late.
+        closes_used: Whether it closes each connection after one answer.
+    """
+
+    is_slow: bool = False
+    closes_used: bool = False
+
+
 class Platform:
     """ASGI application for store and workers, told apart by their ports."""
 
-    def __init__(self) -> None:
+    def __init__(self, seed: int) -> None:
+        """Serve nothing yet.
+
+        Args:
+            seed: Seeds the delays of slow answers.
+        """
         self.stores: dict[int, stores.StoreView] = {}
         self.workers: dict[int, workers.WorkerView] = {}
         self.worker_names: dict[int, str] = {}
+        self.manners: dict[int, AnswerManners] = {}
+        # Addresses to tell the entries instead of those that entries register.
+        self.shown_addresses: dict[bytes, bytes] = {}
+        self._random = random.Random(seed)
 
     async def __call__(
         self, scope: Scope, receive: Receive, send: Send
@@ -61,6 +91,9 @@
                 await trio.sleep(_NO_ANSWER_DELAY_S)
             status, answer = 503, {}
         headers = [(b"content-type", b"application/json")]
+        manners = self.manners.get(scope["server"][1])
+        if manners is not None and manners.closes_used:
+            headers.append((b"connection", b"close"))
         await send(
             {
                 "type": "http.response.start",
@@ -78,15 +111,43 @@
         if port_number in self.stores:
             parameters = urllib.parse.parse_qs(scope["query_string"].decode())
             query = {name: values[0] for name, values in parameters.items()}
-            return await _answer_store(
+            status, answer = await _answer_store(
                 self.stores[port_number], path, query, document
             )
+            return status, self._show_addresses(answer)
         expected_name = (
             dict(scope["headers"]).get(b"x-expect-instance", b"").decode()
         )
         if expected_name != self.worker_names.get(port_number):
             return 421, {}
-        return await _answer_worker(self.workers[port_number], path, document)
+        delays_s = self._draw_delays(port_number)
+        await trio.sleep(delays_s[0])
+        worker_view = self.workers[port_number]
+        status, answer = await _answer_worker(worker_view, path, document)
+        await trio.sleep(delays_s[1])
+        return status, answer
+
+    def _draw_delays(self, port_number: int) -> tuple[float, float]:
+        """Return the delays before a worker's call and before its answer."""
+        manners = self.manners.get(port_number)
+        if manners is None or not manners.is_slow:
+            return 0.0, 0.0
+        if self._random.random() >= _SLOW_SHARE:
+            return 0.0, 0.0
+        delay_s = self._random.uniform(*_SLOW_DELAY_S)
+        return self._random.choice(((delay_s, 0.0), (0.0, delay_s)))
+
+    def _show_addresses(self, answer: dict[str, Any]) -> dict[str, Any]:
+        """Replace the mesh addresses of members in an answer of the store."""
+        for item in (*answer.get("items", ()), *answer.get("events", ())):
+            if not item["key"].startswith(keys.MEMBERS) or "value" not in item:
+                continue
+            address, separator, rest = base64.b64decode(
+                item["value"]
+            ).partition(b" ")
+            shown = self.shown_addresses.get(address, address)
+            item["value"] = base64.b64encode(shown + separator + rest).decode()
+        return answer
 
 
 async def _answer_lifespan(receive: Receive, send: Send) -> None:
--- a/standins/soak/proxy.py
+++ b/standins/soak/proxy.py
@@ -9,6 +9,8 @@
 _CHUNK_BYTES = 1 << 14
 _DELAY_S = 0.3
 _POLL_S = 0.05
+# A connection is idle this long after an answer without another request.
+_IDLE_S = 0.1
 
 
 class LinkFault(enum.StrEnum):
@@ -34,6 +36,11 @@
 
     def __init__(self) -> None:
         self.is_stranded = False
+        self.idle_since: float | None = None
+
+    def note_data(self, *, is_answer: bool, now: float) -> None:
+        """Record a chunk of data; after an answer the connection is idle."""
+        self.idle_since = now if is_answer else None
 
 
 class Proxy:
@@ -46,6 +53,7 @@
             target_port: Port on 127.0.0.1 that connections are forwarded to.
         """
         self.fault = LinkFault.NONE
+        self.closes_idle = False
         self.port = 0
         self._target_port = target_port
         self._connections: set[_Connection] = set()
@@ -84,8 +92,12 @@
                 self._listener_scope.cancel()
             case ProcessEnd.STRAND:
                 self.fault = LinkFault.SILENCE
-                for connection in self._connections:
-                    connection.is_stranded = True
+                self.strand_connections()
+
+    def strand_connections(self) -> None:
+        """Silence all open connections for good; new ones work."""
+        for connection in self._connections:
+            connection.is_stranded = True
 
     def start_process(self) -> None:
         """Forward new connections again, to the next process.
@@ -122,6 +134,9 @@
                 connection_scope,
             )
             nursery.start_soon(self._reset_on_fault, client, connection_scope)
+            nursery.start_soon(
+                self._close_when_idle, connection, connection_scope
+            )
         self._connections.discard(connection)
         for stream in (client, server):
             await trio.aclose_forcefully(stream)
@@ -141,6 +156,9 @@
                     await trio.sleep(_DELAY_S)
                 while connection.is_stranded or self._is_blocked(is_answer):
                     await trio.sleep(_POLL_S)
+                connection.note_data(
+                    is_answer=is_answer, now=trio.current_time()
+                )
                 await target.send_all(data)
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             pass
@@ -151,6 +169,18 @@
             return True
         return self.fault is LinkFault.ONE_WAY and is_answer
 
+    async def _close_when_idle(
+        self, connection: _Connection, connection_scope: trio.CancelScope
+    ) -> None:
+        """Close an idle connection, as servers do that keep few open."""
+        while True:
+            await trio.sleep(_POLL_S)
+            idle_since = connection.idle_since
+            if not self.closes_idle or idle_since is None:
+                continue
+            if trio.current_time() > idle_since + _IDLE_S:
+                connection_scope.cancel()
+
     async def _reset_on_fault(
         self, client: trio.SocketStream, connection_scope: trio.CancelScope
     ) -> None:
--- a/standins/soak/run.py
+++ b/standins/soak/run.py
@@ -19,6 +19,7 @@
 from standins.emulator import rules
 from standins.emulator import store as stores
 from standins.emulator import worker as workers
+from standins.soak import cancels
 from standins.soak import config_calls
 from standins.soak import cut_requests
 from standins.soak import proxy as proxies
@@ -71,12 +72,50 @@
     SLOW_WORKER = "slow-worker"
     STALL_WORKER = "stall-worker"  # no progress of tasks, but answers
     CLOSE_DATA_CENTRE = "close-data-centre"  # to new work
+    CANCEL_ALL = "cancel-all"  # all jobs at one moment
+    STOP_AMID_CANCELS = "stop-amid-cancels"  # an entry, as all are cancelled
+    LATE_ORDERS = "late-orders"  # a worker carries out orders seconds late
+    STRAND_STORE = "strand-store"  # open connections go silent, new ones work
+    STRAND_WORKERS = "strand-workers"
+    STRAND_PEERS = "strand-peers"
+    SLOW_STORE = "slow-store"
+    LATE_WRITES = "late-writes"  # of the store, without answers
+    SLOW_ANSWERS = "slow-answers"  # of a worker to some calls
+    CLOSE_IDLE = "close-idle"  # a worker closes idle connections
+    CLOSE_USED = "close-used"  # a worker closes connections after each answer
+    REPLACE_WORKERS = "replace-workers"  # drained, new ones under other ids
+    RENEW_WORKERS = "renew-workers"  # drained, new ones under the same ids
 
 
 # The kinds that seeds draw from by place, so that kept seeds stay as they are.
-_DEFAULT_FAULTS = tuple(
-    fault for fault in Fault if fault is not Fault.CLOSE_DATA_CENTRE
+_DEFAULT_FAULTS = tuple(Fault)[: tuple(Fault).index(Fault.CLOSE_DATA_CENTRE)]
+# Answers of the store take up to 0.3 s, or writes are carried out late.
+_STORE_FAULTS = {
+    Fault.STORE_AWAY: stores.StoreFault.BUSY,
+    Fault.STORE_LOSES: stores.StoreFault.LOST,
+    Fault.SLOW_STORE: stores.StoreFault.SLOW,
+    Fault.LATE_WRITES: stores.StoreFault.LATE,
+}
+_WORKER_FAULTS = frozenset(
+    {
+        Fault.DRAIN_WORKER,
+        Fault.SHRINK_WORKER,
+        Fault.RESTART_WORKER,
+        Fault.CLOSE_DATA_CENTRE,
+        Fault.FAIL_ALL,
+        Fault.SLOW_WORKER,
+        Fault.STALL_WORKER,
+        Fault.REPLACE_WORKERS,
+        Fault.RENEW_WORKERS,
+        Fault.LATE_ORDERS,
+        Fault.SLOW_ANSWERS,
+        Fault.CLOSE_IDLE,
+        Fault.CLOSE_USED,
+    }
 )
+_MOST_WORKERS_AT_ONCE = 3
+_SERIES_GAP_S = (0.2, 2.0)
+_LATE_ORDER_SHARE = 0.5
 # Long enough to see starts that come too late.
 _MIN_CLOSURE_S = 7.0
 # Relative speed of the tasks on a worker.
@@ -96,6 +135,12 @@
         jobs_per_crashing_job: One in this many jobs has tasks that crash each
             worker they start on; 0 for none.
         fault_kinds: The kinds that faults are drawn from.
+        series_length: How often each fault is injected, at short intervals
+            and for other entries and workers each time.
+        most_tasks: Most tasks of a step.
+        processor_share: Share of a processor that each entry may use.
+        cancel_load: Cancels and long tasks; without it, one job in ten is
+            cancelled once, within two seconds.
     """
 
     entry_count: int = 4
@@ -105,6 +150,10 @@
     fault_count: int = 5
     jobs_per_crashing_job: int = 20
     fault_kinds: tuple[Fault, ...] = _DEFAULT_FAULTS
+    series_length: int = 1
+    most_tasks: int = 4
+    processor_share: float = 1.0
+    cancel_load: cancels.CancelLoad | None = None
 
 
 @dataclasses.dataclass
@@ -119,6 +168,12 @@
         config_oracle: Findings about changes of the configuration.
         starts_while_closed: Starts that were judged by a closure.
         cut_checker: Findings about requests that were cut.
+        judged_cancels: How many cancels were followed to the end of the time
+            in which all runs of the job must end.
+        longest_after_cancel_s: The longest time from a cancel, or from the
+            last impairment after it, to the end of a run of the job.
+        stalled_s: How long this process did nothing at worst; much of it
+            shows that the machine is overloaded.
     """
 
     broken: list[str]
@@ -128,6 +183,9 @@
     config_oracle: config_oracles.ConfigOracle
     cut_checker: cut_requests.CutRequestChecker
     starts_while_closed: int = 0
+    judged_cancels: int = 0
+    longest_after_cancel_s: float = 0.0
+    stalled_s: float = 0.0
 
     @property
     def verdict(self) -> str:
@@ -144,6 +202,7 @@
             "changes": self.config_oracle.judged,
             "cut requests": self.cut_checker.judged,
             "closures": self.starts_while_closed,
+            "cancels": self.judged_cancels,
         }
         return [check for check, count in cases.items() if not count]
 
@@ -158,9 +217,15 @@
         log_folder: Folder for the entries' logs.
     """
     world = worlds.World(
-        seed, shape.entry_count, shape.worker_count, log_folder
+        seed,
+        shape.entry_count,
+        shape.worker_count,
+        log_folder,
+        shape.processor_share,
+    )
+    soak_run = _SoakRun(
+        world, shape, random.Random(seed), random.Random(f"cancels {seed}")
     )
-    soak_run = _SoakRun(world, shape, random.Random(seed))
     try:
         async with trio.open_nursery() as nursery:
             await nursery.start(world.run)
@@ -179,6 +244,9 @@
         world.config_oracle,
         world.cut_checker,
         world.closure_oracle.judged,
+        world.oracle.judged_cancels,
+        world.oracle.longest_after_cancel,
+        world.longest_stall_s,
     )
 
 
@@ -186,7 +254,11 @@
     """Callers and faults of one soak."""
 
     def __init__(
-        self, world: worlds.World, shape: Shape, rng: random.Random
+        self,
+        world: worlds.World,
+        shape: Shape,
+        rng: random.Random,
+        cancel_rng: random.Random,
     ) -> None:
         self.world = world
         self.shape = shape
@@ -197,6 +269,12 @@
         self._config_tester = config_calls.ConfigTester(
             world, random.Random(rng.random())
         )
+        self._canceller = cancels.Canceller(
+            world.oracle,
+            world.entry_names,
+            self._cancel_at,
+            cancel_rng,
+        )
 
     async def run(self) -> None:
         """Apply load and faults, wait for the jobs to end, and check them."""
@@ -210,6 +288,7 @@
         # configuration yet.
         self.world.operators.write(trio.current_time())
         states = await self._wait_for_jobs()
+        await self._canceller.wait_until_judged()
         self.world.oracle.check_final_states(states)
         await self._config_tester.aclose()
         await self._pool.aclose()
@@ -222,7 +301,7 @@
                 fault = self.rng.choice(self.shape.fault_kinds)
                 duration_s = self.rng.uniform(0.5, 4.0)
                 nursery.start_soon(
-                    self._inject_fault, delay_s, fault, duration_s
+                    self._inject_series, delay_s, fault, duration_s
                 )
 
     # Callers.
@@ -246,7 +325,11 @@
         oracle.jobs[job_id] = platform.parse_submission(
             body, job_id, _QUEUE, "a", time.time()
         )
-        should_cancel = self.rng.random() < 0.1
+        cancel_load = self.shape.cancel_load
+        is_lasting = oracle.jobs[job_id].steps[0].lasting
+        should_cancel = self.rng.random() < (
+            cancel_load.share if cancel_load is not None else 0.1
+        )
         all_refused = True
         sent_at = trio.current_time()
         for _ in range(_SUBMIT_TRIES):
@@ -261,7 +344,11 @@
             if all_refused:
                 oracle.refused.add(job_id)
             return
-        if should_cancel:
+        if cancel_load is not None:
+            if should_cancel or is_lasting:
+                await trio.sleep(cancel_load.draw_delay(self.rng))
+                await self._canceller.cancel(job_id)
+        elif should_cancel:
             await trio.sleep(self.rng.uniform(0.1, 2.0))
             oracle.cancels_sent.add(job_id)
             if await self._call_for_status("DELETE", job_id, None) == 200:
@@ -269,15 +356,17 @@
 
     def _draw_body(self) -> bytes:
         step: dict[str, object] = {
-            "count": self.rng.randint(1, 4),
+            "count": self.rng.randint(1, self.shape.most_tasks),
             "cpu": 2000,
             "mem_mb": 1000,
             "gpu": self.rng.choice((1, 2, 4)),
             "est_duration_ms": self.rng.randint(200, 1500),
             "gang": self.rng.random() < 0.4,
         }
+        if self.shape.cancel_load is not None:
+            step = self.shape.cancel_load.change_step(step, self.rng)
         steps = [step]
-        if self.rng.random() < 0.3:
+        if not step.get("long_running") and self.rng.random() < 0.3:
             steps.append(step | {"gang": False, "after": [0]})
         return orjson.dumps({"spec": self._choose_task_spec(), "steps": steps})
 
@@ -298,6 +387,15 @@
         self, method: str, job_id: str, body: bytes | None
     ) -> tuple[int | None, bytes]:
         name = self.rng.choice(self.world.entry_names)
+        return await self._call_entry(name, method, job_id, body)
+
+    async def _cancel_at(self, name: str, job_id: str) -> int | None:
+        status, _ = await self._call_entry(name, "DELETE", job_id, None)
+        return status
+
+    async def _call_entry(
+        self, name: str, method: str, job_id: str, body: bytes | None
+    ) -> tuple[int | None, bytes]:
         url = self.world.urls[name]
         sent_at = trio.current_time()
         phases = ("connect", "read", "write", "pool")
@@ -339,11 +437,20 @@
 
     # Faults.
 
-    async def _inject_fault(
+    async def _inject_series(
         self, delay_s: float, fault: Fault, duration_s: float
     ) -> None:
-        """Inject one fault after a delay, and remove it after its duration."""
+        """Inject a fault after a delay, again at intervals if so shaped."""
         await trio.sleep(delay_s)
+        await self._inject_fault(delay_s, fault, duration_s)
+        for _ in range(self.shape.series_length - 1):
+            await trio.sleep(self.rng.uniform(*_SERIES_GAP_S))
+            await self._inject_fault(delay_s, fault, duration_s)
+
+    async def _inject_fault(
+        self, delay_s: float, fault: Fault, duration_s: float
+    ) -> None:
+        """Inject one fault, and remove it after its duration."""
         entry = self.rng.choice(self.world.entry_names)
         worker = self.rng.choice(sorted(self.world.workers))
         link_fault = self.rng.choice(
@@ -369,6 +476,24 @@
                 await self._stop_entry(entry)
             case Fault.HANG_UP:
                 self.world.send_signal(entry, signal.SIGHUP)
+            case Fault.CANCEL_ALL:
+                await self._canceller.cancel_all()
+            case Fault.STOP_AMID_CANCELS:
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(self._canceller.cancel_all)
+                    nursery.start_soon(self._stop_entry, entry)
+            case _ if fault in _WORKER_FAULTS:
+                await self._inject_worker_fault(worker, fault, duration_s)
+            case _:
+                await self._inject_dependency_fault(
+                    entry, worker, link_fault, fault, duration_s
+                )
+
+    async def _inject_worker_fault(
+        self, worker: str, fault: Fault, duration_s: float
+    ) -> None:
+        """Inject a fault of a worker, or plan its end."""
+        match fault:
             case Fault.DRAIN_WORKER:
                 await self.world.drain_worker(worker)
             case Fault.SHRINK_WORKER:
@@ -385,10 +510,15 @@
                 await self._impair_tasks(
                     self.world.workers[worker], fault, duration_s
                 )
-            case _:
-                await self._inject_dependency_fault(
-                    entry, worker, link_fault, fault, duration_s
-                )
+            case Fault.REPLACE_WORKERS | Fault.RENEW_WORKERS:
+                await self._replace_workers(fault)
+            case (
+                Fault.LATE_ORDERS
+                | Fault.SLOW_ANSWERS
+                | Fault.CLOSE_IDLE
+                | Fault.CLOSE_USED
+            ):
+                await self._impair_answers(worker, fault, duration_s)
 
     async def _inject_dependency_fault(
         self,
@@ -408,14 +538,19 @@
                 await self._apply_link_fault(
                     self.world.worker_proxies[worker], link_fault, duration_s
                 )
-            case Fault.STORE_AWAY:
-                await self._apply_store_fault(
-                    stores.StoreFault.BUSY, duration_s
-                )
-            case Fault.STORE_LOSES:
-                await self._apply_store_fault(
-                    stores.StoreFault.LOST, duration_s
-                )
+            case (
+                Fault.STORE_AWAY
+                | Fault.STORE_LOSES
+                | Fault.SLOW_STORE
+                | Fault.LATE_WRITES
+            ):
+                await self._apply_store_fault(_STORE_FAULTS[fault], duration_s)
+            case Fault.STRAND_STORE:
+                self.world.strand_connections(self.world.store_proxies)
+            case Fault.STRAND_WORKERS:
+                self.world.strand_connections(self.world.worker_proxies)
+            case Fault.STRAND_PEERS:
+                self.world.strand_connections(self.world.peer_proxies)
             case Fault.COMPACT:
                 self.world.store.compact()
             case Fault.LOSE_ANSWERS:
@@ -441,6 +576,43 @@
         worker.fails_all = False
         worker.speed = 1.0
 
+    async def _impair_answers(
+        self, name: str, fault: Fault, duration_s: float
+    ) -> None:
+        """Change for some seconds how a worker answers calls."""
+        worker = self.world.workers[name]
+        manners = self.world.find_answer_manners(name)
+        proxy = self.world.worker_proxies[name]
+        match fault:
+            case Fault.LATE_ORDERS:
+                worker.late_start_share = _LATE_ORDER_SHARE
+            case Fault.SLOW_ANSWERS:
+                manners.is_slow = True
+            case Fault.CLOSE_USED:
+                manners.closes_used = True
+            case Fault.CLOSE_IDLE:
+                proxy.closes_idle = True
+        await trio.sleep(duration_s)
+        worker.late_start_share = 0.0
+        manners.is_slow = False
+        manners.closes_used = False
+        proxy.closes_idle = False
+
+    async def _replace_workers(self, fault: Fault) -> None:
+        """Replace some workers one after the other, without waiting long."""
+        count = self.rng.randint(1, _MOST_WORKERS_AT_ONCE)
+        names = sorted(self.world.workers)
+        chosen = self.rng.sample(names, min(count, len(names) - 1))
+        replace = (
+            self.world.replace_worker
+            if fault is Fault.REPLACE_WORKERS
+            else self.world.renew_worker
+        )
+        async with trio.open_nursery() as nursery:
+            for name in chosen:
+                nursery.start_soon(replace, name)
+                await trio.sleep(self.rng.uniform(0.0, 1.0))
+
     async def _lose_store_answers(self, entry: str) -> None:
         self.world.store.entry_faults[entry] = stores.StoreFault.SILENT
         await trio.sleep(_LOST_ANSWERS_S)
--- a/standins/soak/tests/test_proxy.py
+++ b/standins/soak/tests/test_proxy.py
@@ -50,6 +50,52 @@
     assert await _exchange(fault) == answer
 
 
+# Guards against soaks in which a server never closes an idle connection, as
+# servers of the platform may.
+@pytest.mark.parametrize(
+    ("closes_idle", "is_asked", "is_closed"),
+    [(False, True, False), (True, True, True), (True, False, False)],
+)
+async def test_proxy_closes_connection_only_after_answer(
+    closes_idle, is_asked, is_closed
+):
+    async with trio.open_nursery() as nursery:
+        serve = functools.partial(trio.serve_tcp, host="127.0.0.1")
+        [listener] = await nursery.start(serve, _echo, 0)
+        proxy = proxies.Proxy(listener.socket.getsockname()[1])
+        await nursery.start(proxy.run)
+        proxy.closes_idle = closes_idle
+        stream = await trio.open_tcp_stream("127.0.0.1", proxy.port)
+        if is_asked:
+            await stream.send_all(b"a")
+            assert await stream.receive_some(1) == b"a"
+        end = None
+        with trio.move_on_after(0.5):
+            end = await stream.receive_some(1)
+        assert (end == b"") is is_closed
+        nursery.cancel_scope.cancel()
+
+
+async def test_stranded_connection_is_silent_while_new_one_is_served():
+    """Guards against strands that end with the fault of the link."""
+    async with trio.open_nursery() as nursery:
+        serve = functools.partial(trio.serve_tcp, host="127.0.0.1")
+        [listener] = await nursery.start(serve, _echo, 0)
+        proxy = proxies.Proxy(listener.socket.getsockname()[1])
+        await nursery.start(proxy.run)
+        stream = await trio.open_tcp_stream("127.0.0.1", proxy.port)
+        await stream.send_all(b"a")
+        assert await stream.receive_some(1) == b"a"
+        proxy.strand_connections()
+        await stream.send_all(b"b")
+        answer = b"nothing"
+        with trio.move_on_after(0.3):
+            answer = await stream.receive_some(1)
+        assert answer == b"nothing"
+        assert await _exchange_on_new_connection(proxy.port) == "answered"
+        nursery.cancel_scope.cancel()
+
+
 async def _exchange_on_new_connection(port):
     """Exchange a byte over a new connection; return the outcome."""
     with trio.move_on_after(0.3):
--- a/standins/soak/tests/test_soak.py
+++ b/standins/soak/tests/test_soak.py
@@ -58,6 +58,24 @@
 )
 
 
+_CANCELS = soak.Shape(
+    entry_count=3,
+    worker_count=4,
+    jobs_per_s=2.0,
+    length_s=6.0,
+    fault_count=4,
+    jobs_per_crashing_job=0,
+    fault_kinds=(
+        soak.Fault.CANCEL_ALL,
+        soak.Fault.RENEW_WORKERS,
+        soak.Fault.LATE_ORDERS,
+    ),
+    cancel_load=soak.CancelLoad(
+        share=0.6, latest_s=(0.0, 0.3, 3.0), longest_task_s=8.0
+    ),
+)
+
+
 # Guards against jobs that are lost, run twice, or rejected although they ran.
 # Entries are killed, paused and stopped, and their links to store and workers
 # fail, at times drawn from the seed.
@@ -101,6 +119,14 @@
     assert result.accepted > 3
 
 
+# Guards against tasks that run on after their job was cancelled: the cancels
+# reach other entries than the owner, and workers are renewed or answer late.
+async def test_runs_of_cancelled_jobs_end(tmp_path):
+    result = await soak.soak(3, _CANCELS, tmp_path)
+    assert result.broken == []
+    assert result.judged_cancels > 3
+
+
 @pytest.mark.parametrize(
     ("broken", "accepted", "verdict"),
     [
--- a/standins/soak/world.py
+++ b/standins/soak/world.py
@@ -1,7 +1,9 @@
 """The system under soak: emulated store and workers, entry processes."""
 
 import collections
+from collections.abc import Mapping
 import pathlib
+import random
 import signal
 from typing import Any
 
@@ -24,6 +26,7 @@
 from standins.emulator import worker as workers
 from standins.soak import cut_requests
 from standins.soak import platform_server
+from standins.soak import processor_limit
 from standins.soak import proxy as proxies
 
 POOL = "match"
@@ -41,6 +44,12 @@
 # it. It exits later.
 _DRAIN_NOTICE_S = 2.0
 _DRAINED_EXIT_DELAY_S = 4.5
+# Workers that are replaced one after the other exit at times in this range.
+_PLANNED_EXIT_DELAY_S = (2.2, 6.0)
+_PLANNED_DOWNTIME_S = (0.05, 1.0)
+# A step that comes this late shows that this process stood still, and with it
+# store and workers.
+_STALL_S = 0.3
 
 
 class World:
@@ -52,6 +61,7 @@
         entry_count: int,
         worker_count: int,
         log_folder: pathlib.Path,
+        processor_share: float = 1.0,
     ) -> None:
         """Create a world; `run` starts it.
 
@@ -60,6 +70,7 @@
             entry_count: Number of entry processes.
             worker_count: Number of workers.
             log_folder: Folder for the processes' logs.
+            processor_share: Share of a processor that each entry may use.
         """
         self.oracle = oracles.JobOracle()
         self.impairments = impairment_logs.ImpairmentLog()
@@ -83,12 +94,20 @@
         self._paused_entries: set[str] = set()
         self._stopping_entries: set[str] = set()
         self.processes = processes.Processes(log_folder)
+        self._processor_share = processor_share
         self.entry_names = [f"e{number}" for number in range(entry_count)]
         self.urls: dict[str, str] = {}
         self.store_proxies: dict[str, proxies.Proxy] = {}
         self.worker_proxies: dict[str, proxies.Proxy] = {}
         self.workers: dict[str, workers.Worker] = {}
-        self._platform = platform_server.Platform()
+        self.peer_proxies: dict[str, proxies.Proxy] = {}
+        self.longest_stall_s = 0.0
+        self._planned_random = random.Random(f"planned {seed}")
+        # Workers whose processes end and start as planned.
+        self._planned_exits: set[str] = set()
+        self._new_worker_count = 0
+        self._nursery: trio.Nursery | None = None
+        self._platform = platform_server.Platform(seed)
         self._ports = ports.PortAllocator()
         self._settings: dict[str, dict[str, str]] = {}
         self._seed = seed
@@ -119,12 +138,20 @@
     ) -> None:
         """Run store, workers and entries until cancelled."""
         async with trio.open_nursery() as nursery:
+            self._nursery = nursery
             await self._serve_platform(nursery)
             self.operators.write(trio.current_time())
             nursery.start_soon(self._send_heartbeats)
             nursery.start_soon(self._run_steps, nursery)
             for name in self.entry_names:
                 self.start_entry(name)
+            if self._processor_share < 1.0:
+                limit = processor_limit.ProcessorLimit(
+                    self.processes,
+                    self._processor_share,
+                    self._paused_entries.__contains__,
+                )
+                nursery.start_soon(limit.run, self.entry_names)
             task_status.started()
 
     async def _serve_platform(self, nursery: trio.Nursery) -> None:
@@ -142,13 +169,48 @@
             self.store_proxies[name] = proxies.Proxy(port)
             await nursery.start(self.store_proxies[name].run)
             self._settings[name] = self._build_settings(name)
+            await self._run_peer_proxy(nursery, name)
         for name, worker in self.workers.items():
             port = free_ports.pop()
             self._worker_ports[name] = port
+            await self._run_worker_proxy(nursery, name, port)
             self._platform.workers[port] = _build_worker_view(worker)
-            self._platform.worker_names[port] = name
-            self.worker_proxies[name] = proxies.Proxy(port)
-            await nursery.start(self.worker_proxies[name].run)
+
+    async def _run_peer_proxy(self, nursery: trio.Nursery, name: str) -> None:
+        """Put a proxy before an entry's mesh listener."""
+        mesh_port = int(self._settings[name]["CROCUSROUTER_MESH_PORT"])
+        proxy = proxies.Proxy(mesh_port)
+        await nursery.start(proxy.run)
+        self.peer_proxies[name] = proxy
+        self._platform.shown_addresses[f"127.0.0.1:{mesh_port}".encode()] = (
+            f"127.0.0.1:{proxy.port}".encode()
+        )
+
+    async def _run_worker_proxy(
+        self, nursery: trio.Nursery, name: str, port: int
+    ) -> None:
+        self._worker_ports[name] = port
+        self._platform.worker_names[port] = name
+        self._platform.manners[port] = platform_server.AnswerManners()
+        self.worker_proxies[name] = proxies.Proxy(port)
+        await nursery.start(self.worker_proxies[name].run)
+
+    def find_answer_manners(self, name: str) -> platform_server.AnswerManners:
+        """Return how a worker answers; the caller may change it."""
+        return self._platform.manners[self._worker_ports[name]]
+
+    def strand_connections(self, harmed: Mapping[str, proxies.Proxy]) -> None:
+        """Silence all open connections through some proxies for good."""
+        now = trio.current_time()
+        for proxy in harmed.values():
+            proxy.strand_connections()
+        for name in self.entry_names:
+            self.impairments.note_impaired(name, now)
+            self.unplanned_impairments.note_impaired(name, now)
+
+    def _note_store_impaired(self, now: float) -> None:
+        self.impairments.note_store_impaired(now)
+        self.unplanned_impairments.note_store_impaired(now)
 
     def _build_settings(self, name: str) -> dict[str, str]:
         http_port, ready_port, mesh_port, metrics_port = (
@@ -171,7 +233,7 @@
         sequence = 0
         while True:
             sequence += 1
-            for name in self.workers:
+            for name in sorted(self.workers.keys() - self._planned_exits):
                 self._write_worker_entry(name, sequence)
             await trio.sleep(_HEARTBEAT_INTERVAL_S)
 
@@ -215,25 +277,46 @@
             self._record_impairments(now)
             self._check_starts_while_draining()
             self._check_closures()
+            self._check_cancelled_runs(now)
             self.oracle.check_incomplete_gangs(
                 self.impairments.is_unimpaired_since
             )
             self.store.note_silences(self.entry_names, now)
             self.store.expire_leases(now)
             await trio.sleep(_STEP_INTERVAL_S)
+            self._note_stall(trio.current_time() - now - _STEP_INTERVAL_S)
+
+    def _note_stall(self, late_s: float) -> None:
+        """Record how late a step comes; a long stall impairs everything."""
+        self.longest_stall_s = max(self.longest_stall_s, late_s)
+        if late_s > _STALL_S:
+            self._note_store_impaired(trio.current_time())
+
+    def _check_cancelled_runs(self, now: float) -> None:
+        """Check for runs of cancelled jobs that go on."""
+        runs = [
+            observed_run
+            for worker in self.workers.values()
+            for observed_run in worker.list_runs()
+        ]
+        self.oracle.check_cancelled_runs(
+            runs, self.impairments.find_calm_since(), now
+        )
 
     def _record_impairments(self, now: float) -> None:
         """Record which entries, workers and links are impaired."""
         if self.store.is_impaired(now):
-            self.impairments.note_store_impaired(now)
-            self.unplanned_impairments.note_store_impaired(now)
+            self._note_store_impaired(now)
         for name, worker in self.workers.items():
-            link_fault = self.worker_proxies[name].fault
-            if (
-                worker.is_impaired(now)
-                or link_fault is not proxies.LinkFault.NONE
-            ):
+            is_harmed = self.find_answer_manners(name).is_slow
+            is_harmed |= (
+                self.worker_proxies[name].fault is not proxies.LinkFault.NONE
+                and name not in self._planned_exits
+            )
+            if is_harmed or worker.is_impaired(now, counts_shutdown=False):
                 self.impairments.note_impaired(name, now)
+            if worker.is_shutting_down(now) or name in self._planned_exits:
+                self.impairments.note_shutting_down(now)
         for name in self.entry_names:
             is_impaired = name in self.store.entry_faults
             is_impaired |= name in self._paused_entries
@@ -312,6 +395,68 @@
         self.store.remove(f"servers/{name}")
         await self._replace_crashed_worker(name, worker)
 
+    async def replace_worker(self, name: str) -> None:
+        """Start a worker at another address, then drain another one.
+
+        The drained worker exits some time after it may.
+        """
+        worker = self.workers.get(name)
+        if worker is None or worker.draining_since is not None:
+            return
+        assert self._nursery is not None
+        self._new_worker_count += 1
+        new_name = f"{name.partition('+')[0]}+{self._new_worker_count}"
+        [port] = self._ports.allocate_ports(1)
+        config = server.build_server_config(f"127.0.0.1:{port}", 1.0, Metrics())
+        await self._nursery.start(
+            server.serve_http, self._platform, config, trio.sleep_forever
+        )
+        await self._run_worker_proxy(self._nursery, new_name, port)
+        self._add_worker(
+            new_name, worker.entry.data_centre, worker.entry.labels
+        )
+        self._platform.workers[port] = _build_worker_view(
+            self.workers[new_name]
+        )
+        self._write_worker_entry(new_name, 0)
+        if await self._drain_until_exit(name, worker):
+            del self.workers[name]
+            self.store.remove(f"servers/{name}")
+            self.worker_proxies[name].end_process(proxies.ProcessEnd.REFUSE)
+
+    async def renew_worker(self, name: str) -> None:
+        """Drain a worker, then start it again under its id and address."""
+        worker = self.workers.get(name)
+        if worker is None or worker.draining_since is not None:
+            return
+        if not await self._drain_until_exit(name, worker):
+            return
+        proxy = self.worker_proxies[name]
+        self._planned_exits.add(name)
+        proxy.end_process(
+            self._planned_random.choice(
+                (proxies.ProcessEnd.RESET, proxies.ProcessEnd.REFUSE)
+            )
+        )
+        self.store.remove(f"servers/{name}")
+        self._start_new_process(name, worker)
+        await trio.sleep(self._planned_random.uniform(*_PLANNED_DOWNTIME_S))
+        proxy.start_process()
+        self._planned_exits.discard(name)
+        self._write_worker_entry(name, 0)
+
+    async def _drain_until_exit(
+        self, name: str, worker: workers.Worker
+    ) -> bool:
+        """Drain a worker; return whether it has exited as planned."""
+        worker.drain(trio.current_time())
+        self._write_worker_entry(name, 0)
+        await trio.sleep(self._planned_random.uniform(*_PLANNED_EXIT_DELAY_S))
+        if self.workers.get(name) is not worker:
+            return False
+        worker.crash()
+        return True
+
     async def shrink_worker(self, name: str, duration_s: float) -> None:
         """Reduce a worker's room for some seconds."""
         worker = self.workers[name]
@@ -337,6 +482,10 @@
         proxy.start_process()
         if self.workers.get(name) is not worker:
             return
+        self._start_new_process(name, worker)
+
+    def _start_new_process(self, name: str, worker: workers.Worker) -> None:
+        """Start another process under a worker's id, at its address."""
         self._add_worker(name, worker.entry.data_centre, worker.entry.labels)
         new_worker = self.workers[name]
         new_worker.become_new_process(trio.current_time())
