--- a/standins/soak/run.py
+++ b/standins/soak/run.py
@@ -585,7 +585,7 @@
         proxy = self.world.worker_proxies[name]
         match fault:
             case Fault.LATE_ORDERS:
-                worker.late_start_share = _LATE_ORDER_SHARE
+                worker.late_order_share = _LATE_ORDER_SHARE
             case Fault.SLOW_ANSWERS:
                 manners.is_slow = True
             case Fault.CLOSE_USED:
@@ -593,7 +593,7 @@
             case Fault.CLOSE_IDLE:
                 proxy.closes_idle = True
         await trio.sleep(duration_s)
-        worker.late_start_share = 0.0
+        worker.late_order_share = 0.0
         manners.is_slow = False
         manners.closes_used = False
         proxy.closes_idle = False
