Soak: report internal errors of entries; keep logs across restarts

A soak now breaks if an entry logs owner:failed or writes to its error output. The log of a restarted entry was overwritten by its next process.

--- a/standins/emulator/cluster.py
+++ b/standins/emulator/cluster.py
@@ -452,9 +452,7 @@
         for entry in list(self.entries.values()):
             outcome = await entry.job_api.cancel(job_id)
             if outcome is pools.CancelOutcome.DONE:
-                self.oracle.cancelled.setdefault(
-                    job_id, trio.current_time()
-                )
+                self.oracle.cancelled.setdefault(job_id, trio.current_time())
                 return
 
     async def cancel_until_confirmed(self, job_id: str, seed: int) -> None:
--- a/standins/soak/run.py
+++ b/standins/soak/run.py
@@ -237,7 +237,8 @@
         world.oracle.broken
         + world.config_oracle.broken
         + world.closure_oracle.broken
-        + world.cut_checker.broken,
+        + world.cut_checker.broken
+        + world.list_internal_errors(),
         len(world.oracle.accepted),
         len(world.oracle.task_crashes),
         soak_run.faults,
--- a/standins/soak/world.py
+++ b/standins/soak/world.py
@@ -35,6 +35,8 @@
 KEY = "key-of-a"
 _STEP_INTERVAL_S = 0.02
 _HEARTBEAT_INTERVAL_S = 1.5
+# In a line of an entry's log: scheduling has ended by an unexpected error.
+_ERROR_MARK = '"owner:failed"'
 # After this delay another worker runs at a crashed worker's address, under
 # another name.
 _REPLACEMENT_DELAY_S = 3.2
@@ -95,6 +97,7 @@
         self._paused_entries: set[str] = set()
         self._stopping_entries: set[str] = set()
         self.processes = processes.Processes(log_folder)
+        self._log_folder = log_folder
         self._processor_share = processor_share
         self.entry_names = [f"e{number}" for number in range(entry_count)]
         self.urls: dict[str, str] = {}
@@ -528,10 +531,32 @@
         self._paused_entries.discard(name)
         self._stopping_entries.discard(name)
         self.impairments.note_impaired(name, trio.current_time())
+        self._keep_output(name)
         self.processes.start(
             name, "crocusrouter", "entry", **self._settings[name]
         )
 
+    def _keep_output(self, name: str) -> None:
+        """Rename the output of an entry's previous process."""
+        for suffix in ("out", "err"):
+            path = self._log_folder / f"{name}.{suffix}"
+            if path.exists():
+                number = self.start_counts[name] - 1
+                path.rename(self._log_folder / f"{name}-{number}.{suffix}")
+
+    def list_internal_errors(self) -> list[str]:
+        """Return one line for each unexpected error that an entry has logged.
+
+        Callers may not notice such an error, since another entry takes over.
+        """
+        errors = []
+        for path in sorted(self._log_folder.iterdir()):
+            for line in path.read_text(errors="replace").splitlines():
+                if path.suffix == ".err" or _ERROR_MARK in line:
+                    errors.append(f"internal error: {path.name}: {line[-300:]}")
+                    break
+        return errors
+
     def send_signal(self, name: str, signal_number: signal.Signals) -> None:
         """Send a signal to an entry unless its process has ended."""
         if not self.processes.is_running(name):
