--- a/standins/soak/run.py
+++ b/standins/soak/run.py
@@ -74,6 +74,7 @@
     CLOSE_DATA_CENTRE = "close-data-centre"  # to new work
     CANCEL_ALL = "cancel-all"  # all jobs at one moment
     STOP_AMID_CANCELS = "stop-amid-cancels"  # an entry, as all are cancelled
+    LATE_STOPS = "late-stops"  # all are cancelled as orders come late
     LATE_ORDERS = "late-orders"  # a worker carries out orders seconds late
     STRAND_STORE = "strand-store"  # open connections go silent, new ones work
     STRAND_WORKERS = "strand-workers"
@@ -116,6 +117,8 @@
 _MOST_WORKERS_AT_ONCE = 3
 _SERIES_GAP_S = (0.2, 2.0)
 _LATE_ORDER_SHARE = 0.5
+_LATE_STOP_SHARE = 0.9
+_LATE_STOPS_S = 1.0
 # Long enough to see starts that come too late.
 _MIN_CLOSURE_S = 7.0
 # Relative speed of the tasks on a worker.
@@ -483,6 +486,8 @@
                 async with trio.open_nursery() as nursery:
                     nursery.start_soon(self._canceller.cancel_all)
                     nursery.start_soon(self._stop_entry, entry)
+            case Fault.LATE_STOPS:
+                await self._cancel_amid_late_orders()
             case _ if fault in _WORKER_FAULTS:
                 await self._inject_worker_fault(worker, fault, duration_s)
             case _:
@@ -599,6 +604,16 @@
         manners.closes_used = False
         proxy.closes_idle = False
 
+    async def _cancel_amid_late_orders(self) -> None:
+        """Cancel all jobs while all workers leave many orders unanswered."""
+        late_workers = list(self.world.workers.values())
+        for worker in late_workers:
+            worker.late_order_share = _LATE_STOP_SHARE
+        await self._canceller.cancel_all()
+        await trio.sleep(_LATE_STOPS_S)
+        for worker in late_workers:
+            worker.late_order_share = 0.0
+
     async def _replace_workers(self, fault: Fault) -> None:
         """Replace some workers one after the other, without waiting long."""
         count = self.rng.randint(1, _MOST_WORKERS_AT_ONCE)
