Emulate late orders that the next process of a worker carries out

It goes to the worker's present process now, once that has answered an owner; before that nobody can have told it to refuse. A new kind of fault restarts workers beside late orders whose new process leaves its first calls unanswered.

--- a/standins/emulator/faults.py
+++ b/standins/emulator/faults.py
@@ -29,6 +29,8 @@
 _RESTART_RANGE_BEHIND_CUT_S = (1.0, 4.0)
 _MAX_RESTARTED = 3
 _LATE_SHARE = 0.5
+# Longest time for which a new process leaves calls unanswered.
+_UNANSWERED_S = 1.5
 _ANSWER_LOSS_S = 0.1
 _STOP_GRACE_S = 6.0
 # The longest time for which a data centre is closed or open by turns, and by
@@ -93,6 +95,8 @@
     RESTART = "restart"
     RESTART_BEHIND_CUT = "restart-behind-cut"  # cut from the entries
     RESTART_BESIDE_LATE = "restart-beside-late"  # late orders
+    # The same; the new process leaves its first calls unanswered.
+    RESTART_UNANSWERED = "restart-unanswered"
     SLOW_WORKER = "slow-worker"
     STALL_WORKER = (
         "stall-worker"  # its tasks stop progressing; it still answers
@@ -153,6 +157,7 @@
         *DATA_CENTRE_FAULTS,
         *LAPSE_FAULTS,
         *PARTITION_FAULTS,
+        Fault.RESTART_UNANSWERED,
     )
 )
 # Speed of a worker's tasks under a fault, as a share of the usual speed.
@@ -636,7 +641,7 @@
             restart_delay_s = cluster.random.uniform(
                 *_RESTART_RANGE_BEHIND_CUT_S
             )
-        case Fault.RESTART_BESIDE_LATE:
+        case Fault.RESTART_BESIDE_LATE | Fault.RESTART_UNANSWERED:
             worker.late_order_share = _LATE_SHARE
             await trio.sleep(event.duration_s)
     if not worker.alive:
@@ -645,9 +650,15 @@
     worker.crash()
     await trio.sleep(restart_delay_s)
     cluster.restart_worker(name)
+    new_process = cluster.workers[name]
+    if event.fault is Fault.RESTART_UNANSWERED:
+        new_process.unreachable_from = set(cluster.entry_names)
     await trio.sleep(cluster.random.uniform(0.0, _HEARTBEAT_S))
     if cluster.workers[name].alive:
         cluster.write_worker_entry(name)
+    if event.fault is Fault.RESTART_UNANSWERED:
+        await trio.sleep(cluster.random.uniform(0.0, _UNANSWERED_S))
+        new_process.unreachable_from = set()
 
 
 async def _lapse_twice(cluster: clusters.Cluster, event: FaultEvent) -> None:
@@ -749,7 +760,7 @@
 
 _INJECTORS_BY_KINDS = (
     (SINGLE_ENTRY_FAULTS, _inject_entry_fault),
-    (RESTART_FAULTS, _inject_restarts),
+    ((*RESTART_FAULTS, Fault.RESTART_UNANSWERED), _inject_restarts),
     (CLOSURE_FAULTS, _close_data_centres),
     (DATA_CENTRE_FAULTS, _inject_data_centre_fault),
     (LAPSE_FAULTS, _lapse_twice),
--- a/standins/emulator/tests/test_late_starts.py
+++ b/standins/emulator/tests/test_late_starts.py
@@ -7,6 +7,7 @@
 from crocusrouter.pools import keys
 from standins import emulator
 from standins.emulator import cluster as clusters
+from standins.emulator import faults
 from standins.emulator import worker as workers
 
 _WORKER = "w0"
@@ -107,3 +108,21 @@
         running = [worker.tasks for worker in cluster.workers.values()]
         nursery.cancel_scope.cancel()
     assert not any(running)
+
+
+# Guards against runs of cancelled jobs that nobody stops, on workers that are
+# idle otherwise: their starts were carried out by a process whose first polls
+# had no answer.
+@pytest.mark.parametrize(
+    "seed", [26, 31, 47, 59, 72, 87, 88, 107, 124, 211, 215, 228]
+)
+async def test_late_starts_on_restarted_workers_end(seed, autojump_clock):
+    load = emulator.Load(
+        per_s=1.0, length_s=14.0, cancels=0.5, duration_factor=4.0
+    )
+    events = [
+        faults.FaultEvent(at, emulator.Fault.RESTART_UNANSWERED, 4.0)
+        for at in (3.0, 6.0, 9.0)
+    ]
+    cluster = await emulator.play(seed, load, events, worker_count=16)
+    assert cluster.oracle.broken == []
--- a/standins/emulator/worker.py
+++ b/standins/emulator/worker.py
@@ -125,6 +125,7 @@
         self._last_step_at: float | None = None
         self.unreachable_from: set[str] = set()
         self.late_order_share = 0.0
+        self.has_answered = False
         self.highest_epoch = 0
         self.lease_end_ms = 0.0
         self.tasks: dict[work.TaskKey, TaskRun] = {}
@@ -461,7 +462,9 @@
             task_run.ends_at = now + _CRASH_DELAY_S
         self.tasks[order.key] = task_run
         self.started_runs += 1
-        self.oracle.note_start(self.entry.id, order.key, order.run, now)
+        self.oracle.note_start(
+            self.entry.id, order.key, order.run, now, was_late=was_late
+        )
         if not step.gang:
             return
         task_run.working_since = None
@@ -651,6 +654,7 @@
                 return await self._wait_without_answer(0.6, sent=True)
             report = self._worker.build_report(epoch, seen, None)
         await trio.sleep(_ORDER_DELAY_S)
+        self._worker.has_answered = True
         return report
 
     async def start(
@@ -688,13 +692,27 @@
         self, epoch: int, order: worker_port.Start, until_ms: int
     ) -> None:
         await trio.sleep(self._worker.random.uniform(*_LATE_RANGE_S))
-        if self._worker.alive:
-            self._worker.start_run(epoch, order, until_ms, late=True)
+        process = self._find_late_process()
+        if process is not None:
+            process.start_run(epoch, order, until_ms, late=True)
 
     async def _stop_late(self, epoch: int, order: worker_port.Stop) -> None:
         await trio.sleep(self._worker.random.uniform(*_LATE_RANGE_S))
+        process = self._find_late_process()
+        if process is not None:
+            process.stop_run(epoch, order)
+
+    def _find_late_process(self) -> Worker | None:
+        """Return the process that carries out a late order; None if none does.
+
+        After a restart it is the worker's present process, but only once it has
+        answered an owner: before that nobody can have told it to refuse.
+        """
         if self._worker.alive:
-            self._worker.stop_run(epoch, order)
+            return self._worker
+        process = self._find_process()
+        is_known = process.has_answered and not process.superseded
+        return process if process.alive and is_known else None
 
     async def stop(
         self, epoch: int, order: worker_port.Stop, timeout_s: float
