Store a tombstone for a cancel that finds no job

What callers saw: a job whose cancel was answered with "no such job" (410) ran, and nobody stopped it.

Cause: the cancel left no mark, so a write of the job that was still under way (an unanswered write that the store carries out seconds later, a submission that another entry is still trying, one that arrives again) created the job uncancelled.

Change: a cancel that finds no job writes a tombstone under the job's own key, guarded by the revision that it has read, before it answers 410. Each write of a job requires that this key does not exist, so either the cancel sees the job or the job's write fails for certain. A submission that meets a tombstone learns of it from the mismatch, replaces it by the cancelled job (guarded by the tombstone's revision) and answers 2xx; the state is "cancelled" and nothing starts. While there is only a tombstone, GET and DELETE stay 410; each further cancel renews it. It goes with a lease of the store that the entry shares among its tombstones, 60 s to 120 s after the latest cancel. If the tombstone's write is unanswered or refused, the cancel is unknown (504), as for stored jobs; if the job can't be read, it is not tried, as before.

Calls: a cancel of an unknown job costs one write more, and at most one grant of a lease a minute and entry; acceptance costs none, but one write where it meets a tombstone; other cancels none.

Not taken: a key of its own (cancelled/ID) as a second guard of acceptance. RelayWrite has one guard, and entries of the earlier version would store the job without regard to the mark. Under the job's key their writes fail too. Nor removal by the owner's job expiry: a pool may have no owner, and owners of the earlier version would not do it.

Versions side by side: to an earlier version a tombstone is a cancelled job of no pool, which its owners ignore; it shows the state "cancelled", answers a further cancel with 200, and a submission with 200 without storing it. Its own cancels write no tombstone, so the fault remains for them. RelayShortLivedWrite is a new message (the others keep their form); peers of the earlier version do not answer it, and the cancel is then unknown.

--- a/crocusrouter/mesh/messages.py
+++ b/crocusrouter/mesh/messages.py
@@ -255,7 +255,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class RelayOutcome:
-    """The outcome of a peer's write for the sender of `RelayWrite`.
+    """The outcome of a peer's write for the sender of a relayed write.
 
     Attributes:
         outcome: "written", "mismatched", "not-written" or "unknown".
@@ -268,6 +268,18 @@
     value: bytes = b""
 
 
+@dataclasses.dataclass(frozen=True)
+class RelayShortLivedWrite:
+    """Like `RelayWrite`, for a key that the store removes after a while.
+
+    Entries of earlier versions do not know this message and do not answer it.
+    """
+
+    key: str
+    expected_revision: int
+    value: bytes
+
+
 REGISTRY = codec.Registry(
     Heartbeat,
     AskCatalog,
@@ -294,4 +306,5 @@
     RelayRecord,
     RelayWrite,
     RelayOutcome,
+    RelayShortLivedWrite,
 )
--- a/crocusrouter/pools/entry.py
+++ b/crocusrouter/pools/entry.py
@@ -166,7 +166,7 @@
             metrics,
             may_wait_long=True,
         )
-        self._relay = relay.RelayedStore(direct_store, self.peers)
+        self._relay = relay.RelayedStore(direct_store, self.peers, self.clock)
         self.config_refresher = config_refresh.ConfigRefresher(
             self.configuration,
             self._read_operator_records,
@@ -349,7 +349,7 @@
                 )
             case messages.RelayRead():
                 return await self._relay.answer_read(message)
-            case messages.RelayWrite():
+            case messages.RelayWrite() | messages.RelayShortLivedWrite():
                 return await self._relay.answer_write(message)
             case _:
                 raise TypeError(f"no answer to {type(message).__name__}")
--- a/crocusrouter/pools/job_api.py
+++ b/crocusrouter/pools/job_api.py
@@ -17,8 +17,10 @@
 from crocusrouter.pools import owner as owners
 from crocusrouter.pools import peers as peer_links
 from crocusrouter.pools import relay
+from crocusrouter.pools import tombstones
 from crocusrouter.store import client
 from crocusrouter.store import key_value
+from crocusrouter.store import records
 from crocusrouter.telemetry import Metrics
 from crocusrouter.telemetry import log
 
@@ -51,6 +53,19 @@
     UNKNOWN = "unknown"
 
 
+@dataclasses.dataclass(frozen=True)
+class _StoredJob:
+    """What is stored under a job's key.
+
+    Attributes:
+        job: The job; None if the key does not exist or holds a tombstone.
+        revision: Revision of the key; 0 if it does not exist.
+    """
+
+    job: work.Job | None
+    revision: int
+
+
 class StateUnknownError(Exception):
     """Neither the owner nor the store could be asked."""
 
@@ -68,6 +83,40 @@
     return AcceptOutcome.UNKNOWN
 
 
+def _parse_record(record: records.Record | None) -> _StoredJob:
+    """Return what a record says about the job under its key.
+
+    Raises:
+        BadMessageError: The record can't be read.
+    """
+    if record is None:
+        return _StoredJob(None, 0)
+    job: work.Job = codec.unpack(work.Job, record.value)
+    is_tombstone = tombstones.is_tombstone(job)
+    return _StoredJob(None if is_tombstone else job, record.revision)
+
+
+def _find_tombstone(
+    outcome: key_value.WriteOutcome, guard: key_value.Guard
+) -> int | None:
+    """Return the revision of the tombstone that prevented a job's write.
+
+    Returns:
+        0 if the guard's own tombstone has ended; None if no tombstone
+        prevented the write.
+    """
+    if not isinstance(outcome, key_value.Mismatched):
+        return None
+    record = outcome.current.get(guard.key)
+    if record is None and guard.revision == 0:
+        return None
+    try:
+        stored = _parse_record(record)
+    except codec.BadMessageError:
+        return None
+    return stored.revision if stored.job is None else None
+
+
 def log_refusal(
     method: str,
     path: str,
@@ -124,7 +173,8 @@
 
         The key must not exist before, so any number of tries by any entries
         creates one job. Only if every try certainly had no effect may the
-        caller be told that the job never runs.
+        caller be told that the job never runs. A job whose cancel came before
+        it is stored as cancelled.
 
         Args:
             job: The submitted job.
@@ -156,19 +206,25 @@
         outage, they have given up before it ends.
         """
         key = keys.build_job_key(job.id)
-        value = codec.pack(job)
+        revision = 0
         began_at = self._clock.steady()
         is_in_doubt = False
         while True:
             outcome = AcceptOutcome.UNKNOWN
             left_s = began_at + _MAX_TRY_SHARE * patience_s
-            left_s -= self._clock.steady()
+            left_s = max(0.0, left_s - self._clock.steady())
             with trio.move_on_after(left_s if patience_s else math.inf):
-                outcome = _classify_outcome(
-                    await self._store.write(
-                        key_value.Guard(key, 0), key_value.Write(key, value)
-                    )
+                guard = key_value.Guard(key, revision)
+                write_outcome = await self._store.write(
+                    guard, key_value.Write(key, codec.pack(job))
                 )
+                tombstone_revision = _find_tombstone(write_outcome, guard)
+                if tombstone_revision is not None:
+                    job = dataclasses.replace(job, cancelled=True)
+                    revision = tombstone_revision
+                    log("job:tombstone", job=job.id, revision=revision)
+                    continue
+                outcome = _classify_outcome(write_outcome)
             if outcome is AcceptOutcome.STORED:
                 return outcome
             is_in_doubt |= outcome is AcceptOutcome.UNKNOWN
@@ -190,26 +246,31 @@
     # Cancelling.
 
     async def cancel(self, job_id: str) -> CancelOutcome:
-        """Mark a job as cancelled; its owner stops it."""
+        """Mark a job as cancelled; its owner stops it.
+
+        If there is no job, a tombstone is stored before the caller is told so:
+        a write of the job may still be under way.
+        """
         key = keys.build_job_key(job_id)
         has_tried_write = False
+        first_revision: int | None = None
         for _ in range(_MAX_CANCEL_TRIES):
             try:
                 record = await self._store.read(key)
             except client.StoreUnavailableError as error:
                 log("job:cancel", job=job_id, outcome=str(error))
                 break
-            if record is None:
+            stored = _parse_record(record)
+            if first_revision is None:
+                first_revision = stored.revision
+            if stored.job is None and stored.revision > first_revision:
+                # Written since this call began, by an unanswered try or by
+                # another cancel.
                 return CancelOutcome.NO_JOB
-            job: work.Job = codec.unpack(work.Job, record.value)
-            if job.cancelled:
+            if stored.job is not None and stored.job.cancelled:
                 return CancelOutcome.DONE
-            cancelled_job = dataclasses.replace(job, cancelled=True)
             has_tried_write = True
-            outcome = await self._store.write(
-                key_value.Guard(key, record.revision),
-                key_value.Write(key, codec.pack(cancelled_job)),
-            )
+            outcome = await self._write_cancelled(job_id, stored)
             revision = (
                 outcome.revision
                 if isinstance(outcome, key_value.Written)
@@ -220,7 +281,10 @@
                 job=job_id,
                 outcome=type(outcome).__name__,
                 revision=revision,
+                found=stored.job is not None,
             )
+            if revision is not None and stored.job is None:
+                return CancelOutcome.NO_JOB
             if revision is not None:
                 return CancelOutcome.DONE
         return (
@@ -229,6 +293,26 @@
             else CancelOutcome.NOT_TRIED
         )
 
+    async def _write_cancelled(
+        self, job_id: str, stored: _StoredJob
+    ) -> key_value.WriteOutcome:
+        """Replace a job by the cancelled job, or no job by a tombstone.
+
+        A tombstone is written anew by each cancel, so that it outlasts the
+        writes that were sent before the latest one.
+        """
+        key = keys.build_job_key(job_id)
+        guard = key_value.Guard(key, stored.revision)
+        if stored.job is None:
+            value = tombstones.build_tombstone(job_id, self._clock.wall())
+            return await self._store.write(
+                guard, key_value.Write(key, value), is_short_lived=True
+            )
+        cancelled_job = dataclasses.replace(stored.job, cancelled=True)
+        return await self._store.write(
+            guard, key_value.Write(key, codec.pack(cancelled_job))
+        )
+
     # State.
 
     async def find_state(self, pool: str, job_id: str) -> work.State | None:
@@ -259,14 +343,14 @@
         """
         try:
             job_record = await self._store.read(keys.build_job_key(job_id))
-            if job_record is None:
+            job = _parse_record(job_record).job
+            if job is None:
                 return None
             progress_record = await self._store.read(
                 keys.build_progress_key(job_id)
             )
         except client.StoreUnavailableError as error:
             raise StateUnknownError(str(error)) from error
-        job: work.Job = codec.unpack(work.Job, job_record.value)
         progress = (
             work.parse_progress(progress_record.value)
             if progress_record
--- a/crocusrouter/pools/relay.py
+++ b/crocusrouter/pools/relay.py
@@ -5,10 +5,14 @@
 store their job within milliseconds.
 """
 
+import dataclasses
+
 import trio
 
 from crocusrouter.mesh import messages
+from crocusrouter.pools import clocks
 from crocusrouter.pools import peers as peer_links
+from crocusrouter.pools import shared_lease
 from crocusrouter.store import client
 from crocusrouter.store import key_value
 from crocusrouter.store import observed_store
@@ -30,9 +34,12 @@
         self,
         store: observed_store.ObservedStore,
         peers: peer_links.Peers,
+        clock: clocks.Clock,
     ) -> None:
         self._store = store
         self._peers = peers
+        self._clock = clock
+        self._shared_lease = shared_lease.SharedLease(store)
         self._is_probing = False
 
     async def wait_until_served(self, probe_key: str) -> None:
@@ -90,25 +97,44 @@
         )
 
     async def write(
-        self, guard: key_value.Guard, write: key_value.Write
+        self,
+        guard: key_value.Guard,
+        write: key_value.Write,
+        *,
+        is_short_lived: bool = False,
     ) -> key_value.WriteOutcome:
         """Write one guarded key.
 
+        Args:
+            guard: Condition of the write.
+            write: The key to write, without a lease.
+            is_short_lived: Whether the store removes the key after a while,
+                but not before `shared_lease.MIN_LIFETIME_S`.
+
         Returns:
             NotWritten only if every try certainly had no effect.
         """
-        outcome = await self._write_directly(guard, write)
+        make_request = (
+            messages.RelayShortLivedWrite
+            if is_short_lived
+            else messages.RelayWrite
+        )
+        request = make_request(guard.key, guard.revision, write.value)
+        outcome = await self._write_directly(guard, write, is_short_lived)
         if not _has_failed(outcome):
             return outcome
         for peer in self._peers.choose_helpers()[:_MAX_PEER_TRIES]:
-            peer_outcome = await self._write_by_peer(peer, guard, write)
+            peer_outcome = await self._write_by_peer(peer, request)
             if not _has_failed(peer_outcome):
                 return peer_outcome
             outcome = _choose_less_certain(outcome, peer_outcome)
         return outcome
 
     async def _write_directly(
-        self, guard: key_value.Guard, write: key_value.Write
+        self,
+        guard: key_value.Guard,
+        write: key_value.Write,
+        is_short_lived: bool,
     ) -> key_value.WriteOutcome:
         """Write directly, unless the store is known to be unavailable.
 
@@ -121,18 +147,29 @@
             return key_value.NotWritten(
                 "the store is known to be unavailable; not tried"
             )
-        return await self._store.write(
+        if is_short_lived:
+            try:
+                lease = await self._shared_lease.obtain(self._clock.steady())
+            except client.StoreUnavailableError as error:
+                return key_value.NotWritten(f"no lease: {error}")
+            write = dataclasses.replace(write, lease=lease)
+        outcome = await self._store.write(
             (guard,), (write,), timeout_s=_STORE_TIMEOUT_S
         )
+        if isinstance(outcome, key_value.LeaseEnded):
+            self._shared_lease.discard(write.lease)
+            return key_value.NotWritten("the lease has ended")
+        return outcome
 
     async def _write_by_peer(
-        self, peer: str, guard: key_value.Guard, write: key_value.Write
+        self,
+        peer: str,
+        request: messages.RelayWrite | messages.RelayShortLivedWrite,
     ) -> key_value.WriteOutcome:
-        request = messages.RelayWrite(guard.key, guard.revision, write.value)
         reply = await self._peers.call(peer, request)
         if not isinstance(reply, messages.RelayOutcome):
             return key_value.MaybeWritten("the peer gave no answer")
-        return _parse_outcome(guard.key, reply)
+        return _parse_outcome(request.key, reply)
 
     # Requests of peers.
 
@@ -151,12 +188,13 @@
         return messages.RelayRecord(True, record.value, record.revision)
 
     async def answer_write(
-        self, request: messages.RelayWrite
+        self, request: messages.RelayWrite | messages.RelayShortLivedWrite
     ) -> messages.RelayOutcome:
         """Write for a peer, directly only."""
         outcome = await self._write_directly(
             key_value.Guard(request.key, request.expected_revision),
             key_value.Write(request.key, request.value),
+            isinstance(request, messages.RelayShortLivedWrite),
         )
         match outcome:
             case key_value.Written(revision):
--- a/crocusrouter/pools/tests/test_relay.py
+++ b/crocusrouter/pools/tests/test_relay.py
@@ -3,7 +3,10 @@
 import pytest
 import trio
 
+from crocusrouter import mesh
 from crocusrouter import pools
+from crocusrouter.mesh import messages
+from crocusrouter.pools import keys
 from crocusrouter.work.tests import build
 from standins import emulator
 from standins.emulator import cluster as clusters
@@ -91,3 +94,50 @@
             assert await job_api.count_pending(clusters.POOL, "q") is not None
         nursery.cancel_scope.cancel()
     assert cluster.find_owner() not in refused_entries
+
+
+# Guards against callers that can't cancel at an entry that the store refuses,
+# against a tombstone that a peer stores for good, and against a peer of an
+# earlier version, which doesn't answer, taken for one that has stored it.
+@pytest.mark.parametrize(
+    "fault", [emulator.StoreFault.BUSY, emulator.StoreFault.SILENT]
+)
+@pytest.mark.parametrize("peers_know_message", [True, False])
+async def test_peer_stores_the_tombstone_of_a_cancel(
+    peers_know_message, fault, autojump_clock, monkeypatch
+):
+    answer_peer = pools.PoolEntry.answer_peer
+
+    async def answer_as_earlier_version(entry, message):
+        if isinstance(message, messages.RelayShortLivedWrite):
+            raise mesh.PeerUnreachableError("no answer", maybe_received=True)
+        return await answer_peer(entry, message)
+
+    if not peers_know_message:
+        monkeypatch.setattr(
+            pools.PoolEntry, "answer_peer", answer_as_earlier_version
+        )
+    cluster = clusters.Cluster(1)
+    job = build.make_job(
+        "0123456789abcdef", build.make_step(1), pool=clusters.POOL
+    )
+    key = keys.build_job_key(job.id)
+    async with trio.open_nursery() as nursery:
+        await nursery.start(cluster.run)
+        await trio.sleep(3.0)
+        cluster.store.entry_faults["e0"] = fault
+        await trio.sleep(1.0)
+        job_api = cluster.entries["e0"].job_api
+        cancel_outcome = await job_api.cancel(job.id)
+        if peers_know_message:
+            assert cancel_outcome is pools.CancelOutcome.NO_JOB
+            assert cluster.store.items[key].lease in cluster.store.leases
+            cluster.oracle.jobs[job.id] = job
+            assert await job_api.accept(job) is pools.AcceptOutcome.STORED
+            assert cluster.store.items[key].lease == 0
+            await trio.sleep(8.0)
+        else:
+            assert cancel_outcome is pools.CancelOutcome.UNKNOWN
+            assert key not in cluster.store.items
+        nursery.cancel_scope.cancel()
+    assert job.id not in cluster.oracle.first_started_at
--- a/standins/emulator/tests/test_late_starts.py
+++ b/standins/emulator/tests/test_late_starts.py
@@ -1,8 +1,11 @@
 """Tasks that have to be gone some seconds after the cancel of their job."""
 
+import dataclasses
+
 import pytest
 import trio
 
+from crocusrouter import pools
 from crocusrouter import work
 from crocusrouter.pools import keys
 from standins import emulator
@@ -12,6 +15,9 @@
 _WORKER = "w0"
 # A stop takes 0.15 s here, and a calm owner learns of a run within a poll.
 _MAX_RUN_S = 3.2
+# The store carries out an unanswered write at most this much later.
+_MAX_LATE_S = 6.0
+_SMALL_ROOM = work.Room(100, 64, 0)
 
 
 def _make_job():
@@ -106,3 +112,51 @@
         running = [worker.tasks for worker in cluster.workers.values()]
         nursery.cancel_scope.cancel()
     assert not any(running)
+
+
+# Guards against a run of a job whose write the store carries out seconds after
+# a cancel was answered, with "no such job" or otherwise.
+@pytest.mark.parametrize("seed", [1, 2, 3])
+async def test_jobs_stored_late_do_not_run_after_their_cancel(
+    seed, autojump_clock
+):
+    cluster = emulator.Cluster(seed)
+    outcomes = {}
+
+    async def submit_and_cancel(number):
+        job_id = f"{number:016x}"
+        job = dataclasses.replace(
+            _make_job(), id=job_id, steps=(work.Step(1, _SMALL_ROOM, 60.0),)
+        )
+        await trio.sleep(0.1 * number)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(cluster.submit, job)
+            await trio.sleep(cluster.random.uniform(0.0, 1.5))
+            name = cluster.random.choice(cluster.entry_names)
+            cluster.oracle.cancels_sent.add(job_id)
+            outcomes[job_id] = await cluster.entries[name].job_api.cancel(
+                job_id
+            )
+
+    async with trio.open_nursery() as nursery:
+        await nursery.start(cluster.run)
+        await trio.sleep(3.0)
+        cluster.store.fault = emulator.StoreFault.LATE
+        async with trio.open_nursery() as callers:
+            for number in range(40):
+                callers.start_soon(submit_and_cancel, number)
+        cluster.store.fault = emulator.StoreFault.NONE
+        await trio.sleep(_MAX_LATE_S + _MAX_RUN_S)
+        running = {
+            key.job
+            for worker in cluster.workers.values()
+            for key in worker.tasks
+        }
+        nursery.cancel_scope.cancel()
+    answered = {
+        job_id
+        for job_id, outcome in outcomes.items()
+        if outcome in (pools.CancelOutcome.DONE, pools.CancelOutcome.NO_JOB)
+    }
+    assert pools.CancelOutcome.NO_JOB in outcomes.values()
+    assert running & answered == set()
