Send stops without waiting for starts

What callers would see: a cancelled job's task runs on while starts to its worker wait for their answers.

Evidence: test_stop_does_not_wait_for_starts, red before with 3 and 12 starts that take 0.3 s. Stops now have two slots of their own.

--- a/crocusrouter/pools/connections.py
+++ b/crocusrouter/pools/connections.py
@@ -23,8 +23,10 @@
 # One poll waits for a task to end; another one may be needed meanwhile.
 _MAX_POLLS = 2
 # Concurrent orders; an unanswered order occupies its connection until it times
-# out.
+# out. Stops have their own limit, because starts may be many and without an
+# answer.
 _MAX_ORDERS = 3
+_MAX_STOPS = 2
 # How long to wait for a connection that is in use by an order, which is free
 # again within milliseconds. A new connection costs an extra round trip and a
 # poll, and each connection is priced.
@@ -58,6 +60,7 @@
         self._connection_returned = trio.Event()
         self._poll_limiter = trio.CapacityLimiter(_MAX_POLLS)
         self._order_limiter = trio.CapacityLimiter(_MAX_ORDERS)
+        self._stop_limiter = trio.CapacityLimiter(_MAX_STOPS)
 
     async def hold(
         self, epoch: int, seen: int, until_ms: int | None, wait_s: float
@@ -138,8 +141,9 @@
         *,
         is_stop: bool = False,
     ) -> _Answer:
+        limiter = self._stop_limiter if is_stop else self._order_limiter
         with trio.move_on_after(timeout_s) as wait_scope:
-            await self._order_limiter.acquire()
+            await limiter.acquire()
         if wait_scope.cancelled_caught:
             return worker_port.NoAnswer(
                 "all connections are busy", maybe_done=False
@@ -163,7 +167,7 @@
             await self._release_connection(connection)
             return answer
         finally:
-            self._order_limiter.release()
+            limiter.release()
 
     async def _send_unidentified(
         self,
--- a/crocusrouter/pools/tests/test_connections.py
+++ b/crocusrouter/pools/tests/test_connections.py
@@ -24,6 +24,7 @@
         self.sent = []
         self.silent = False
         self.closes = False
+        self.start_s = 0.0
         self.opened = 0
 
     def restart(self, born_ms):
@@ -57,6 +58,7 @@
         return await self._call(("hold", seen, until_ms, wait_s), report)
 
     async def start(self, epoch, order, until_ms, timeout_s):
+        await trio.sleep(self._worker.start_s)
         return await self._call(order, worker_port.Accepted(1))
 
     async def stop(self, epoch, order, timeout_s):
@@ -293,3 +295,21 @@
         await port.hold(1, 57, 9000, 1.0)
     renewal = ("hold", 0, 9000, 1.0)
     assert worker.sent == [("hold", 0, None, 1.0), renewal, renewal]
+
+
+# Guards against stops that wait behind starts without an answer, and are given
+# up and queued again meanwhile.
+@pytest.mark.parametrize("start_count", [0, 3, 12])
+async def test_stop_does_not_wait_for_starts(start_count, autojump_clock):
+    worker = _Worker()
+    worker.start_s = 0.3
+    port = _open_connections(worker)
+    await port.hold(1, 0, None, 0.0)
+    async with trio.open_nursery() as nursery:
+        for _ in range(start_count):
+            nursery.start_soon(_send, port, _START)
+        await trio.sleep(0.05)
+        began_at = trio.current_time()
+        assert await _send(port, _STOP) == worker_port.Accepted(1)
+        assert trio.current_time() < began_at + 0.05
+        nursery.cancel_scope.cancel()
