--- a/crocusrouter/pools/owner.py
+++ b/crocusrouter/pools/owner.py
@@ -397,8 +397,6 @@
             decision_s = self._clock.steady() - began_at
 
     def _decide(self, now: float, wall: float) -> None:
-        # A plan may take long, and stops that are due already don't need it.
-        self._send_stops()
         self.pool_state.open_due_occurrences(wall, now)
         self._check_recovered(now)
         if self.is_recovered:
