--- a/crocusrouter/pools/owner.py
+++ b/crocusrouter/pools/owner.py
@@ -156,6 +156,7 @@
             self.wake,
         )
         self._is_draining = False
+        self._is_deciding = False
         self._worker_list = worker_listing.WorkerList(
             worker_listing.ListSource(
                 platform.workers_prefix, platform.parse_worker
@@ -186,9 +187,15 @@
         self.wake()
 
     def wake(self) -> None:
-        """Schedule a decision because something may have changed."""
+        """Schedule a decision because something may have changed.
+
+        Stops that are due already leave at once: a decision may be some tenths
+        of a second away, and takes as long with many workers on a small VM.
+        """
         self._wake_event.set()
         self._journal.wake()
+        if self._is_deciding:
+            self._send_stops()
 
     async def run(self) -> None:
         """Own the pool until deposed or cancelled.
@@ -226,7 +233,11 @@
                 )
             self._speed_record.restore()
             self.is_loaded = True
-            await self._run_decision_loop()
+            self._is_deciding = True
+            try:
+                await self._run_decision_loop()
+            finally:
+                self._is_deciding = False
 
     async def drain(self, timeout_s: float) -> None:
         """Stop starting tasks and wait until the journal has caught up.
