FAILING TEST: an unreadable answer of the store raises KeyError

A 200 whose document lacks the published fields (a proxy's page, a starting server) raises KeyError in PlatformStore.read, read_prefix, watch, grant_lease and write. The entry's followers of the configuration and of members, and its membership, run unguarded in PoolEntry.run, so one such answer ends the whole entry; in an owner it ends the pool's scheduling. Nine rows fail. No code changed.

--- a/crocusrouter/platform/tests/test_decoding.py
+++ b/crocusrouter/platform/tests/test_decoding.py
@@ -417,3 +417,36 @@
             },
         )
     ]
+
+
+# Guards against an entry that ends with an error because the store, or a proxy
+# before it, answers once with status 200 and another document.
+@pytest.mark.parametrize(
+    "call",
+    [
+        lambda store: store.read("k"),
+        lambda store: store.read_prefix("k/"),
+        lambda store: store.watch("k/", 5, 1.0),
+        lambda store: store.grant_lease(1.8),
+    ],
+    ids=["read", "read-prefix", "watch", "lease"],
+)
+@pytest.mark.parametrize("document", [{}, {"": "starting"}])
+async def test_unreadable_answer_of_the_store_is_no_answer(
+    call, document, monkeypatch
+):
+    _FakeTransport(monkeypatch, calls.Response(200, document))
+    store = platform.PlatformStore("127.0.0.1:1", Metrics())
+    with pytest.raises(client.StoreUnavailableError):
+        await call(store)
+
+
+# Guards against an owner that ends with an error where the answer to its write
+# can't be read; the write may have been carried out.
+async def test_unreadable_answer_to_a_write_tells_nothing(monkeypatch):
+    _FakeTransport(monkeypatch, calls.Response(200, {"": "starting"}))
+    store = platform.PlatformStore("127.0.0.1:1", Metrics())
+    outcome = await store.write(
+        (key_value.Guard("k", 0),), (key_value.Write("k", b"v"),)
+    )
+    assert isinstance(outcome, key_value.MaybeWritten)
