FAILING TEST: a refusal whose reason is no string raises TypeError

_parse_failure looks a list or an object up in a dictionary, outside of the guard that put around reports; the TypeError ends the owner. No code changed.

--- a/crocusrouter/platform/tests/test_worker_answers.py
+++ b/crocusrouter/platform/tests/test_worker_answers.py
@@ -52,3 +52,18 @@
 async def test_accepted_order_needs_no_readable_clock(clock_ms):
     answer = await _connect({"clock_ms": clock_ms}).stop(1, _STOP, 0.3)
     assert answer == worker_port.Accepted(5 if clock_ms == 5 else 0)
+
+
+# Guards against an owner that ends with an error because a refusal of one
+# worker does not have the published form.
+@pytest.mark.parametrize("reason", [["fence"], {"why": "fence"}])
+async def test_refusal_with_an_unreadable_reason_is_a_refusal(reason):
+    connection = _connect({})
+    response = calls.Response(409, {"reason": reason, "clock_ms": 5})
+
+    async def refuse(*_):
+        return response
+
+    connection._connection.call = refuse
+    answer = await connection.stop(1, _STOP, 0.3)
+    assert isinstance(answer, worker_port.Rejected)
