--- a/crocusrouter/pools/tests/test_journal.py
+++ b/crocusrouter/pools/tests/test_journal.py
@@ -137,3 +137,18 @@
         await trio.sleep(1.0)
         assert opened_journal.is_durable("j")
         nursery.cancel_scope.cancel()
+
+
+# Guards against a journal that writes no job any more, and calls the store
+# without a pause, once one job's progress record has been removed.
+async def test_removed_progress_record_blocks_no_other_job(autojump_clock):
+    store = stores.Store(1)
+    async with trio.open_nursery() as nursery:
+        _, pool_state, opened_journal = await _open_journal(store)
+        nursery.start_soon(opened_journal.run)
+        await _end_task(pool_state, opened_journal, 0)
+        store.remove(keys.build_progress_key("j"))
+        with trio.move_on_after(10.0):
+            await _end_task(pool_state, opened_journal, 1)
+        nursery.cancel_scope.cancel()
+    assert _read_progress(store).steps[0, 0].done == {0, 1}
