FAILING TEST: polls without a pause of a worker that closes its connections

Each poll is the first call of its connection and confirms nothing, and a worker that lists an end answers at once: 2,501 connections in 5 s of virtual time (2 ms a call). Lasts as long as the worker shuts down with a run left. No code changed.

--- a/crocusrouter/pools/tests/test_worker_links.py
+++ b/crocusrouter/pools/tests/test_worker_links.py
@@ -7,6 +7,7 @@
 
 from crocusrouter import work
 from crocusrouter.pools import clocks
+from crocusrouter.pools import connections
 from crocusrouter.pools import unanswered_starts
 from crocusrouter.pools import worker_links
 from crocusrouter.work import tracking
@@ -507,3 +508,44 @@
     pool_state.add_run(key, 7, _WORKER, 0.0)
     await link.start(worker_port.Start(key, 7, "", ""))
     assert port.lease_ends_ms == [500 + 6000]
+
+
+class _ClosingConnection:
+    """Closes after one answer, which lists a run and an end."""
+
+    def __init__(self, opened_connections):
+        self.is_open = True
+        opened_connections.append(self)
+
+    async def hold(self, epoch, seen, until_ms, wait_s):
+        await trio.sleep(0.002)
+        self.is_open = False
+        key = work.TaskKey("00000000000000aa", 0, 0, 0)
+        run = worker_port.ReportedRun(key, 7, "", 0.0, 0.0)
+        end = worker_port.RunEnd(
+            1, key._replace(position=1), 3, worker_port.RunOutcome.DONE, ""
+        )
+        return worker_port.Report(1000, (run,), (end,))
+
+    async def stop(self, epoch, order, timeout_s):
+        self.is_open = False
+        return worker_port.Accepted(1000)
+
+    async def aclose(self):
+        self.is_open = False
+
+
+# Guards against polls without a pause, each on a new connection: an end can't
+# be confirmed to a worker that closes its connections, and it answers at once
+# while it lists one.
+async def test_polls_of_a_worker_that_closes_its_connections_are_few(
+    autojump_clock,
+):
+    opened_connections = []
+    port = connections.Connections(
+        _WORKER, lambda: _ClosingConnection(opened_connections)
+    )
+    _, link = _make_link(port)
+    with trio.move_on_after(5.0):
+        await link.run()
+    assert len(opened_connections) <= 30
