FAILING TEST: a lease computed for a closing worker reaches its next process

Connections.hold sends until_ms as the first call of a connection to a worker that closed the previous one. If another process answers, the leases of its runs end by the clock of the process before, and no WorkerLease knows of that. No code changed.

--- a/crocusrouter/pools/tests/test_connections.py
+++ b/crocusrouter/pools/tests/test_connections.py
@@ -313,3 +313,19 @@
         assert await _send(port, _STOP) == worker_port.Accepted(1)
         assert trio.current_time() < began_at + 0.05
         nursery.cancel_scope.cancel()
+
+
+# Guards against a lease that is computed from one process's clock and extends
+# what the next process runs: its owner counts on an earlier end.
+async def test_lease_of_a_closing_worker_reaches_no_other_process(
+    autojump_clock,
+):
+    worker = _Worker()
+    worker.closes = True
+    port = _open_connections(worker)
+    await port.hold(1, 57, 9000, 1.0)
+    worker.restart(born_ms=9)
+    sent_before = len(worker.sent)
+    await port.hold(1, 57, 9000, 1.0)
+    leases_ms = [until_ms for _, _, until_ms, _ in worker.sent[sent_before:]]
+    assert leases_ms == [None]
