--- a/crocusrouter/pools/tests/test_job_api.py
+++ b/crocusrouter/pools/tests/test_job_api.py
@@ -398,3 +398,23 @@
 
     outcome, _ = await _play(submit, emulator.StoreFault.NONE, 0.0)
     assert outcome is pools.AcceptOutcome.STORED
+
+
+# Guards against a cancel or a question that ends with an internal error, so
+# that its caller is told neither a reason nor when to come back.
+@pytest.mark.parametrize("call", ["cancel", "find_state"])
+async def test_unreadable_job_is_answered(call, autojump_clock):
+    async def ask(world):
+        key = keys.build_job_key(_JOB_ID)
+        world.cluster.store.put(key, b"\xff")
+        try:
+            return await getattr(world, call)(_make_job())
+        except pools.StateUnknownError:
+            return None
+
+    answer, _ = await _play(ask, emulator.StoreFault.NONE, 0.1)
+    assert answer in (
+        None,
+        pools.CancelOutcome.UNKNOWN,
+        pools.CancelOutcome.NOT_TRIED,
+    )
