FAILING TEST: runs of a job whose record is removed are never stopped

forget_job drops the job but not its runs. Reports of them find a current run, so they are neither stopped nor strays, their leases are renewed, and a cancel answers that there is no job. No code changed.

--- a/crocusrouter/work/tests/test_pool_state.py
+++ b/crocusrouter/work/tests/test_pool_state.py
@@ -393,3 +393,21 @@
     work.apply_report(pool_state, first_run.worker_id, report, 21.0, 21.0)
     assert build.apply_plan(pool_state, now=30.0).placements == []
     assert pool_state.runs[_key("j")] is second_run
+
+
+# Guards against runs that go on, with renewed leases and nothing that could
+# stop them, once the record of their job has been removed.
+def test_runs_of_a_forgotten_job_are_stopped():
+    pool_state = build.make_pool_state(
+        build.make_job("j", build.make_step(1, lasting=True))
+    )
+    build.apply_plan(pool_state)
+    run = pool_state.runs[_key("j")]
+    pool_state.forget_job("j")
+    report = worker_port.Report(
+        1, (worker_port.ReportedRun(_key("j"), run.number, "", 0.0, 0.0),), ()
+    )
+    for now in (10.0, 20.0):
+        work.apply_report(pool_state, run.worker_id, report, now, now)
+    stopped = [order for _, order in pool_state.outbox]
+    assert worker_port.Stop(_key("j"), run.number) in stopped
