FAILING TEST: unreadable jobs in the record of known workers end each owner

_parse_rows doesn't check the type of the third column; restore_unlisted makes a frozenset of it and raises TypeError, which ends this owner and each successor: the pool has none until the record is repaired. No code changed.

--- a/crocusrouter/pools/tests/test_foreign_records.py
+++ b/crocusrouter/pools/tests/test_foreign_records.py
@@ -61,3 +61,24 @@
     assert len(member_lists) == 4
     assert all("new" in names for names in member_lists)
     assert not any("odd" in names for names in member_lists)
+
+
+# Guards against an unreadable record that ends each owner of its pool.
+@pytest.mark.parametrize("job_ids", [5, [["a"]], True])
+async def test_unreadable_jobs_of_a_listed_worker_end_no_owner(
+    job_ids, autojump_clock
+):
+    store = stores.Store(1)
+    store.put(
+        keys.KNOWN_WORKERS + "match",
+        cbor2.dumps([["w0", "10.0.0.9:1", job_ids]]),
+    )
+    view = stores.StoreView(store, "e0")
+    owner_lease = owner_leases.OwnerLease(
+        view, "match", owner_leases.Holder("e0"), clocks.Clock()
+    )
+    known = known_workers.KnownWorkers(
+        view, owner_lease, work.PoolState(1), lambda _: True, lambda: None
+    )
+    await known.load()
+    known.restore_unlisted(0.0)
