FAILING TEST: one job's unreadable progress ends each owner of its pool

parse_progress lets AttributeError out where a later column is no map; Backlog catches ValueError and BadMessageError. No code changed.

--- a/crocusrouter/pools/tests/test_foreign_records.py
+++ b/crocusrouter/pools/tests/test_foreign_records.py
@@ -4,12 +4,16 @@
 import pytest
 import trio
 
+from crocusrouter import codec
 from crocusrouter import work
+from crocusrouter.pools import backlog
 from crocusrouter.pools import clocks
 from crocusrouter.pools import keys
 from crocusrouter.pools import known_workers
 from crocusrouter.pools import members
 from crocusrouter.pools import owner_leases
+from crocusrouter.telemetry import Metrics
+from crocusrouter.work.tests import build
 from standins import emulator
 from standins.emulator import store as stores
 
@@ -82,3 +86,31 @@
     )
     await known.load()
     known.restore_unlisted(0.0)
+
+
+def _make_backlog(store, pool_state):
+    return backlog.Backlog(
+        stores.StoreView(store, "e0"),
+        "p",
+        pool_state,
+        clocks.Clock(trio.current_time, trio.current_time),
+        Metrics(),
+        lambda: None,
+    )
+
+
+# Guards against one job's unreadable progress that ends each owner of a pool.
+@pytest.mark.parametrize(
+    "value",
+    [
+        cbor2.dumps(5),
+        cbor2.dumps([None, None, [[0, 0, [], {}, {}, [1]]]]),
+        cbor2.dumps([None, None, [[0, 0, [], {}, {}, {}, [1]]]]),
+    ],
+)
+async def test_unreadable_progress_ends_no_owner(value, autojump_clock):
+    store = stores.Store(1)
+    job = build.make_job("j", build.make_step(2))
+    store.put(keys.build_job_key("j"), codec.pack(job))
+    store.put(keys.build_progress_key("j"), value)
+    await _make_backlog(store, work.PoolState(1)).load()
