--- a/crocusrouter/pools/tests/test_foreign_records.py
+++ b/crocusrouter/pools/tests/test_foreign_records.py
@@ -114,3 +114,18 @@
     store.put(keys.build_job_key("j"), codec.pack(job))
     store.put(keys.build_progress_key("j"), value)
     await _make_backlog(store, work.PoolState(1)).load()
+
+
+# Guards against a job whose progress can't be read, and whose ended tasks
+# start again once its record is read a second time.
+async def test_job_with_unreadable_progress_never_starts_anew(autojump_clock):
+    store = stores.Store(1)
+    job = build.make_job("j", build.make_step(2))
+    store.put(keys.build_job_key("j"), codec.pack(job))
+    store.put(keys.build_progress_key("j"), b"\xff")
+    pool_state = work.PoolState(1)
+    jobs = _make_backlog(store, pool_state)
+    await jobs.load()
+    assert "j" not in pool_state.jobs
+    await jobs._follower.load()
+    assert "j" not in pool_state.jobs
