FAILING TEST: a member at an impossible address ends each other entry

parse_member admits addresses to which PeerLink.run can't dial; codec.keep_connected lets ValueError and UnicodeError out, and they end Peers.run and the entry. Seen with PeerLink.run: port 99999, an open bracket, an empty label. No code changed.

--- a/crocusrouter/pools/tests/test_foreign_records.py
+++ b/crocusrouter/pools/tests/test_foreign_records.py
@@ -129,3 +129,13 @@
     assert "j" not in pool_state.jobs
     await jobs._follower.load()
     assert "j" not in pool_state.jobs
+
+
+# Guards against an entry that ends with an error because no connection can be
+# opened to the address in another member's record.
+@pytest.mark.parametrize(
+    "value", [b"10.0.0.9:99999", b"[::1:7000", b"a..b:7000"]
+)
+def test_member_at_an_impossible_address_is_rejected(value):
+    with pytest.raises(ValueError, match="."):
+        members.parse_member(value)
