Renew no lease on a connection without an identity

A worker that closes each connection after one answer got renewals as the first call of a connection. If it restarts in between, what its next process runs is leased by the clock of the process before, up to hold_max, and no WorkerLease knows of that end, on which a successor counts (review of the fix; test_lease_of_a_closing_worker_reaches_no_other_process, red before).

Cost: tasks on a worker that shuts down so end with their lease, after 6 s at most; stops still reach it.

--- a/crocusrouter/pools/connections.py
+++ b/crocusrouter/pools/connections.py
@@ -8,8 +8,9 @@
 the expected incarnation has answered.
 
 A worker that closes each connection after one answer, as servers do while they
-shut down, gets stops and renewals as first calls: neither harms another
-incarnation, and without them its tasks could not be stopped or would end early.
+shut down, gets stops as first calls: a stop does no harm to another
+incarnation, and its tasks could not be stopped otherwise. Its leases are not
+renewed, since they would end by the clock of a process that may have gone.
 """
 
 from collections.abc import Awaitable
@@ -55,7 +56,6 @@
         self._open_connection = open_connection
         self._idle: list[worker_port.Connection] = []
         self._is_closed = False
-        self._closes_connections = False
         self._orders_in_flight = 0
         self._connection_returned = trio.Event()
         self._poll_limiter = trio.CapacityLimiter(_MAX_POLLS)
@@ -70,16 +70,7 @@
             connection = await self._take_idle()
             if connection is None:
                 connection = self._open_connection()
-                # A worker that closes each connection after one answer would
-                # never have its lease renewed otherwise.
-                renewal_ms = until_ms if self._closes_connections else None
-                answer = await self._identify(
-                    connection, epoch, wait_s, renewal_ms
-                )
-                self._closes_connections = (
-                    isinstance(answer, worker_port.Report)
-                    and not connection.is_open
-                )
+                answer = await self._identify(connection, epoch, wait_s)
             else:
                 answer = self._check_incarnation(
                     await connection.hold(epoch, seen, until_ms, wait_s)
@@ -221,10 +212,9 @@
         connection: worker_port.Connection,
         epoch: int,
         wait_s: float,
-        until_ms: int | None = None,
     ) -> worker_port.Report | _Refused:
         return self._check_incarnation(
-            await connection.hold(epoch, 0, until_ms, wait_s)
+            await connection.hold(epoch, 0, None, wait_s)
         )
 
     def _check_incarnation(
