Limit polls of a worker to which no end can be confirmed

A worker that closes each connection after one answer is polled on a new connection each time, which confirms nothing; while it lists an end it answers at once.

--- a/crocusrouter/pools/worker_links.py
+++ b/crocusrouter/pools/worker_links.py
@@ -20,7 +20,8 @@
 _POLL_WAIT_S = 1.0
 _RETRY_DELAY_S = 0.25
 # A worker lists ended tasks until they are confirmed, so polls return at once.
-# This limits their rate while the journal can't be written.
+# This limits their rate while the journal can't be written, or the confirmation
+# does not reach the worker.
 _UNCONFIRMED_POLL_DELAY_S = 0.5
 # Orders are answered in milliseconds. An order without an answer is sent again
 # after this time under the same run number, so it can't run twice.
@@ -84,6 +85,8 @@
         self._stops_in_flight: set[worker_port.Stop] = set()
         # Whether the worker has listed ends that the journal may not hold.
         self._has_unsaved_ends = False
+        # Whether the last report has listed ends that were confirmed before.
+        self._lists_confirmed_ends = False
         self._wake_event = trio.Event()
         self._clock_lock = trio.Lock()
         self._is_abandoned = False
@@ -114,6 +117,8 @@
                 self._wake_event = trio.Event()
                 if not self._is_abandoned:
                     await self._poll(_POLL_WAIT_S)
+                if self._lists_confirmed_ends:
+                    await trio.sleep(_UNCONFIRMED_POLL_DELAY_S)
         finally:
             self._pending_starts.listeners.remove(self.wake)
             with trio.CancelScope(shield=True):
@@ -171,9 +176,10 @@
         )
         self._on_change()
         self._has_unsaved_ends = bool(report.ended)
+        last_number = max((ended.number for ended in report.ended), default=0)
+        self._lists_confirmed_ends = 0 < last_number <= self._confirmed_number
         if not report.ended:
             return
-        last_number = max(ended.number for ended in report.ended)
         with trio.move_on_after(_UNCONFIRMED_POLL_DELAY_S):
             await self._settle()
             self._confirmed_number = max(self._confirmed_number, last_number)
