Contain unexpected errors of one worker's link

It now ends that call alone: link:failed and its counter, a failed start is stopped and its task placed elsewhere, a failed poll counts as silence, and the worker is polled again a second later.

Evidence: test_errors_of_one_worker_end_no_owner, three rows, red before (owner:failed).

--- a/crocusrouter/pools/entry.py
+++ b/crocusrouter/pools/entry.py
@@ -451,6 +451,7 @@
             self._store, pool, self._holder, self.clock
         )
         self._owner_leases[pool] = owner_lease
+        may_release_at = self.clock.steady() + owner_leases.TTL_S
         try:
             if await owner_lease.acquire(
                 self._ownership.find_replaceable_revision(pool)
@@ -462,14 +463,15 @@
             log("owner:deposed", pool=pool, cause=repr(errors.exceptions))
         except* Exception as errors:
             # A fault in one pool's scheduling must not end the entry, which
-            # serves callers too. Another entry takes over at once.
+            # serves callers too. Another entry takes over.
             self.metrics.count_event("owner-failed")
             log(
                 "owner:failed",
                 pool=pool,
                 error="".join(traceback.format_exception(errors)),
             )
-            if owner_lease.epoch:
+            # A lasting fault must not travel through all entries at once.
+            if owner_lease.epoch and self.clock.steady() > may_release_at:
                 await owner_lease.release()
                 # Lets others try first: the fault may lie in this entry.
                 await trio.sleep(owner_leases.TTL_S)
--- a/crocusrouter/pools/owner.py
+++ b/crocusrouter/pools/owner.py
@@ -1,9 +1,11 @@
 """Runs one pool under an epoch: scheduling, journal and links to workers."""
 
 import collections
+from collections.abc import Awaitable
 from collections.abc import Callable
 import dataclasses
 import functools
+import traceback
 
 import trio
 
@@ -340,7 +342,9 @@
     async def _run_link(
         self, incarnation: str, link: worker_links.WorkerLink
     ) -> None:
-        await link.run()
+        while not await self._contain_errors(incarnation, link.run):
+            if not await link.handle_failure():
+                break
         del self._links[incarnation]
         worker_state = self.pool_state.workers.get(incarnation)
         if worker_state is None:
@@ -351,6 +355,42 @@
         else:
             self._forget_if_finished(incarnation)
 
+    async def _contain_errors(
+        self,
+        incarnation: str,
+        call: Callable[..., Awaitable[None]],
+        *arguments: object,
+    ) -> bool:
+        """Make a call of one worker's link.
+
+        An unexpected error must not end the scheduling of the whole pool.
+
+        Returns:
+            Whether the call has ended without an error.
+
+        Raises:
+            DeposedError: The worker knows a later owner.
+        """
+        try:
+            await call(*arguments)
+        except journals.DeposedError:
+            raise
+        except Exception as error:
+            self._metrics.count_event("link-failed")
+            log(
+                "link:failed",
+                worker=incarnation,
+                error="".join(traceback.format_exception(error)),
+            )
+            return False
+        return True
+
+    async def _deliver_start(
+        self, link: worker_links.WorkerLink, order: worker_port.Start
+    ) -> None:
+        if not await self._contain_errors(link.incarnation, link.start, order):
+            link.give_up_start(order)
+
     def _forget_if_finished(self, incarnation: str) -> None:
         worker_state = self.pool_state.workers.get(incarnation)
         if (
@@ -501,7 +541,7 @@
     def _send_starts(self, start_orders: _StartOrders) -> None:
         assert self._nursery is not None
         for link, order in start_orders:
-            self._nursery.start_soon(link.start, order)
+            self._nursery.start_soon(self._deliver_start, link, order)
 
     async def _start_parked(self, start_orders: _StartOrders) -> None:
         """Send starts once the stored record no longer names the job as parked.
@@ -528,7 +568,9 @@
         for incarnation, order in stops:
             link = self._links.get(incarnation)
             if link is not None:
-                self._nursery.start_soon(link.stop, order)
+                self._nursery.start_soon(
+                    self._contain_errors, incarnation, link.stop, order
+                )
                 continue
             self._metrics.count_event("stop-undelivered")
             log(
@@ -547,4 +589,6 @@
                 # answered.
                 run.paced_at = now
                 order = worker_port.Pace(run.key, run.number, percent)
-                self._nursery.start_soon(link.pace, order)
+                self._nursery.start_soon(
+                    self._contain_errors, run.worker_id, link.pace, order
+                )
--- a/crocusrouter/pools/worker_links.py
+++ b/crocusrouter/pools/worker_links.py
@@ -19,6 +19,8 @@
 # progress.
 _POLL_WAIT_S = 1.0
 _RETRY_DELAY_S = 0.25
+# Pause after an unexpected error of a link.
+_FAILURE_DELAY_S = 1.0
 # A worker lists ended tasks until they are confirmed, so polls return at once.
 # This limits their rate while the journal can't be written, or the confirmation
 # does not reach the worker.
@@ -199,6 +201,16 @@
                 self._is_abandoned = True
         await trio.sleep(_RETRY_DELAY_S)
 
+    async def handle_failure(self) -> bool:
+        """Treat the worker as silent after an unexpected error of `run`.
+
+        Returns:
+            Whether it may be polled again.
+        """
+        await self._handle_silence()
+        await trio.sleep(_FAILURE_DELAY_S)
+        return not self._is_abandoned
+
     def _abandon(self, successor: str | None) -> None:
         """Abandon the incarnation because another one answers in its place."""
         self._is_abandoned = True
@@ -270,7 +282,7 @@
                     )
                     if not maybe_done:
                         await trio.sleep(_RETRY_DELAY_S)
-        await self._resolve_unconfirmed_start(order, maybe_begun)
+        self._resolve_unconfirmed_start(order, maybe_begun=maybe_begun)
 
     async def _refresh_clock_reading(self) -> None:
         """Poll a worker that has been idle for long.
@@ -283,6 +295,16 @@
                 await self._poll(0.0)
                 self.wake()
 
+    def give_up_start(self, order: worker_port.Start) -> None:
+        """Stop a run whose start has failed with an unexpected error.
+
+        Its task starts on another worker then.
+        """
+        run = self._pool_state.runs.get(order.key)
+        if run is not None and run.tracked_step is not None:
+            run.tracked_step.avoided_workers.add(self.incarnation)
+        self._resolve_unconfirmed_start(order, maybe_begun=True)
+
     def _may_send(self, order: worker_port.Start) -> bool:
         """Return whether a start may be sent, or sent again.
 
@@ -322,8 +344,8 @@
         self._pool_state.note_never_started(order.key, order.run, why, now)
         self._on_change()
 
-    async def _resolve_unconfirmed_start(
-        self, order: worker_port.Start, maybe_begun: bool
+    def _resolve_unconfirmed_start(
+        self, order: worker_port.Start, *, maybe_begun: bool
     ) -> None:
         """Resolve a start that was not confirmed in time.
 
--- a/standins/emulator/tests/test_takeover.py
+++ b/standins/emulator/tests/test_takeover.py
@@ -7,6 +7,7 @@
 from standins import emulator
 from standins.emulator import cluster as clusters
 from standins.emulator import store as stores
+from standins.emulator import worker as worker_views
 
 _OUTAGE_S = 1.5
 # An entry owns the pool 0.2 s after the entries are back.
@@ -239,3 +240,33 @@
         assert trio.current_time() < failed_at + _START_LIMIT_S
         assert entry.metrics.counts["event:owner-failed"] == 1
         nursery.cancel_scope.cancel()
+
+
+# Guards against a pool without an owner because of one worker: calls to it end
+# with an error that nobody expects.
+@pytest.mark.parametrize("call", ["hold", "start", "stop"])
+async def test_errors_of_one_worker_end_no_owner(
+    call, autojump_clock, monkeypatch
+):
+    original = getattr(worker_views.WorkerView, call)
+
+    async def fail_on_first_worker(view, *arguments):
+        if view._worker.entry.id == "w0" and trio.current_time() > 3.0:
+            raise RuntimeError("test")
+        return await original(view, *arguments)
+
+    monkeypatch.setattr(worker_views.WorkerView, call, fail_on_first_worker)
+    cluster = emulator.Cluster(3)
+    jobs = [_make_job(number) for number in range(12)]
+    async with trio.open_nursery() as nursery:
+        await nursery.start(cluster.run)
+        await trio.sleep(3.0)
+        for job in jobs:
+            await cluster.submit(job)
+        await cluster.cancel(jobs[0].id)
+        await trio.sleep(30.0)
+        states = await cluster.read_states()
+        counts = [entry.metrics.counts for entry in cluster.entries.values()]
+        nursery.cancel_scope.cancel()
+    assert set(states.values()) <= {"done", "cancelled"}
+    assert not any(count["event:owner-failed"] for count in counts)
