--- a/crocusrouter/pools/journal.py
+++ b/crocusrouter/pools/journal.py
@@ -6,6 +6,8 @@
 later, from replacing a newer record with an older one.
 """
 
+from collections.abc import Iterable
+
 import trio
 
 from crocusrouter import work
@@ -108,17 +110,13 @@
         job_ids = sorted(self._pool_state.dirty)[:_BATCH_JOBS]
         self._pool_state.dirty -= set(job_ids)
         self._writing_ids = frozenset(job_ids)
-        values = {
-            job_id: work.dump_progress(job_work.progress)
-            for job_id in job_ids
-            if (job_work := self._pool_state.jobs.get(job_id)) is not None
-        }
-        finished_ids = [
-            job_id
-            for job_id in values
-            if self._pool_state.jobs[job_id].progress.final_state is not None
-        ]
-        while values:
+        while values := self._dump_progress(job_ids):
+            finished_ids = [
+                job_id
+                for job_id in values
+                if self._pool_state.jobs[job_id].progress.final_state
+                is not None
+            ]
             outcome = await self._write(values)
             if isinstance(outcome, key_value.Written):
                 for job_id in values:
@@ -130,11 +128,18 @@
                     values.keys() - self._pool_state.dirty
                 )
                 break
-            self._handle_failure(outcome)
-            if not isinstance(outcome, key_value.Mismatched):
+            if not self._handle_failure(outcome, values):
                 await trio.sleep(_RETRY_DELAY_S)
         self._writing_ids = frozenset()
 
+    def _dump_progress(self, job_ids: Iterable[str]) -> dict[str, bytes]:
+        """Encode the progress of those jobs that the state still has."""
+        return {
+            job_id: work.dump_progress(job_work.progress)
+            for job_id in job_ids
+            if (job_work := self._pool_state.jobs.get(job_id)) is not None
+        }
+
     async def _write(self, values: dict[str, bytes]) -> key_value.WriteOutcome:
         guards = [self._owner_lease.guard]
         writes = []
@@ -144,20 +149,34 @@
             writes.append(key_value.Write(key, value))
         return await self._store.write(tuple(guards), tuple(writes))
 
-    def _handle_failure(self, outcome: key_value.WriteOutcome) -> None:
-        """Handle a failed write; raises DeposedError."""
+    def _handle_failure(
+        self, outcome: key_value.WriteOutcome, job_ids: Iterable[str]
+    ) -> bool:
+        """Handle a failed write; raises DeposedError.
+
+        Args:
+            outcome: The result of the write.
+            job_ids: The jobs whose progress was to be written.
+
+        Returns:
+            Whether the next write has other guards, so that it need not wait.
+        """
         if not isinstance(outcome, key_value.Mismatched):
             log("journal:retried", outcome=type(outcome).__name__)
-            return
+            return False
         owner_record = outcome.current.get(self._owner_lease.key)
         if (
             owner_record is None
             or owner_record.revision != self._owner_lease.epoch
         ):
             raise DeposedError(f"{self._owner_lease.key} has changed")
-        # An unanswered write of ours was carried out. Nobody else writes under
-        # this epoch, so the next write replaces that revision.
-        for key, record in outcome.current.items():
-            if key.startswith(keys.PROGRESS):
-                job_id = key.removeprefix(keys.PROGRESS)
-                self._revisions[job_id] = record.revision
+        # Either an unanswered write of ours was carried out, or the record of
+        # an ended job was removed. Nobody else writes under this epoch, so the
+        # next write replaces what the store holds now.
+        any_changed = False
+        for job_id in job_ids:
+            record = outcome.current.get(keys.build_progress_key(job_id))
+            revision = record.revision if record is not None else 0
+            any_changed |= revision != self._revisions.get(job_id, 0)
+            self._revisions[job_id] = revision
+        return any_changed
