Keep a job with unreadable progress from starting anew

What callers would see: ended tasks of a job start a second time.

Cause: _put_job took the progress record out before it parsed it.

Evidence: test_job_with_unreadable_progress_never_starts_anew was red before and passes.

Why it works: the record is taken out only after it was parsed, so each later event of the job meets the same unreadable record and the job stays unread. Only a new owner reads the stored record again.

--- a/crocusrouter/pools/backlog.py
+++ b/crocusrouter/pools/backlog.py
@@ -94,9 +94,11 @@
 
     def _put_job(self, job: work.Job, revision: int, now: float) -> None:
         progress = work.Progress()
-        progress_record = self._progress_records.pop(job.id, None)
+        progress_record = self._progress_records.get(job.id)
         if progress_record is not None:
             progress = work.parse_progress(progress_record.value)
+            # An unreadable record stays, so that its job is never put without.
+            del self._progress_records[job.id]
             self.revisions[job.id] = progress_record.revision
         is_known = job.id in self._pool_state.jobs
         self._pool_state.put_job(job, progress, revision, now)
