Stop the runs of a job whose record is removed

What callers would see: tasks of a removed job go on, with renewed leases and room that nothing else gets; a cancel answers that there is no job.

Cause: forget_job dropped the job but not its runs. A report of such a run found a current run, so it was neither stopped nor a stray.

Evidence: test_runs_of_a_forgotten_job_are_stopped was red before and passes.

Why it works: the runs leave the state with the job, before it (drop_run frees the room by the job's step), so that the next report shows strays, which are stopped. They are noted as strays of their workers at once: a worker with strays is polled and gets nothing new, so the report comes, and nothing starts over the room they still take. Jobs that are forgotten after their end have no runs.

Not covered: a start that is on its way when its job goes, and begins after the next report, is stopped at a later report or ends with its lease.

--- a/crocusrouter/work/pool_state.py
+++ b/crocusrouter/work/pool_state.py
@@ -197,8 +197,21 @@
         ]
 
     def forget_job(self, job_id: str) -> None:
-        """Remove a job that has been over for long enough."""
-        self.jobs.pop(job_id, None)
+        """Remove a job whose record is gone.
+
+        A job that is removed while it runs leaves stray runs, which are stopped
+        once their workers report them. Until then nothing starts there.
+        """
+        tracked_job = self.jobs.get(job_id)
+        if tracked_job is None:
+            return
+        for tracked_step in tracked_job.steps.values():
+            for run in self.list_step_runs(tracked_step):
+                self.drop_run(run)
+                worker = self.workers.get(run.worker_id)
+                if worker is not None:
+                    worker.stray_runs.add((run.key, run.number))
+        del self.jobs[job_id]
         self.live_jobs.pop(job_id, None)
 
     def list_step_runs(
