Take no entry with an impossible port for a worker

What callers would see: a pool without an owner. One listed worker with such an address ends each owner when its link opens a connection.

Cause: the pattern of addresses admitted ports above 65535 and digits other than 0 to 9, with both of which httpcore.URL raises an error.

Evidence: test_entry_with_an_impossible_port_is_none was red before and passes; it has a third address (other digits), also red before.

Why it works: the pattern admits 0 to 9 only, and the port is compared with 65535. The entry counts as unreadable, as entries of other writers do.

--- a/crocusrouter/platform/tests/test_worker_entries.py
+++ b/crocusrouter/platform/tests/test_worker_entries.py
@@ -159,7 +159,10 @@
 
 # Guards against an owner that ends with an error, as would each successor,
 # because one listed worker has an address that no connection accepts.
-@pytest.mark.parametrize("address", ["10.0.0.9:65536", "10.0.0.9:99999"])
+@pytest.mark.parametrize(
+    "address",
+    ["10.0.0.9:65536", "10.0.0.9:99999", "10.0.0.9:\u0668\u0660"],
+)
 def test_entry_with_an_impossible_port_is_none(address):
     value = orjson.dumps(_ENTRY | {"address": address})
     assert platform.parse_worker_entry("servers/i-1", value) is None
--- a/crocusrouter/platform/workers.py
+++ b/crocusrouter/platform/workers.py
@@ -32,7 +32,8 @@
 }
 # "IP:port". Calls to an address of another form fail with errors that don't
 # name the worker.
-_ADDRESS = r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$"
+_ADDRESS = r"^[0-9]{1,3}(\.[0-9]{1,3}){3}:[0-9]{1,5}$"
+_MAX_PORT = 65535
 # Errors of decoding a report that does not have the published form.
 _UNREADABLE_ERRORS = (
     AttributeError,
@@ -235,6 +236,13 @@
     gpu: _NonNegative = 0
 
 
+def _check_port(address: str) -> str:
+    """Return an address; raises ValueError if its port is out of range."""
+    if int(address.rpartition(":")[2]) > _MAX_PORT:
+        raise ValueError(f"port of {address} exceeds {_MAX_PORT}")
+    return address
+
+
 class _Listed(pydantic.BaseModel):
     """The fields that every worker writes into its own entry.
 
@@ -245,7 +253,11 @@
     model_config = pydantic.ConfigDict(strict=True)
 
     service: str
-    address: Annotated[str, pydantic.Field(pattern=_ADDRESS)]
+    address: Annotated[
+        str,
+        pydantic.Field(pattern=_ADDRESS),
+        pydantic.AfterValidator(_check_port),
+    ]
     zone: str = ""
     state: Literal["ready", "draining"]
     capacity: _Room
