Read a refusal whose reason is no string

What callers would see: a pool that changes its owner, because a refusal of one worker ends the owner with a TypeError.

Cause: _parse_failure looked the reason up in a dictionary; a list or an object can't be a key.

Evidence: test_refusal_with_an_unreadable_reason_is_a_refusal was red before and passes.

Why it works: only a string is looked up.

--- a/crocusrouter/platform/workers.py
+++ b/crocusrouter/platform/workers.py
@@ -167,10 +167,7 @@
     if result.status == _OK:
         return None
     if result.status == _CONFLICT:
-        reason = _REJECTION_REASONS.get(
-            result.document.get("reason", ""),
-            worker_port.RejectionReason.INVALID,
-        )
+        reason = _parse_reason(result.document.get("reason"))
         return worker_port.Rejected(reason, clock_ms)
     if result.status == _MISDIRECTED:
         return worker_port.Rejected(
@@ -183,6 +180,13 @@
     return worker_port.Rejected(worker_port.RejectionReason.INVALID, clock_ms)
 
 
+def _parse_reason(value: object) -> worker_port.RejectionReason:
+    """Return why an order was rejected; INVALID for an unknown reason."""
+    if not isinstance(value, str):
+        return worker_port.RejectionReason.INVALID
+    return _REJECTION_REASONS.get(value, worker_port.RejectionReason.INVALID)
+
+
 def _parse_report(document: dict[str, Any]) -> worker_port.Report:
     runs = map(_parse_run, document.get("running", ()))
     ends = map(_parse_end, document.get("finished", ()))
