Declare each error of unreadable progress

What callers would see: a pool without an owner. One job's unreadable progress ends each owner that reads it.

Cause: parse_progress let AttributeError out where a later column is no map; the backlog catches the ValueError that is declared.

Evidence: test_unreadable_progress_ends_no_owner was red before for two of its three values and passes.

Why it works: AttributeError becomes the declared ValueError, so only that job stays unread.

--- a/crocusrouter/work/progress.py
+++ b/crocusrouter/work/progress.py
@@ -234,7 +234,7 @@
             model.State(final) if final is not None else None,
             finished_at,
         )
-    except (cbor2.CBORDecodeError, TypeError) as error:
+    except (cbor2.CBORDecodeError, AttributeError, TypeError) as error:
         raise ValueError(f"not a progress record: {error}") from error
 
 
