Skip known workers whose jobs are unreadable

What callers would see: a pool without an owner until its record of known workers is repaired. Each owner that reads the record ends with a TypeError.

Cause: _parse_rows didn't check the third column, and restore_unlisted made a frozenset of it.

Why it works: a row whose third column is neither null nor a list of strings is logged and names no worker, as an unreadable record does; the other rows count.

Left: an owner does not wait for a worker of such a row that the platform no longer lists.

--- a/crocusrouter/pools/known_workers.py
+++ b/crocusrouter/pools/known_workers.py
@@ -8,6 +8,7 @@
 """
 
 from collections.abc import Callable
+from typing import TypeGuard
 
 import cbor2
 import trio
@@ -238,18 +239,29 @@
 
 
 def _parse_rows(record: records.Record) -> list[_Row]:
-    """Decode a record; an unreadable record names no worker.
+    """Decode a record; an unreadable record or row names no worker.
 
     If an owner failed here, each of its successors would fail too.
     """
+    rows: list[_Row] = []
     try:
-        return [
-            (str(incarnation), str(address), job_ids)
-            for incarnation, address, job_ids in cbor2.loads(record.value)
-        ]
+        for incarnation, address, job_ids in cbor2.loads(record.value):
+            if _is_job_list(job_ids):
+                rows.append((str(incarnation), str(address), job_ids))
+            else:
+                log("roster:unreadable", key=record.key, row=str(incarnation))
     except (cbor2.CBORDecodeError, TypeError, ValueError) as error:
         log("roster:unreadable", key=record.key, error=str(error))
         return []
+    return rows
+
+
+def _is_job_list(value: object) -> TypeGuard[list[str] | None]:
+    """Tell whether the third column of a row has the type of one."""
+    return value is None or (
+        isinstance(value, list)
+        and all(isinstance(job_id, str) for job_id in value)
+    )
 
 
 def _make_entry(
