--- a/crocusrouter/platform/workers.py
+++ b/crocusrouter/platform/workers.py
@@ -32,7 +32,8 @@
 }
 # "IP:port". Calls to an address of another form fail with errors that don't
 # name the worker.
-_ADDRESS = r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$"
+_ADDRESS = r"^[0-9]{1,3}(\.[0-9]{1,3}){3}:[0-9]{1,5}$"
+_MAX_PORT = 65535
 # Errors of decoding a report that does not have the published form.
 _UNREADABLE_ERRORS = (
     AttributeError,
@@ -166,10 +167,7 @@
     if result.status == _OK:
         return None
     if result.status == _CONFLICT:
-        reason = _REJECTION_REASONS.get(
-            result.document.get("reason", ""),
-            worker_port.RejectionReason.INVALID,
-        )
+        reason = _parse_reason(result.document.get("reason"))
         return worker_port.Rejected(reason, clock_ms)
     if result.status == _MISDIRECTED:
         return worker_port.Rejected(
@@ -182,6 +180,13 @@
     return worker_port.Rejected(worker_port.RejectionReason.INVALID, clock_ms)
 
 
+def _parse_reason(value: object) -> worker_port.RejectionReason:
+    """Return why an order was rejected; INVALID for an unknown reason."""
+    if not isinstance(value, str):
+        return worker_port.RejectionReason.INVALID
+    return _REJECTION_REASONS.get(value, worker_port.RejectionReason.INVALID)
+
+
 def _parse_report(document: dict[str, Any]) -> worker_port.Report:
     runs = map(_parse_run, document.get("running", ()))
     ends = map(_parse_end, document.get("finished", ()))
@@ -235,6 +240,13 @@
     gpu: _NonNegative = 0
 
 
+def _check_port(address: str) -> str:
+    """Return an address; raises ValueError if its port is out of range."""
+    if int(address.rpartition(":")[2]) > _MAX_PORT:
+        raise ValueError(f"port of {address} exceeds {_MAX_PORT}")
+    return address
+
+
 class _Listed(pydantic.BaseModel):
     """The fields that every worker writes into its own entry.
 
@@ -245,7 +257,11 @@
     model_config = pydantic.ConfigDict(strict=True)
 
     service: str
-    address: Annotated[str, pydantic.Field(pattern=_ADDRESS)]
+    address: Annotated[
+        str,
+        pydantic.Field(pattern=_ADDRESS),
+        pydantic.AfterValidator(_check_port),
+    ]
     zone: str = ""
     state: Literal["ready", "draining"]
     capacity: _Room
