Take an answer of the store that can't be read for no answer

What callers would see: a single answer of another form from the store, such as the page of a proxy or of a starting server with status 200, ends an entry (its callers are cut off) or the owner of a pool (nothing is scheduled until another entry takes over). Not seen by callers so far; found by a review.

Cause: PlatformStore decoded the documents without a check. KeyError, TypeError, AttributeError and ValueError left read, read_prefix, watch, grant_lease and write, whose callers handle StoreUnavailableError and write outcomes only. A key that is no string passed, and would fail later.

Why this works: a call that changes no key raises StoreUnavailableError, after which each caller waits and tries again as in an outage. A write gives MaybeWritten, whether a 200 or a 412 can't be read, so nobody relies on its being done or not. Not covered: a 200 to a renewal of a lease counts as a renewal whatever its document says, as before, since no field of it is used.

--- a/crocusrouter/platform/kv.py
+++ b/crocusrouter/platform/kv.py
@@ -1,7 +1,9 @@
 """Client of the platform's key-value service over HTTP."""
 
 import base64
+from collections.abc import Callable
 from typing import Any
+from typing import TypeVar
 import urllib.parse
 
 from crocusrouter.platform import calls
@@ -10,6 +12,8 @@
 from crocusrouter.store import records
 from crocusrouter.telemetry import Metrics
 
+_Parsed = TypeVar("_Parsed")
+
 _CALL_TIMEOUT_S = 1.0
 # Added to the wait of a watch for the transfer of its response.
 _WATCH_TIMEOUT_MARGIN_S = 1.5
@@ -20,6 +24,14 @@
 _MISMATCH = 412
 # Statuses by which the service guarantees that nothing was executed.
 _NOT_EXECUTED_STATUSES = (400, 403, 429, 503)
+# Raised by the decoding of a document of another form than published.
+_DECODING_ERRORS = (
+    AttributeError,
+    LookupError,
+    OverflowError,
+    TypeError,
+    ValueError,
+)
 
 
 class PlatformStore:
@@ -30,18 +42,25 @@
         self._metrics = metrics
 
     async def read(self, key: str) -> records.Record | None:
-        """Return a key's record, or None if the key doesn't exist."""
+        """Return a key's record, or None if the key doesn't exist.
+
+        Raises:
+            StoreUnavailableError: No answer, or one that can't be read.
+        """
         query = urllib.parse.urlencode({"key": key})
         answer = await self._call("read", "GET", f"/kv-key?{query}")
         if answer.status == _NOT_FOUND:
             return None
-        return _parse_item(_require_ok(answer))
+        return _decode(_parse_item, _require_ok(answer))
 
     async def read_prefix(self, prefix: str) -> records.Snapshot:
         """Return all records under a prefix at the first page's revision.
 
         A watch from that revision also reports changes made while later pages
         were read.
+
+        Raises:
+            StoreUnavailableError: No answer, or one that can't be read.
         """
         found_records: list[records.Record] = []
         revision: int | None = None
@@ -55,9 +74,10 @@
                 await self._call("range", "GET", f"/kv-range?{query}")
             )
             if revision is None:
-                revision = int(document["at_rev"])
-            found_records += map(_parse_item, document["items"])
-            if not document.get("has_more") or not document["items"]:
+                revision = _decode(_parse_revision, document)
+            page = _decode(_parse_items, document)
+            found_records += page
+            if not document.get("has_more") or not page:
                 return records.Snapshot(tuple(found_records), revision)
             after = found_records[-1].key
 
@@ -69,7 +89,11 @@
         *,
         timeout_s: float = _CALL_TIMEOUT_S,
     ) -> key_value.WriteOutcome:
-        """Apply all writes and removals atomically if every guard holds."""
+        """Apply all writes and removals atomically if every guard holds.
+
+        An answer that can't be read tells nothing: the write may have been
+        carried out.
+        """
         result = await self._client.call(
             "POST",
             "/kv-txn",
@@ -88,7 +112,10 @@
             if result.maybe_done:
                 return key_value.MaybeWritten(result.cause)
             return key_value.NotWritten(result.cause)
-        return _parse_outcome(result)
+        try:
+            return _parse_outcome(result)
+        except _DECODING_ERRORS as error:
+            return key_value.MaybeWritten(_describe_unreadable(error))
 
     async def watch(
         self, prefix: str, revision: int, wait_s: float
@@ -97,6 +124,7 @@
 
         Raises:
             HistoryGoneError: The service no longer has changes that far back.
+            StoreUnavailableError: No answer, or one that can't be read.
         """
         query = urllib.parse.urlencode(
             {
@@ -113,16 +141,18 @@
         )
         if answer.status == _GONE:
             raise key_value.HistoryGoneError(f"{prefix} after {revision}")
-        document = _require_ok(answer)
-        events = tuple(map(_parse_event, document["events"]))
-        return key_value.Changes(events, int(document["at_rev"]))
+        return _decode(_parse_changes, _require_ok(answer))
 
     async def grant_lease(self, ttl_s: float) -> int:
-        """Create a lease and return its id."""
+        """Create a lease and return its id.
+
+        Raises:
+            StoreUnavailableError: No answer, or one that can't be read.
+        """
         answer = await self._call(
             "grant", "POST", "/kv-lease", document={"ttl_ms": int(ttl_s * 1000)}
         )
-        return int(_require_ok(answer)["lease"])
+        return _decode(_parse_lease, _require_ok(answer))
 
     async def renew_lease(self, lease: int) -> bool:
         """Renew a lease and return True, or return False if it has ended."""
@@ -159,6 +189,26 @@
     return answer.document
 
 
+def _decode(
+    parse: Callable[[dict[str, Any]], _Parsed], document: dict[str, Any]
+) -> _Parsed:
+    """Decode the answer to a call that changes no key.
+
+    Raises:
+        StoreUnavailableError: The document has another form than published.
+    """
+    try:
+        return parse(document)
+    except _DECODING_ERRORS as error:
+        raise client.StoreUnavailableError(
+            _describe_unreadable(error)
+        ) from error
+
+
+def _describe_unreadable(error: Exception) -> str:
+    return f"unreadable answer: {error!r}"
+
+
 def _parse_outcome(answer: calls.Response) -> key_value.WriteOutcome:
     if answer.status == _OK:
         return key_value.Written(int(answer.document["revision"]))
@@ -189,12 +239,38 @@
     return document
 
 
+def _parse_revision(document: dict[str, Any]) -> int:
+    return int(document["at_rev"])
+
+
+def _parse_lease(document: dict[str, Any]) -> int:
+    return int(document["lease"])
+
+
+def _parse_key(item: dict[str, Any]) -> str:
+    key = item["key"]
+    if not isinstance(key, str):
+        raise TypeError(f"key {key!r} is not a string")
+    return key
+
+
 def _parse_item(item: dict[str, Any]) -> records.Record:
     value = base64.b64decode(item.get("value") or "")
-    return records.Record(item["key"], value, int(item.get("revision") or 0))
+    return records.Record(
+        _parse_key(item), value, int(item.get("revision") or 0)
+    )
+
+
+def _parse_items(document: dict[str, Any]) -> list[records.Record]:
+    return [_parse_item(item) for item in document["items"]]
+
+
+def _parse_changes(document: dict[str, Any]) -> key_value.Changes:
+    events = tuple(map(_parse_event, document["events"]))
+    return key_value.Changes(events, _parse_revision(document))
 
 
 def _parse_event(event: dict[str, Any]) -> records.Event:
     if event.get("deleted"):
-        return records.Removed(event["key"], int(event["revision"]))
+        return records.Removed(_parse_key(event), int(event["revision"]))
     return records.Changed(_parse_item(event))
--- a/crocusrouter/platform/tests/test_decoding.py
+++ b/crocusrouter/platform/tests/test_decoding.py
@@ -450,3 +450,40 @@
         (key_value.Guard("k", 0),), (key_value.Write("k", b"v"),)
     )
     assert isinstance(outcome, key_value.MaybeWritten)
+
+
+# Guards against the same errors where the fields are there with other types.
+@pytest.mark.parametrize(
+    ("call", "document"),
+    [
+        (lambda store: store.read("k"), {"key": 5, "revision": 1}),
+        (lambda store: store.read("k"), {"key": "k", "value": "x"}),
+        (lambda store: store.read("k"), {"key": "k", "revision": "new"}),
+        (lambda store: store.read_prefix("k/"), {"at_rev": 1, "items": None}),
+        (lambda store: store.read_prefix("k/"), {"at_rev": 1, "items": [5]}),
+        (
+            lambda store: store.watch("k/", 5, 1.0),
+            {"at_rev": 6, "events": [{"deleted": True, "key": "k/1"}]},
+        ),
+        (lambda store: store.grant_lease(1.8), {"lease": None}),
+    ],
+)
+async def test_answer_with_other_types_is_no_answer(
+    call, document, monkeypatch
+):
+    _FakeTransport(monkeypatch, calls.Response(200, document))
+    store = platform.PlatformStore("127.0.0.1:1", Metrics())
+    with pytest.raises(client.StoreUnavailableError):
+        await call(store)
+
+
+# Guards against an owner that ends with an error, or believes that a key is
+# missing, where the records of a mismatch can't be read.
+@pytest.mark.parametrize("items", [None, [5], [{"revision": 3}]])
+async def test_unreadable_mismatch_tells_nothing(items, monkeypatch):
+    _FakeTransport(monkeypatch, calls.Response(412, {"items": items}))
+    store = platform.PlatformStore("127.0.0.1:1", Metrics())
+    outcome = await store.write(
+        (key_value.Guard("k", 0),), (key_value.Write("k", b"v"),)
+    )
+    assert isinstance(outcome, key_value.MaybeWritten)
