Keep an entry alive when a member's address can't be dialled

What callers would see: all entries end at about the same time, and again after each start, as long as the store holds one member record with an address such as 10.0.0.9:99999. Not seen by callers so far; found by a review.

Cause: parse_member checked only that the port consists of digits. For a port out of range, an open bracket or an empty label, the websocket client raises ValueError or UnicodeError. keep_connected let both out; they ended Peers.run and the entry.

Should one get through, its peer is unreachable: tried again after the usual pauses, and logged once for each link. Errors from within a served connection come in exception groups or with other types and still get out. A record that is rejected no longer counts for the ranking of owners either, as for other unreadable ones. IPv6 addresses and names stay valid (two new rows).

--- a/crocusrouter/codec/dialing.py
+++ b/crocusrouter/codec/dialing.py
@@ -9,6 +9,8 @@
 import websockets
 import websockets.trio.client
 
+from crocusrouter.telemetry import log
+
 _OPEN_TIMEOUT_S = 1.0
 _CLOSE_TIMEOUT_S = 0.3
 _MIN_BACKOFF_S = 0.1
@@ -46,16 +48,23 @@
 ) -> None:
     """Open and serve connections one after another until cancelled.
 
-    It waits after each connection, with exponential backoff after failures.
+    It waits after each connection, with exponential backoff after failures. An
+    address to which no connection can be opened counts as unreachable.
 
     Args:
         serve_connection: Opens one connection and returns when it has ended.
     """
     backoff_s = _MIN_BACKOFF_S
+    is_error_logged = False
     while True:
         try:
             await serve_connection()
             backoff_s = _MIN_BACKOFF_S
         except (OSError, websockets.WebSocketException, TimeoutError):
             backoff_s = min(backoff_s * 2, _MAX_BACKOFF_S)
+        except ValueError as error:
+            if not is_error_logged:
+                log("connection:invalid", error=repr(error))
+                is_error_logged = True
+            backoff_s = min(backoff_s * 2, _MAX_BACKOFF_S)
         await trio.sleep(backoff_s)
--- a/crocusrouter/pools/members.py
+++ b/crocusrouter/pools/members.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import os
+import urllib.parse
 
 import trio
 
@@ -47,12 +48,19 @@
         ValueError: The bytes are not a valid member.
     """
     address, _, cores = data.decode().partition(" ")
-    host, _, port = address.rpartition(":")
-    if not host or not port.isdecimal():
-        raise ValueError(f"{address!r} is not IP:port")
+    _check_address(address)
     return Member(address, float(cores or 0.0))
 
 
+def _check_address(address: str) -> None:
+    """Raise ValueError if no connection can be opened to an address."""
+    parts = urllib.parse.urlsplit(f"ws://{address}")
+    if parts.netloc != address or parts.hostname is None or parts.port is None:
+        raise ValueError(f"{address!r} is not IP:port")
+    # The resolver encodes names so; it fails on an empty or too long label.
+    parts.hostname.encode("idna")
+
+
 class Membership:
     """Registers one entry and keeps it registered."""
 
--- a/crocusrouter/pools/tests/test_ranking.py
+++ b/crocusrouter/pools/tests/test_ranking.py
@@ -25,7 +25,12 @@
 
 @pytest.mark.parametrize(
     ("data", "expected"),
-    [(b"b:1 2", _LARGE), (b"b:1", members.Member("b:1"))],
+    [
+        (b"b:1 2", _LARGE),
+        (b"b:1", members.Member("b:1")),
+        (b"[fd00::1]:7000 1", members.Member("[fd00::1]:7000", 1.0)),
+        (b"vm-1.example:65535", members.Member("vm-1.example:65535")),
+    ],
 )
 def test_stored_member_is_parsed(data, expected):
     assert members.parse_member(data) == expected
