Answer a cancel and a question about a job that can't be read

What callers would see: an internal error, without a reason or a time to come back, for a cancel or a state of a job whose record another writer replaced. Not seen by callers so far; found by a review.

Cause: cancel and find_state handle StoreUnavailableError only; the decoding of the job raises BadMessageError, and that of its progress ValueError.

Why this works: such a record counts like one that can't be read from the store: a cancel gives up before it writes, a state raises StateUnknownError. Both have refusals with a time to come back in http. Both are logged (job:cancel with the cause, job:unreadable).

--- a/crocusrouter/pools/job_api.py
+++ b/crocusrouter/pools/job_api.py
@@ -67,7 +67,7 @@
 
 
 class StateUnknownError(Exception):
-    """Neither the owner nor the store could be asked."""
+    """Neither the owner nor the store could tell the state."""
 
 
 def _classify_outcome(outcome: key_value.WriteOutcome) -> AcceptOutcome:
@@ -256,11 +256,13 @@
         first_revision: int | None = None
         for _ in range(_MAX_CANCEL_TRIES):
             try:
-                record = await self._store.read(key)
-            except client.StoreUnavailableError as error:
+                stored = _parse_record(await self._store.read(key))
+            except (
+                client.StoreUnavailableError,
+                codec.BadMessageError,
+            ) as error:
                 log("job:cancel", job=job_id, outcome=str(error))
                 break
-            stored = _parse_record(record)
             if first_revision is None:
                 first_revision = stored.revision
             if stored.job is None and stored.revision > first_revision:
@@ -319,7 +321,8 @@
         """Return a job's state, or None if no such job was accepted.
 
         Raises:
-            StateUnknownError: Neither the owner nor the store answered.
+            StateUnknownError: Neither the owner nor the store answered, or
+                the stored job can't be read.
         """
         state = self.find_local_state(pool, job_id)
         if state is None and pool not in self._pool_owners:
@@ -349,13 +352,16 @@
             progress_record = await self._store.read(
                 keys.build_progress_key(job_id)
             )
+            progress = (
+                work.parse_progress(progress_record.value)
+                if progress_record
+                else work.Progress()
+            )
         except client.StoreUnavailableError as error:
             raise StateUnknownError(str(error)) from error
-        progress = (
-            work.parse_progress(progress_record.value)
-            if progress_record
-            else work.Progress()
-        )
+        except (codec.BadMessageError, ValueError) as error:
+            log("job:unreadable", job=job_id, error=str(error))
+            raise StateUnknownError(str(error)) from error
         if progress.final_state is not None:
             return progress.final_state
         if job.cancelled:
--- a/crocusrouter/pools/tests/test_job_api.py
+++ b/crocusrouter/pools/tests/test_job_api.py
@@ -418,3 +418,36 @@
         pools.CancelOutcome.UNKNOWN,
         pools.CancelOutcome.NOT_TRIED,
     )
+
+
+# Guards against callers that are told that there is no such job, or that the
+# outcome of a cancel is unknown although nothing was written.
+async def test_unreadable_job_is_neither_cancelled_nor_missing(autojump_clock):
+    key = keys.build_job_key(_JOB_ID)
+
+    async def ask(world):
+        world.cluster.store.put(key, b"\xff")
+        with pytest.raises(pools.StateUnknownError):
+            await world.find_state(_make_job())
+        return await world.cancel(_make_job())
+
+    outcome, world = await _play(ask, emulator.StoreFault.NONE, 0.1)
+    assert outcome is pools.CancelOutcome.NOT_TRIED
+    assert world.cluster.store.items[key].value == b"\xff"
+
+
+# Guards against an internal error as the answer about a job of which only the
+# progress can't be read.
+async def test_state_of_a_job_with_unreadable_progress_is_unknown(
+    autojump_clock,
+):
+    job = _make_job()
+
+    async def ask(world):
+        store = world.cluster.store
+        store.put(keys.build_job_key(job.id), codec.pack(job))
+        store.put(keys.build_progress_key(job.id), b"\xff")
+        with pytest.raises(pools.StateUnknownError):
+            await world.find_state(job)
+
+    await _play(ask, emulator.StoreFault.NONE, 0.1)
