Ignore an owner record that can't be read

What callers would see (older interface): all entries end as soon as the owner record of one data centre can't be read, and again after each start. Not seen by callers so far; found by a review.

Cause: watch_configuration catches ValueError, but codec.unpack raises BadMessageError, which is none. Catching it there would not do: the entry would read the same record again and again, and apply nothing after it.

Evidence: three rows of controllers/tests/test_configuration.py, red before. New and red before: the owner known earlier stays known, and a later record that can be read replaces it.

Why this works: the record is logged (configuration:damaged-record, with its key) and ignored where it is applied, so all other control records hold. Not covered: the data centre gets no new owner until the record is repaired, since a takeover expects the last record that could be read; and a renewal that meets such a record still ends its owner by an error (that of this data centre only, by reading of controllers/ownership.py).

--- a/crocusrouter/controllers/configuration.py
+++ b/crocusrouter/controllers/configuration.py
@@ -146,7 +146,13 @@
             and record.revision <= observation.record.revision
         ):
             return
-        owner_record = codec.unpack(OwnerRecord, record.value)
+        try:
+            owner_record = codec.unpack(OwnerRecord, record.value)
+        except codec.BadMessageError as error:
+            log(
+                "configuration:damaged-record", key=record.key, error=str(error)
+            )
+            return
         self.owner_observations[data_centre] = OwnerObservation(
             record, owner_record, now
         )
--- a/crocusrouter/controllers/tests/test_configuration.py
+++ b/crocusrouter/controllers/tests/test_configuration.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from crocusrouter import codec
 from crocusrouter.controllers import configuration as configurations
 from crocusrouter.store import records
 from crocusrouter.telemetry import Metrics
@@ -15,3 +16,17 @@
     key = f"{configuration.owners_prefix}liege"
     configuration.apply_record(records.Record(key, value, 7), 0.0)
     assert configuration.find_owner_name("liege") == ""
+
+
+# Guards against a data centre without a known owner because a later version
+# of its record can't be read, and against one that is never known again.
+def test_unreadable_owner_record_keeps_the_earlier_owner():
+    configuration = configurations.Configuration("c/", Metrics())
+    key = f"{configuration.owners_prefix}liege"
+    for revision, value, expected in [
+        (7, codec.pack(configurations.OwnerRecord("e1", 1, 0)), "e1"),
+        (8, b"\xff", "e1"),
+        (9, codec.pack(configurations.OwnerRecord("e2", 2, 0)), "e2"),
+    ]:
+        configuration.apply_record(records.Record(key, value, revision), 0.0)
+        assert configuration.find_owner_name("liege") == expected
