Own interface: a lease has lapsed only when a slow worker clock says so

What callers could see: two attempts of one job at once, after a worker was cut off.

Cause: fleet/lease.py counted two leases on the owner's clock and allowed nothing for the worker's, which may run 2% slow. A renewal that arrives at the end of the lease that was answered last keeps tasks alive for 12.24 s after that answer; the owner counted them as ended after 12.0 s. The lease after a takeover was computed in the same way.

Why it works: two leases are divided by the least rate of a worker's clock, so the bound is reached only when that clock shows two leases as well. Tasks of a worker that doesn't answer are started elsewhere 0.24 s later than before.

--- a/crocusrouter/fleet/lease.py
+++ b/crocusrouter/fleet/lease.py
@@ -4,6 +4,9 @@
 
 _SUSPECT_AFTER_LEASES = 2 / 3
 _LAPSE_AFTER_LEASES = 2
+# Workers measure leases on steady clocks of their own, which run at this share
+# of full speed at least.
+_MIN_CLOCK_RATE = 0.98
 RENEWALS_PER_LEASE = 3
 
 
@@ -12,7 +15,7 @@
     """The lease on all tasks that one worker runs for this owner.
 
     Attributes:
-        lease_s: How long tasks run on after a renewal.
+        lease_s: How long tasks run on after a renewal, on the worker's clock.
         answered_at: When the last renewal was answered, on our own clock;
             before the first answer, when this owner took over.
     """
@@ -39,11 +42,13 @@
 
     At most one renewal is unanswered at a time. It may reach the worker as
     late as the end of the lease that was answered last, and then extends it by
-    one more lease. Two leases after the last answer, no task can still run.
+    one more lease. Two leases on the slowest clock after the last answer, no
+    task can still run.
 
-    >>> has_lapsed(Lease(6.0, answered_at=0.0), now=11.9)
+    >>> has_lapsed(Lease(6.0, answered_at=0.0), now=12.2)
     False
-    >>> has_lapsed(Lease(6.0, answered_at=0.0), now=12.1)
+    >>> has_lapsed(Lease(6.0, answered_at=0.0), now=12.3)
     True
     """
-    return now - lease.answered_at > _LAPSE_AFTER_LEASES * lease.lease_s
+    longest_s = _LAPSE_AFTER_LEASES * lease.lease_s / _MIN_CLOCK_RATE
+    return now - lease.answered_at > longest_s
