Worker leases: one latest end for leases of this and earlier owners

`has_lapsed` compared the worker's clock with two ends: of leases that this owner had sent, and of those of earlier owners once they are fenced.

One end, which begins as the fenced one and only grows, says the same.

--- a/crocusrouter/pools/worker_leases.py
+++ b/crocusrouter/pools/worker_leases.py
@@ -20,24 +20,21 @@
         opened_at: When this owner began, or later.
         clock_ms: Latest reading of the worker's clock; None if there is none.
         heard_at: When that reading arrived.
-        until_ms: Latest end of a lease that we have sent, on its clock; 0 if
-            there is none.
-        fenced_end_ms: When the leases of earlier owners have ended, on its
-            clock; None until it has answered.
+        latest_end_ms: Latest end of a lease of this owner or an earlier one, on
+            the worker's clock; None until the worker has answered.
     """
 
     opened_at: float
     clock_ms: float | None = None
     heard_at: float = 0.0
-    until_ms: float = 0.0
-    fenced_end_ms: float | None = None
+    latest_end_ms: float | None = None
 
     def note(self, clock_ms: float | None, now: float) -> None:
         """Record the clock reading of an answer to this owner."""
         if not clock_ms:
             return
-        if self.fenced_end_ms is None:
-            self.fenced_end_ms = lease_contract.compute_fenced_end(clock_ms)
+        if self.latest_end_ms is None:
+            self.latest_end_ms = lease_contract.compute_fenced_end(clock_ms)
         if self.clock_ms is None or clock_ms >= self._estimate_earliest_ms(now):
             self.clock_ms = float(clock_ms)
             self.heard_at = now
@@ -48,12 +45,12 @@
         It is at most `lease_contract.LEASE_S` ahead of the worker's clock, and
         less by the uncertainty of a reading that is not recent.
         """
-        if self.clock_ms is None:
+        if self.clock_ms is None or self.latest_end_ms is None:
             return None
         until = lease_contract.compute_lease_end(
             self._estimate_earliest_ms(now)
         )
-        self.until_ms = max(self.until_ms, until)
+        self.latest_end_ms = max(self.latest_end_ms, until)
         return int(until)
 
     def has_old_reading(self, now: float) -> bool:
@@ -70,19 +67,10 @@
         >>> lease.has_lapsed(7.0), lease.has_lapsed(8.0)
         (False, True)
         """
-        return self._has_own_lease_ended(now) and self._have_earlier_ended(now)
-
-    def _has_own_lease_ended(self, now: float) -> bool:
-        return not self.until_ms or lease_contract.has_ended(
-            self.until_ms, self._estimate_earliest_ms(now)
-        )
-
-    def _have_earlier_ended(self, now: float) -> bool:
-        """Return whether the leases of earlier owners have ended."""
-        if lease_contract.have_unfenced_ended(self.opened_at, now):
-            return True
-        return self.fenced_end_ms is not None and lease_contract.has_ended(
-            self.fenced_end_ms, self._estimate_earliest_ms(now)
+        if self.latest_end_ms is None:
+            return lease_contract.have_unfenced_ended(self.opened_at, now)
+        return lease_contract.has_ended(
+            self.latest_end_ms, self._estimate_earliest_ms(now)
         )
 
     def _estimate_earliest_ms(self, now: float) -> float:
