Emulated handover: cut the worker before and after its lease is renewed

All 18 pass; with MIN_CLOCK_RATE = 1.0 and no poll before a start on an idle worker (trial on a scratch copy) the four rows of clocks of 0.98 after 80 and 200 s of idle time fail, with and without the renewal.

--- a/standins/emulator/tests/test_leases.py
+++ b/standins/emulator/tests/test_leases.py
@@ -31,6 +31,20 @@
     )
 
 
+def _record_renewals(worker, lowest_epoch):
+    """Return a list that gets, for each report, whether it renews the lease."""
+    renewals = []
+    build_report = worker.build_report
+
+    def build_recorded_report(epoch, confirmed, until_ms):
+        if epoch >= lowest_epoch:
+            renewals.append(until_ms is not None)
+        return build_report(epoch, confirmed, until_ms)
+
+    worker.build_report = build_recorded_report
+    return renewals
+
+
 # Guards against an owner that goes on renewing leases in a partition because
 # entries within it answer, while its successor counts those leases as ended.
 @pytest.mark.parametrize("drawn_s", [2.5, 5.0])
@@ -65,13 +79,14 @@
 
 # Guards against a lease that outlasts what the successor assumes because the
 # worker was idle for long and its clock is slow.
+@pytest.mark.parametrize("renews", [False, True])
 @pytest.mark.parametrize("idle_s", [1.0, 80.0, 200.0])
 @pytest.mark.parametrize("clock_rate", [0.98, 1.0, 1.02])
 async def test_handover_after_a_start_on_an_idle_worker(
-    clock_rate, idle_s, autojump_clock
+    clock_rate, idle_s, renews, autojump_clock
 ):
-    """The owner is stopped; its successor renews the lease once, and then the
-    worker is cut off.
+    """The owner is stopped; its successor reads the worker's clock, in half of
+    the rows renews the lease once, and then the worker is cut off.
     """
     cluster = emulator.Cluster(5, worker_count=3)
     for worker in cluster.workers.values():
@@ -84,10 +99,13 @@
         worker = next(w for w in cluster.workers.values() if w.tasks)
         owner = cluster.find_owner()
         first_epoch = worker.highest_epoch
+        renewals = _record_renewals(worker, first_epoch + 1)
         async with trio.open_nursery() as stop_nursery:
             stop_nursery.start_soon(cluster.entries[owner].release_all)
             with trio.fail_after(5.0):
-                while worker.highest_epoch == first_epoch:
+                while worker.highest_epoch == first_epoch or (
+                    renews and not any(renewals)
+                ):
                     await trio.sleep(0.005)
             worker.unreachable_from = set(cluster.entry_names)
         cluster.kill_entry(owner)
