Stop late starts as soon as a worker's next process has answered

Cause: a start that was repeated under its run number is carried out in time and ends, but another copy of it is still on its way. Only the link to the worker's next process stops such starts, after a poll of its own. If the next process answers the link to its predecessor first, while the poll of its own link waits for an answer that was lost, the stop comes up to 1.6 s later.

Why it works: the link that sees the replacement tells the owner, which has the next process's link send the stops at once, over a connection of their own, so that what is left of the gap is one call.

--- a/crocusrouter/pools/owner.py
+++ b/crocusrouter/pools/owner.py
@@ -338,6 +338,18 @@
             self._open_link(
                 successor, self.pool_state.workers[successor].entry.address
             )
+            self._stop_late_starts(successor)
+
+    def _stop_late_starts(self, incarnation: str) -> None:
+        """Stop late starts on an incarnation that has answered another's link.
+
+        Its own link may be waiting for the answer to a poll that was lost.
+        """
+        link = self._links.get(incarnation)
+        if link is not None and self._nursery is not None:
+            self._nursery.start_soon(
+                self._contain_errors, incarnation, link.stop_late_starts
+            )
 
     async def _run_link(
         self, incarnation: str, link: worker_links.WorkerLink
--- a/crocusrouter/pools/worker_links.py
+++ b/crocusrouter/pools/worker_links.py
@@ -107,7 +107,8 @@
         try:
             await self._poll(0.0)
             while not self._is_abandoned:
-                await self._stop_late_starts()
+                if not self._is_silent():
+                    await self.stop_late_starts()
                 worker_state = self._pool_state.workers.get(self.incarnation)
                 if worker_state is None:
                     return
@@ -372,7 +373,7 @@
                 self._pool_state.stop_step(run.tracked_step, why, now)
             self._on_change()
 
-    async def _stop_late_starts(self) -> None:
+    async def stop_late_starts(self) -> None:
         """Stop starts that were sent to the worker's earlier incarnations.
 
         Stops without an answer are sent again after the next poll.
@@ -380,14 +381,10 @@
         Raises:
             DeposedError: The worker knows a later owner.
         """
-        worker_state = self._pool_state.workers.get(self.incarnation)
         now = self._clock.steady()
         for order in self._pending_starts.list_stops(self.incarnation, now):
-            if (
-                self._is_abandoned
-                or worker_state is None
-                or worker_state.silent_since is not None
-            ):
+            is_known = self.incarnation in self._pool_state.workers
+            if self._is_abandoned or not is_known:
                 return
             if await self._try_stop(order):
                 log(
@@ -396,6 +393,15 @@
                     run=order.run,
                     worker=self.incarnation,
                 )
+            elif self._is_silent():
+                return
+
+    def _is_silent(self) -> bool:
+        """Return whether the latest poll of the worker had no answer."""
+        worker_state = self._pool_state.workers.get(self.incarnation)
+        return (
+            worker_state is not None and worker_state.silent_since is not None
+        )
 
     def _is_current_run(self, order: worker_port.Stop) -> bool:
         run = self._pool_state.runs.get(order.key)
--- a/standins/emulator/tests/test_late_starts.py
+++ b/standins/emulator/tests/test_late_starts.py
@@ -8,6 +8,7 @@
 from crocusrouter import pools
 from crocusrouter import work
 from crocusrouter.pools import keys
+from crocusrouter.work import worker_port
 from standins import emulator
 from standins.emulator import cluster as clusters
 from standins.emulator import faults
@@ -16,6 +17,8 @@
 _WORKER = "w0"
 # A stop takes 0.15 s here, and a calm owner learns of a run within a poll.
 _MAX_RUN_S = 3.2
+# A few calls at 2 ms each.
+_REFUSAL_S = 0.02
 # The store carries out an unanswered write at most this much later.
 _MAX_LATE_S = 6.0
 _SMALL_ROOM = work.Room(100, 64, 0)
@@ -37,6 +40,41 @@
     )
 
 
+def _make_long_job():
+    steps = (work.Step(1, _SMALL_ROOM, 60.0),)
+    return dataclasses.replace(_make_job(), id=f"{2:016x}", steps=steps)
+
+
+def _keep_late_starts(monkeypatch):
+    """Return a list that gets late starts instead of their worker."""
+    late_starts = []
+
+    async def record_late_start(_, epoch, order, until_ms):
+        late_starts.append((epoch, order, until_ms))
+
+    monkeypatch.setattr(workers.WorkerView, "_start_late", record_late_start)
+    return late_starts
+
+
+async def _cancel_unanswered_job(cluster, late_starts, runs_s=0.0):
+    """Submit a job whose first start gets no answer, and cancel it.
+
+    Args:
+        cluster: The cluster.
+        late_starts: Gets the start.
+        runs_s: Seconds until the cancel, in which the start is repeated.
+    """
+    job = _make_job()
+    cluster.workers[_WORKER].late_order_share = 1.0
+    await cluster.submit(job)
+    with trio.fail_after(5.0):
+        while not late_starts:
+            await trio.sleep(0.01)
+    cluster.workers[_WORKER].late_order_share = 0.0
+    await trio.sleep(runs_s)
+    await cluster.cancel(job.id)
+
+
 async def _restart(cluster, unanswered_s=0.0):
     """Restart the worker's process; its first answers may be lost."""
     worker = cluster.workers[_WORKER]
@@ -60,27 +98,15 @@
 async def test_start_of_a_cancelled_job_is_stopped_on_the_next_process(
     earlier_restarts, unanswered_s, autojump_clock, monkeypatch
 ):
-    late_starts = []
-
-    async def record_late_start(_, epoch, order, until_ms):
-        late_starts.append((epoch, order, until_ms))
-
-    monkeypatch.setattr(workers.WorkerView, "_start_late", record_late_start)
+    late_starts = _keep_late_starts(monkeypatch)
     cluster = emulator.Cluster(3, worker_count=1)
-    job = _make_job()
     async with trio.open_nursery() as nursery:
         await nursery.start(cluster.run)
         await trio.sleep(3.0)
         for _ in range(earlier_restarts):
             await _restart(cluster)
             await trio.sleep(20.0)
-        cluster.workers[_WORKER].late_order_share = 1.0
-        await cluster.submit(job)
-        with trio.fail_after(5.0):
-            while not late_starts:
-                await trio.sleep(0.01)
-        cluster.workers[_WORKER].late_order_share = 0.0
-        await cluster.cancel(job.id)
+        await _cancel_unanswered_job(cluster, late_starts)
         await trio.sleep(4.0)
         await _restart(cluster, unanswered_s)
         await trio.sleep(4.0)
@@ -92,6 +118,33 @@
     assert running == {}
 
 
+# Guards against a late start on a process that has answered one link, while the
+# link that stops late starts waits for a poll that the process didn't answer.
+@pytest.mark.parametrize("unanswered_s", [0.0, 0.5, 1.0, 1.5, 2.0, 2.5])
+async def test_late_start_is_refused_soon_after_the_next_process_answers(
+    unanswered_s, autojump_clock, monkeypatch
+):
+    late_starts = _keep_late_starts(monkeypatch)
+    cluster = emulator.Cluster(3, worker_count=1)
+    async with trio.open_nursery() as nursery:
+        await nursery.start(cluster.run)
+        await trio.sleep(3.0)
+        # The link to a process with a run polls it until another one answers.
+        await cluster.submit(_make_long_job())
+        await trio.sleep(1.0)
+        await _cancel_unanswered_job(cluster, late_starts, runs_s=2.0)
+        await trio.sleep(1.0)
+        await _restart(cluster, unanswered_s)
+        worker = cluster.workers[_WORKER]
+        with trio.fail_after(5.0):
+            while not worker.has_answered:
+                await trio.sleep(0.001)
+        await trio.sleep(_REFUSAL_S)
+        outcome = worker.start_run(*late_starts[0], late=True)
+        nursery.cancel_scope.cancel()
+    assert isinstance(outcome, worker_port.Rejected)
+
+
 # Guards against tasks of a cancelled job that go on while the owner's watch of
 # the jobs alone is refused: it keeps the pool and renews their leases.
 @pytest.mark.parametrize("refused", [False, True])
