--- a/standins/soak/platform_server.py
+++ b/standins/soak/platform_server.py
@@ -20,6 +20,7 @@
 from crocusrouter.work import worker_port
 from standins.emulator import store as stores
 from standins.emulator import worker as workers
+from standins.soak import data_centre_links
 
 # Longer than any caller's timeout, to emulate a call without an answer.
 _NO_ANSWER_DELAY_S = 8.0
@@ -70,6 +71,9 @@
         self.manners: dict[int, AnswerManners] = {}
         # Addresses to tell the entries instead of those that entries register.
         self.shown_addresses: dict[bytes, bytes] = {}
+        # Links between data centres, and the data centre of each store's entry.
+        self.links: data_centre_links.DataCentreLinks | None = None
+        self.data_centres: dict[int, str] = {}
         self._random = random.Random(seed)
 
     async def __call__(
@@ -111,10 +115,12 @@
         if port_number in self.stores:
             parameters = urllib.parse.parse_qs(scope["query_string"].decode())
             query = {name: values[0] for name, values in parameters.items()}
+            self._restore_addresses(document)
             status, answer = await _answer_store(
                 self.stores[port_number], path, query, document
             )
-            return status, self._show_addresses(answer)
+            self._show_addresses(answer, port_number)
+            return status, answer
         expected_name = (
             dict(scope["headers"]).get(b"x-expect-instance", b"").decode()
         )
@@ -137,17 +143,32 @@
         delay_s = self._random.uniform(*_SLOW_DELAY_S)
         return self._random.choice(((delay_s, 0.0), (0.0, delay_s)))
 
-    def _show_addresses(self, answer: dict[str, Any]) -> dict[str, Any]:
-        """Replace the mesh addresses of members in an answer of the store."""
-        for item in (*answer.get("items", ()), *answer.get("events", ())):
-            if not item["key"].startswith(keys.MEMBERS) or "value" not in item:
+    def _restore_addresses(self, document: dict[str, Any]) -> None:
+        """Replace shown addresses in a write by those that the store holds."""
+        if self.links is None:
+            return
+        for row in document.get("writes", ()):
+            value = base64.b64decode(row["value"])
+            row["value"] = base64.b64encode(
+                self.links.restore_addresses(value)
+            ).decode()
+
+    def _show_addresses(self, answer: dict[str, Any], port_number: int) -> None:
+        """Replace addresses in an answer of the store by those to be shown."""
+        items = (answer, *answer.get("items", ()), *answer.get("events", ()))
+        for item in items:
+            if "value" not in item:
                 continue
-            address, separator, rest = base64.b64decode(
-                item["value"]
-            ).partition(b" ")
-            shown = self.shown_addresses.get(address, address)
-            item["value"] = base64.b64encode(shown + separator + rest).decode()
-        return answer
+            value = base64.b64decode(item["value"])
+            if item["key"].startswith(keys.MEMBERS):
+                address, separator, rest = value.partition(b" ")
+                shown = self.shown_addresses.get(address, address)
+                value = shown + separator + rest
+            if self.links is not None:
+                value = self.links.show_addresses(
+                    value, self.data_centres[port_number]
+                )
+            item["value"] = base64.b64encode(value).decode()
 
 
 async def _answer_lifespan(receive: Receive, send: Send) -> None:
--- a/standins/soak/run.py
+++ b/standins/soak/run.py
@@ -86,6 +86,7 @@
     CLOSE_USED = "close-used"  # a worker closes connections after each answer
     REPLACE_WORKERS = "replace-workers"  # drained, new ones under other ids
     RENEW_WORKERS = "renew-workers"  # drained, new ones under the same ids
+    PARTITION = "partition"  # the owner's data centre, cut off from all else
 
 
 # The kinds that seeds draw from by place, so that kept seeds stay as they are.
@@ -121,6 +122,9 @@
 _LATE_STOPS_S = 1.0
 # Long enough to see starts that come too late.
 _MIN_CLOSURE_S = 7.0
+# Long enough for a successor to count the leases there as ended.
+_MIN_PARTITION_S = 11.0
+_PARTITION_FAULTS = (proxies.LinkFault.SILENCE, proxies.LinkFault.RESET)
 # Relative speed of the tasks on a worker.
 _TASK_SPEEDS = {Fault.SLOW_WORKER: 0.25, Fault.STALL_WORKER: 0.0}
 
@@ -225,6 +229,7 @@
         shape.worker_count,
         log_folder,
         shape.processor_share,
+        has_partitions=Fault.PARTITION in shape.fault_kinds,
     )
     soak_run = _SoakRun(
         world, shape, random.Random(seed), random.Random(f"cancels {seed}")
@@ -488,6 +493,11 @@
                     nursery.start_soon(self._stop_entry, entry)
             case Fault.LATE_STOPS:
                 await self._cancel_amid_late_orders()
+            case Fault.PARTITION:
+                await self.world.partition_owner(
+                    self.rng.choice(_PARTITION_FAULTS),
+                    _MIN_PARTITION_S + duration_s,
+                )
             case _ if fault in _WORKER_FAULTS:
                 await self._inject_worker_fault(worker, fault, duration_s)
             case _:
--- a/standins/soak/tests/test_soak.py
+++ b/standins/soak/tests/test_soak.py
@@ -76,6 +76,18 @@
 )
 
 
+_PARTITION = soak.Shape(
+    entry_count=4,
+    worker_count=6,
+    jobs_per_s=3.0,
+    length_s=8.0,
+    fault_count=1,
+    jobs_per_crashing_job=0,
+    fault_kinds=(soak.Fault.PARTITION,),
+    cancel_load=soak.CancelLoad(share=0.1),
+)
+
+
 # Guards against jobs that are lost, run twice, or rejected although they ran.
 # Entries are killed, paused and stopped, and their links to store and workers
 # fail, at times drawn from the seed.
@@ -119,6 +131,14 @@
     assert result.accepted > 3
 
 
+# Guards against an owner that goes on renewing leases in a partition because
+# entries within it answer, while its successor counts those leases as ended.
+async def test_no_task_runs_twice_in_a_partition(tmp_path):
+    result = await soak.soak(2, _PARTITION, tmp_path)
+    assert result.broken == []
+    assert result.accepted > 3
+
+
 # Guards against tasks that run on after their job was cancelled: the cancels
 # reach other entries than the owner, and workers are renewed or answer late.
 async def test_runs_of_cancelled_jobs_end(tmp_path):
--- a/standins/soak/world.py
+++ b/standins/soak/world.py
@@ -12,6 +12,8 @@
 
 from crocusrouter import work
 from crocusrouter.http import server
+from crocusrouter.pools import keys
+from crocusrouter.pools import owner_leases
 from crocusrouter.telemetry import Metrics
 from crocusrouter.work import worker_port
 from demo import processes
@@ -25,6 +27,7 @@
 from standins.emulator import store as stores
 from standins.emulator import worker as workers
 from standins.soak import cut_requests
+from standins.soak import data_centre_links
 from standins.soak import platform_server
 from standins.soak import processor_limit
 from standins.soak import proxy as proxies
@@ -40,6 +43,7 @@
 # After this delay another worker runs at a crashed worker's address, under
 # another name.
 _REPLACEMENT_DELAY_S = 3.2
+_ENTRY_DATA_CENTRES = ("dc-0", "dc-1")
 _FULL_ROOM = work.Room(32_000, 131_072, 8)
 _SMALL_ROOM = work.Room(8_000, 65_536, 2)
 # From two seconds after a worker started draining, no entry may start a task on
@@ -65,6 +69,8 @@
         worker_count: int,
         log_folder: pathlib.Path,
         processor_share: float = 1.0,
+        *,
+        has_partitions: bool = False,
     ) -> None:
         """Create a world; `run` starts it.
 
@@ -74,6 +80,7 @@
             worker_count: Number of workers.
             log_folder: Folder for the processes' logs.
             processor_share: Share of a processor that each entry may use.
+            has_partitions: Whether data centres can be cut off from each other.
         """
         self.oracle = oracles.JobOracle()
         self.impairments = impairment_logs.ImpairmentLog()
@@ -100,6 +107,10 @@
         self._log_folder = log_folder
         self._processor_share = processor_share
         self.entry_names = [f"e{number}" for number in range(entry_count)]
+        self._entry_data_centres = {
+            name: _ENTRY_DATA_CENTRES[number % len(_ENTRY_DATA_CENTRES)]
+            for number, name in enumerate(self.entry_names)
+        }
         self.urls: dict[str, str] = {}
         self.store_proxies: dict[str, proxies.Proxy] = {}
         self.worker_proxies: dict[str, proxies.Proxy] = {}
@@ -112,6 +123,10 @@
         self._new_worker_count = 0
         self._nursery: trio.Nursery | None = None
         self._platform = platform_server.Platform(seed)
+        if has_partitions:
+            self._platform.links = data_centre_links.DataCentreLinks(
+                _ENTRY_DATA_CENTRES
+            )
         self._ports = ports.PortAllocator()
         self._settings: dict[str, dict[str, str]] = {}
         self._seed = seed
@@ -170,6 +185,7 @@
         for name in self.entry_names:
             port = free_ports.pop()
             self._platform.stores[port] = stores.StoreView(self.store, name)
+            self._platform.data_centres[port] = self._entry_data_centres[name]
             self.store_proxies[name] = proxies.Proxy(port)
             await nursery.start(self.store_proxies[name].run)
             self._settings[name] = self._build_settings(name)
@@ -177,7 +193,9 @@
         for name, worker in self.workers.items():
             port = free_ports.pop()
             self._worker_ports[name] = port
-            await self._run_worker_proxy(nursery, name, port)
+            await self._run_worker_proxy(
+                nursery, name, port, worker.entry.data_centre
+            )
             self._platform.workers[port] = _build_worker_view(worker)
 
     async def _run_peer_proxy(self, nursery: trio.Nursery, name: str) -> None:
@@ -189,15 +207,46 @@
         self._platform.shown_addresses[f"127.0.0.1:{mesh_port}".encode()] = (
             f"127.0.0.1:{proxy.port}".encode()
         )
+        if self._platform.links is not None:
+            await self._platform.links.add_target(
+                nursery, proxy.port, self._entry_data_centres[name]
+            )
 
     async def _run_worker_proxy(
-        self, nursery: trio.Nursery, name: str, port: int
+        self, nursery: trio.Nursery, name: str, port: int, data_centre: str
     ) -> None:
         self._worker_ports[name] = port
         self._platform.worker_names[port] = name
         self._platform.manners[port] = platform_server.AnswerManners()
         self.worker_proxies[name] = proxies.Proxy(port)
         await nursery.start(self.worker_proxies[name].run)
+        if self._platform.links is not None:
+            await self._platform.links.add_target(
+                nursery, self.worker_proxies[name].port, data_centre
+            )
+
+    async def partition_owner(
+        self, fault: proxies.LinkFault, duration_s: float
+    ) -> None:
+        """Cut the owner's data centre off from the others and the store."""
+        links = self._platform.links
+        owner_key = keys.build_owner_key(POOL)
+        if links is None or links.isolated or owner_key not in self.store.items:
+            return
+        holder = owner_leases.parse_holder(self.store.read(owner_key).value)
+        data_centre = self._entry_data_centres[holder.name]
+        links.isolate(data_centre, fault)
+        store_links = [
+            self.store_proxies[name]
+            for name in self.entry_names
+            if self._entry_data_centres[name] == data_centre
+        ]
+        for store_link in store_links:
+            store_link.fault = fault
+        await trio.sleep(duration_s)
+        for store_link in store_links:
+            store_link.fault = proxies.LinkFault.NONE
+        links.heal()
 
     def find_answer_manners(self, name: str) -> platform_server.AnswerManners:
         """Return how a worker answers; the caller may change it."""
@@ -309,7 +358,7 @@
 
     def _record_impairments(self, now: float) -> None:
         """Record which entries, workers and links are impaired."""
-        if self.store.is_impaired(now):
+        if self.store.is_impaired(now) or self._is_partitioned():
             self._note_store_impaired(now)
         for name, worker in self.workers.items():
             is_harmed = self.find_answer_manners(name).is_slow
@@ -335,6 +384,10 @@
             ):
                 self.unplanned_impairments.note_impaired(name, now)
 
+    def _is_partitioned(self) -> bool:
+        links = self._platform.links
+        return links is not None and bool(links.isolated)
+
     def _check_starts_while_draining(self) -> None:
         """Check for starts on workers that have been draining for long.
 
@@ -415,7 +468,9 @@
         await self._nursery.start(
             server.serve_http, self._platform, config, trio.sleep_forever
         )
-        await self._run_worker_proxy(self._nursery, new_name, port)
+        await self._run_worker_proxy(
+            self._nursery, new_name, port, worker.entry.data_centre
+        )
         self._add_worker(
             new_name, worker.entry.data_centre, worker.entry.labels
         )
