--- a/standins/soak/data_centre_links.py
+++ b/standins/soak/data_centre_links.py
@@ -18,13 +18,19 @@
 
 @dataclasses.dataclass(frozen=True)
 class _Link:
+    """A proxy, with the data centres of its callers and of its target."""
+
     caller: str
     target: str
     proxy: proxies.Proxy
 
 
 class DataCentreLinks:
-    """Proxies from the callers of each data centre to all targets."""
+    """Proxies from the callers of each data centre to all targets.
+
+    Attributes:
+        isolated: The data centre that is cut off; empty if none is.
+    """
 
     def __init__(self, caller_data_centres: Sequence[str]) -> None:
         """Start without targets.
--- a/standins/soak/world.py
+++ b/standins/soak/world.py
@@ -43,6 +43,7 @@
 # After this delay another worker runs at a crashed worker's address, under
 # another name.
 _REPLACEMENT_DELAY_S = 3.2
+# Entries are spread evenly over these.
 _ENTRY_DATA_CENTRES = ("dc-0", "dc-1")
 _FULL_ROOM = work.Room(32_000, 131_072, 8)
 _SMALL_ROOM = work.Room(8_000, 65_536, 2)
