Log why a job waits although there is room for it

No line of an entry tells why a step waits: step:start tells how long, once it is over, and a job that never starts leaves no line at all.

The planner now returns, for each step of a job none of whose tasks run, the cause of its wait if the plan leaves room for it twice over, or if the step must not start whatever room there is. No decision changes.

--- a/bench/replay/day.py
+++ b/bench/replay/day.py
@@ -374,6 +374,7 @@
         self.speed_groups.append((now, self.pool_state.speeds.find_groups()))
         for placement in plan.placements:
             self._start_runs(placement, now)
+        self.pool_state.note_delays(plan.delays, now)
         if plan.contended:
             self.pool_state.note_contention(now)
         for run, why in plan.stops:
--- a/crocusrouter/pools/owner.py
+++ b/crocusrouter/pools/owner.py
@@ -159,6 +159,7 @@
         )
         self._is_draining = False
         self._is_deciding = False
+        self._pause_cause: str | None = None
         self._worker_list = worker_listing.WorkerList(
             worker_listing.ListSource(
                 platform.workers_prefix, platform.parse_worker
@@ -464,14 +465,35 @@
         self._check_recovered(now)
         if self.is_recovered:
             self._state_log.write_shortfall()
+        pause_cause = self._find_pause_cause(now)
+        self._log_pause(pause_cause)
+        if pause_cause is None:
+            self._run_plan(now, wall)
         if self._owner_lease.is_valid() and not self._is_draining:
-            if self._may_start_tasks(now):
-                self._run_plan(now, wall)
             self._send_paces(now)
         self._advisor.wake()
         self._send_stops()
         self._state_log.write_events(now, wall)
 
+    def _find_pause_cause(self, now: float) -> str | None:
+        """Return why no task may start now; None if tasks may."""
+        if not self._owner_lease.is_valid():
+            return "owner-lease-not-renewed"
+        if self._is_draining:
+            return "entry-shuts-down"
+        return None if self._may_start_tasks(now) else "stale-view"
+
+    def _log_pause(self, cause: str | None) -> None:
+        """Log when starts are paused, for another cause, or resumed."""
+        if cause == self._pause_cause:
+            return
+        self._pause_cause = cause
+        if cause is None:
+            log("starts:resumed", pool=self.pool)
+            return
+        self._metrics.count_event("starts-paused")
+        log("starts:paused", pool=self.pool, cause=cause)
+
     def _run_plan(self, now: float, wall: float) -> None:
         """Start steps that have room and stop runs that block guarantees."""
         for placement in self._reservations.take_ready(self.pool_state, now):
@@ -484,6 +506,7 @@
         for run, why in plan.stops:
             self.pool_state.stop_run(run, why, now)
         self.pool_state.note_kept(plan.kept)
+        self.pool_state.note_delays(plan.delays, now)
         if plan.contended:
             self.pool_state.note_contention(now)
         for placement in plan.reservations:
@@ -544,6 +567,9 @@
             checkpoints=step_work.step.checkpoints,
             gang=step_work.step.gang,
             waited=round(now - (step_work.waiting_since or now), 3),
+            beside_room=round(
+                self.pool_state.start_delays.measure(placement.step, now), 3
+            ),
             list_age_s=round(self._worker_list.freshness.measure_age(now), 3),
             **worker_choice.describe_group(
                 self.pool_state.speeds.find_groups(), placement.spots.values()
--- a/crocusrouter/pools/state_log.py
+++ b/crocusrouter/pools/state_log.py
@@ -13,6 +13,7 @@
     "run:stop-repeated": "stop-repeated",
     "run:stray-ended": "stray-run-ended",
     "run:on-leaving": "start-on-leaving-worker",
+    "step:waits": "step-waits-beside-room",
     "worker:restarted": "worker-restarted",
     "worker:slowed": "worker-slowed",
 }
--- a/crocusrouter/work/packing.py
+++ b/crocusrouter/work/packing.py
@@ -115,6 +115,15 @@
     return best[1] if best is not None else None
 
 
+def count_slots(spaces: Iterable[Space], step: model.Step) -> int:
+    """Return how many tasks of a step fit if none of them runs yet."""
+    total = 0
+    for space in spaces:
+        slots = max(0, space.free.count(step.charge))
+        total += min(slots, step.per_worker) if step.per_worker else slots
+    return total
+
+
 def count_workers(
     task_count: int, step: model.Step, spaces: list[Space]
 ) -> int:
--- a/crocusrouter/work/planner.py
+++ b/crocusrouter/work/planner.py
@@ -15,6 +15,7 @@
 from crocusrouter.work import pool_state as pool_states
 from crocusrouter.work import preemption
 from crocusrouter.work import relocation
+from crocusrouter.work import start_delays
 from crocusrouter.work import stop_limits
 from crocusrouter.work import tracking
 from crocusrouter.work import trials
@@ -51,6 +52,8 @@
         contended: Whether the first priority stops other work to find room.
         kept: Runs that were not stopped since their tasks have been stopped for
             other jobs too often.
+        delays: Why steps of jobs none of whose tasks run are left waiting
+            although there is room for them.
     """
 
     placements: list[Placement] = dataclasses.field(default_factory=list)
@@ -60,6 +63,9 @@
     reservations: list[Placement] = dataclasses.field(default_factory=list)
     contended: bool = False
     kept: list[tracking.Run] = dataclasses.field(default_factory=list)
+    delays: dict[model.StepKey, start_delays.Cause] = dataclasses.field(
+        default_factory=dict
+    )
 
 
 class Planner:
@@ -94,6 +100,10 @@
         self._losses = preemption.Losses(pool_state, now, policy.max_stops)
         self._plan = Plan(kept=self._losses.kept)
         self._guaranteed_used = preemption.count_guaranteed(pool_state)
+        # Why steps are left waiting, where the search for room doesn't tell.
+        self._wait_causes: dict[model.StepKey, start_delays.Cause] = {}
+        # Which steps hold workers, in the order of their rank.
+        self._holds: list[tuple[model.StepKey, set[str]]] = []
         self._reservations = dict(reserved)
         for key, spots in self._reservations.items():
             self._take_reserved(key, spots)
@@ -128,14 +138,89 @@
             if waiting_step.tracked_step.key in self._reservations:
                 continue
             if self._is_held_back(waiting_step):
+                self._wait_causes[waiting_step.tracked_step.key] = (
+                    start_delays.Cause.HELD_BACK
+                )
                 continue
             placed = self._place(waiting_step)
             if placed or holding_count >= self._policy.max_holding_steps:
                 continue
             self._hold_workers(waiting_step)
             holding_count += 1
+        self._plan.delays = waiting_steps.list_blocked_steps(self._pool_state)
+        self._plan.delays |= self._find_delays(ordered_steps)
         return self._plan
 
+    def _find_delays(
+        self, ordered_steps: list[waiting_steps.WaitingStep]
+    ) -> dict[model.StepKey, start_delays.Cause]:
+        """Return why steps wait for which this plan leaves room."""
+        started_steps = {
+            placement.step
+            for placement in (
+                *self._plan.placements,
+                *self._plan.reservations,
+            )
+        }
+        started_steps |= self._reservations.keys()
+        started_jobs = {key.job for key in started_steps}
+        causes = {}
+        for waiting_step in ordered_steps:
+            key = waiting_step.tracked_step.key
+            if waiting_step.tracked_step.step.lasting:
+                stands = key not in started_steps
+            else:
+                stands = (
+                    key.job not in started_jobs
+                    and not waiting_step.tracked_job.has_runs
+                )
+            if stands and self._has_room(waiting_step):
+                causes[key] = self._find_cause(waiting_step)
+        return causes
+
+    def _has_room(self, waiting_step: waiting_steps.WaitingStep) -> bool:
+        """Tell whether a step could start, and leave as much room again."""
+        step = waiting_step.tracked_step.step
+        needed_slots = 2 * (step.count if step.gang else 1)
+        return self._choice.count_usable_slots(waiting_step) >= needed_slots
+
+    def _find_cause(
+        self, waiting_step: waiting_steps.WaitingStep
+    ) -> start_delays.Cause:
+        """Return why a step waits for which there is room."""
+        key = waiting_step.tracked_step.key
+        if key in self._wait_causes:
+            return self._wait_causes[key]
+        step = waiting_step.tracked_step.step
+        needed_slots = step.count if step.gang else 1
+        held_workers = self._list_held_before(key)
+        unheld_spaces = [
+            space
+            for space in self._choice.list_usable(waiting_step)
+            if space.worker not in held_workers
+        ]
+        if packing.count_slots(unheld_spaces, step) < needed_slots:
+            return start_delays.Cause.HELD_WORKERS
+        preferred_spaces = [
+            space
+            for space in unheld_spaces
+            if space.worker not in waiting_step.tracked_step.avoided_workers
+        ]
+        if packing.count_slots(preferred_spaces, step) < needed_slots:
+            return start_delays.Cause.AVOIDED_WORKERS
+        if step.one_rack or step.rack:
+            return start_delays.Cause.RACK
+        return start_delays.Cause.OTHER
+
+    def _list_held_before(self, key: model.StepKey) -> set[str]:
+        """Return the workers that steps before a step hold."""
+        held_workers: set[str] = set()
+        for holder, workers in self._holds:
+            if holder == key:
+                break
+            held_workers |= workers
+        return held_workers
+
     def _is_held_back(self, waiting_step: waiting_steps.WaitingStep) -> bool:
         """Tell whether a step leaves free room to urgent work that may follow.
 
@@ -215,9 +300,14 @@
         if spaces_by_index is None and self._choice.has_slowed:
             spaces_by_index = self._choose_trial(waiting_step, uses_slowed=True)
         if spaces_by_index is None:
-            return not trials.may_skip_trial(
+            if trials.may_skip_trial(
                 self._pool_state, waiting_step.tracked_step, self._now
+            ):
+                return False
+            self._wait_causes[waiting_step.tracked_step.key] = (
+                start_delays.Cause.TRIAL
             )
+            return True
         for space in spaces_by_index.values():
             space.take(waiting_step.tracked_step.step.charge)
             self._choice.held_workers.add(space.worker)
@@ -331,10 +421,10 @@
             or self._choice.list_allowed(waiting_step, uses_slowed=True),
             key=lambda space: self._free_times.find(space.worker, step.charge),
         )
-        for space in ranked_spaces[
-            : packing.count_workers(task_count, step, ranked_spaces)
-        ]:
-            self._choice.held_workers.add(space.worker)
+        worker_count = packing.count_workers(task_count, step, ranked_spaces)
+        workers = {space.worker for space in ranked_spaces[:worker_count]}
+        self._choice.held_workers |= workers
+        self._holds.append((waiting_step.tracked_step.key, workers))
 
 
 def plan(
--- a/crocusrouter/work/pool_state.py
+++ b/crocusrouter/work/pool_state.py
@@ -7,12 +7,14 @@
 
 import collections
 from collections.abc import Iterable
+from collections.abc import Mapping
 
 from crocusrouter.work import crash_records
 from crocusrouter.work import model
 from crocusrouter.work import progress as progresses
 from crocusrouter.work import run_times
 from crocusrouter.work import speeds
+from crocusrouter.work import start_delays
 from crocusrouter.work import stop_durations
 from crocusrouter.work import stop_limits
 from crocusrouter.work import tracking
@@ -43,6 +45,7 @@
         speeds: Estimates of how fast the workers run.
         contended_at: When the first priority last had to stop other work to
             find room, on the steady clock; None if it never had to.
+        start_delays: Steps that wait although there is room for them.
         worker_crashes: Latest crashes of workers, by incarnation, in the order
             in which they became known.
         events: Log lines that the controller has yet to write.
@@ -61,6 +64,7 @@
         self.stop_durations = stop_durations.StopDurations()
         self.speeds = speeds.WorkerSpeeds(self.workers)
         self.contended_at: float | None = None
+        self.start_delays = start_delays.StartDelays()
         self.worker_crashes: dict[str, crash_records.WorkerCrash] = {}
         self.events: collections.deque[tuple[str, dict[str, object]]] = (
             collections.deque(maxlen=2000)
@@ -74,6 +78,48 @@
         """Note that the first priority had to stop other work to find room."""
         self.contended_at = now
 
+    def note_delays(
+        self,
+        causes: Mapping[model.StepKey, start_delays.Cause],
+        now: float,
+    ) -> None:
+        """Record which steps wait although there is room for them.
+
+        Args:
+            causes: Why each of them waits.
+            now: Steady time in seconds.
+        """
+        for key, delay in self.start_delays.update(causes, now):
+            self.note(
+                "step:waits",
+                step=key,
+                cause=str(delay.cause),
+                for_s=round(now - delay.since, 3),
+                **self._describe_delay(key, delay.cause),
+            )
+
+    def _describe_delay(
+        self, key: model.StepKey, cause: start_delays.Cause
+    ) -> dict[str, object]:
+        """Return further fields of the log line about a delayed step."""
+        if cause is start_delays.Cause.UNREPORTED_WORKER:
+            unreported_workers = [
+                worker_id
+                for worker_id, worker in self.workers.items()
+                if worker.has_unknown_runs
+            ]
+            return {"workers": unreported_workers}
+        tracked_step = self.find_tracked_step(key)
+        if cause is start_delays.Cause.GANG_MEMBERS and tracked_step:
+            runs = self.list_step_runs(tracked_step)
+            return {
+                "runs": [
+                    (run.key, run.number, run.worker_id, str(run.phase))
+                    for run in runs
+                ]
+            }
+        return {}
+
     # Jobs.
 
     def put_job(
--- a/crocusrouter/work/tracking.py
+++ b/crocusrouter/work/tracking.py
@@ -272,6 +272,11 @@
         """Whether no task of the job will start any more."""
         return self.job.cancelled or self.progress.final_state is not None
 
+    @property
+    def has_runs(self) -> bool:
+        """Whether any of its tasks may be running."""
+        return any(step.runs_by_index for step in self.steps.values())
+
     @property
     def has_crashing_task(self) -> bool:
         """Whether a task has met too many worker crashes to start again."""
--- a/crocusrouter/work/waiting_steps.py
+++ b/crocusrouter/work/waiting_steps.py
@@ -6,10 +6,12 @@
 
 import dataclasses
 
+from crocusrouter.work import model
 from crocusrouter.work import planner_policy as policies
 from crocusrouter.work import pool_state as pool_states
 from crocusrouter.work import run_times
 from crocusrouter.work import speeds
+from crocusrouter.work import start_delays
 from crocusrouter.work import tracking
 
 _DEFAULT = policies.PlannerPolicy()
@@ -72,21 +74,15 @@
     )
     blocked_jobs = pool_state.list_blocked_jobs()
     for tracked_job in pool_state.live_jobs.values():
-        if tracked_job.is_final or pool_state.may_run_unreported(
-            tracked_job, blocked_jobs
+        if tracked_job.is_final or _find_job_block(
+            pool_state, tracked_job, blocked_jobs
         ):
             continue
-        if tracked_job.has_unsaved_crash:
-            continue
         for tracked_step in tracked_job.steps.values():
             if (
                 not tracked_step.waiting_indices
                 or tracked_step.not_before > now
-            ):
-                continue
-            if (
-                tracked_step.step.gang
-                and len(tracked_step.waiting_indices) < tracked_step.step.count
+                or _has_gang_members(tracked_step)
             ):
                 continue
             if pool_state.is_ready(tracked_job, tracked_step):
@@ -98,6 +94,53 @@
     return sorted(waiting_steps, key=lambda waiting_step: waiting_step.rank)
 
 
+def list_blocked_steps(
+    pool_state: pool_states.PoolState,
+) -> dict[model.StepKey, start_delays.Cause]:
+    """Return the ready steps that must not start yet, whatever room there is.
+
+    Steps that pause shortly after a failure are not included.
+    """
+    causes = {}
+    blocked_jobs = pool_state.list_blocked_jobs()
+    for tracked_job in pool_state.live_jobs.values():
+        if tracked_job.is_final:
+            continue
+        job_cause = _find_job_block(pool_state, tracked_job, blocked_jobs)
+        for key, tracked_step in tracked_job.steps.items():
+            cause = job_cause
+            if cause is None and _has_gang_members(tracked_step):
+                cause = start_delays.Cause.GANG_MEMBERS
+            if (
+                cause is not None
+                and tracked_step.waiting_indices
+                and pool_state.is_ready(tracked_job, tracked_step)
+            ):
+                causes[key] = cause
+    return causes
+
+
+def _find_job_block(
+    pool_state: pool_states.PoolState,
+    tracked_job: tracking.TrackedJob,
+    blocked_jobs: frozenset[str] | None,
+) -> start_delays.Cause | None:
+    """Return why no task of a job may start; None if they may."""
+    if pool_state.may_run_unreported(tracked_job, blocked_jobs):
+        return start_delays.Cause.UNREPORTED_WORKER
+    if tracked_job.has_unsaved_crash:
+        return start_delays.Cause.UNSAVED_CRASH
+    return None
+
+
+def _has_gang_members(tracked_step: tracking.TrackedStep) -> bool:
+    """Tell whether members of a gang's last start are not over yet."""
+    return (
+        tracked_step.step.gang
+        and 0 < len(tracked_step.waiting_indices) < tracked_step.step.count
+    )
+
+
 def _build_waiting_step(
     tracked_job: tracking.TrackedJob,
     tracked_step: tracking.TrackedStep,
--- a/crocusrouter/work/worker_choice.py
+++ b/crocusrouter/work/worker_choice.py
@@ -185,6 +185,7 @@
         self._exhausted_rooms = _ExhaustedRooms()
         self._allowed_spaces: list[packing.Space] = []
         self._allowed_for: tuple[model.StepKey, int, bool] | None = None
+        self._usable_slots: dict[tuple[model.Room, str, int], int] = {}
         self.groups = pool_state.speeds.find_groups()
         self._slowed_workers: frozenset[str] = frozenset()
         if self.groups.is_split:
@@ -230,16 +231,44 @@
             self._allowed_for = key
         return self._allowed_spaces
 
+    def list_usable(
+        self, waiting_step: waiting_steps.WaitingStep
+    ) -> list[packing.Space]:
+        """Return the workers that may run a step, preferred or not."""
+        label = waiting_step.tracked_step.step.label
+        return [
+            space
+            for space in self.spaces.values()
+            if self._has_label(space.worker, label)
+            and self._is_permitted(waiting_step, space.worker)
+        ]
+
+    def count_usable_slots(
+        self, waiting_step: waiting_steps.WaitingStep
+    ) -> int:
+        """Return for how many tasks of a step the plan leaves room.
+
+        The counts are kept for all steps with equal needs, so the plan must be
+        complete.
+        """
+        step = waiting_step.tracked_step.step
+        if waiting_step.tracked_job.job.advised:
+            return packing.count_slots(self.list_usable(waiting_step), step)
+        key = step.charge, step.label, step.per_worker
+        if key not in self._usable_slots:
+            self._usable_slots[key] = packing.count_slots(
+                self.list_usable(waiting_step), step
+            )
+        return self._usable_slots[key]
+
     def _find_allowed(
         self, waiting_step: waiting_steps.WaitingStep
     ) -> list[packing.Space]:
         tracked_step = waiting_step.tracked_step
         allowed_spaces = [
             space
-            for space in self.spaces.values()
+            for space in self.list_usable(waiting_step)
             if space.worker not in self.held_workers
-            and self._has_label(space.worker, tracked_step.step.label)
-            and self._is_permitted(waiting_step, space.worker)
         ]
         preferred_spaces = [
             space
