Start jobs that have waited beside free room for two seconds

Cause: the planner leaves a step waiting for five reasons of its own: for its rack (up to twice, in a busy pool five times its expected run time), behind steps that hold workers, after urgent work has stopped other work, for workers on which it has not failed, and for its next trial. Each has its own bound or none, none knows how long the step has stood for the others, and each further stop, rejection or lost worker begins the wait anew.

Change: the time that a job none of whose tasks run has waited beside room for a step of it twice over is recorded whatever the cause (start_delays.py). After max_delay_s (2.0 s) the step may use any worker that may run it, the preferred ones first, is not held back, and waits for no trial of others. The time goes on over rejected starts, pauses and changes of cause, counts from the silence of a lost worker, and ends when a run is confirmed or the room is gone.

--- a/crocusrouter/work/planner.py
+++ b/crocusrouter/work/planner.py
@@ -23,6 +23,9 @@
 from crocusrouter.work import worker_choice
 
 _DEFAULT = policies.PlannerPolicy()
+_ANYWHERE = worker_choice.Attempt(
+    worker_choice.Group.ALL, stops=False, leaves_rack=True, uses_slowed=True
+)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -179,10 +182,17 @@
         return causes
 
     def _has_room(self, waiting_step: waiting_steps.WaitingStep) -> bool:
-        """Tell whether a step could start, and leave as much room again."""
+        """Tell whether a step could start, and leave as much room again.
+
+        Its time goes on as long as it could start at all; otherwise room that
+        comes and goes would begin it anew.
+        """
         step = waiting_step.tracked_step.step
-        needed_slots = 2 * (step.count if step.gang else 1)
-        return self._choice.count_usable_slots(waiting_step) >= needed_slots
+        needed_slots = step.count if step.gang else 1
+        delays = self._pool_state.start_delays
+        if delays.find(waiting_step.tracked_step.key) is None:
+            needed_slots *= 2
+        return self._choice.count_slots(step) >= needed_slots
 
     def _find_cause(
         self, waiting_step: waiting_steps.WaitingStep
@@ -193,11 +203,12 @@
             return self._wait_causes[key]
         step = waiting_step.tracked_step.step
         needed_slots = step.count if step.gang else 1
+        usable_spaces = self._choice.list_usable(waiting_step)
+        if packing.count_slots(usable_spaces, step) < needed_slots:
+            return start_delays.Cause.TICKETS
         held_workers = self._list_held_before(key)
         unheld_spaces = [
-            space
-            for space in self._choice.list_usable(waiting_step)
-            if space.worker not in held_workers
+            space for space in usable_spaces if space.worker not in held_workers
         ]
         if packing.count_slots(unheld_spaces, step) < needed_slots:
             return start_delays.Cause.HELD_WORKERS
@@ -227,7 +238,7 @@
         If the first priority had to stop other work a moment ago, more urgent
         work is likely to follow. Anything that starts in the free room
         meanwhile would be stopped again at once, and the urgent job would wait
-        for that stop. Steps that are late already still start, so no step is
+        for that stop. Steps that are late or overdue still start, so no step is
         held back for good.
         """
         contended_at = self._pool_state.contended_at
@@ -235,8 +246,17 @@
             return False
         if waiting_step.late or waiting_step.tracked_step.step.lasting:
             return False
+        if self._is_overdue(waiting_step):
+            return False
         return self._now < contended_at + self._policy.hold_back_s
 
+    def _is_overdue(self, waiting_step: waiting_steps.WaitingStep) -> bool:
+        """Tell whether a step has waited beside room for as long as it may."""
+        waited_s = self._pool_state.start_delays.measure(
+            waiting_step.tracked_step.key, self._now
+        )
+        return waited_s >= self._policy.max_delay_s
+
     def _place(self, waiting_step: waiting_steps.WaitingStep) -> bool:
         """Place as many tasks of a step as possible.
 
@@ -258,6 +278,9 @@
                 missing_indices = set()
             if not missing_indices:
                 break
+        if missing_indices and not spots and self._is_overdue(waiting_step):
+            spots = self._take_anywhere(waiting_step, missing_indices)
+            missing_indices -= spots.keys()
         if spots:
             self._plan.placements.append(
                 Placement(waiting_step.tracked_step.key, spots)
@@ -279,6 +302,27 @@
         spaces = self._choice.choose_free(
             waiting_step, free_spaces, len(indices), attempt
         )
+        return self._take(waiting_step, indices, spaces)
+
+    def _take_anywhere(
+        self, waiting_step: waiting_steps.WaitingStep, indices: set[int]
+    ) -> dict[int, str]:
+        """Take free room for the tasks of an overdue step, wherever it is."""
+        for free_spaces in self._choice.list_fallbacks(waiting_step):
+            spaces = self._choice.choose_free(
+                waiting_step, free_spaces, len(indices), _ANYWHERE
+            )
+            if spaces:
+                return self._take(waiting_step, indices, spaces)
+        return {}
+
+    def _take(
+        self,
+        waiting_step: waiting_steps.WaitingStep,
+        indices: set[int],
+        spaces: list[packing.Space],
+    ) -> dict[int, str]:
+        """Take room for tasks in the chosen spaces; return their workers."""
         for space in spaces:
             space.take(waiting_step.tracked_step.step.charge)
             space.note_task(waiting_step.tracked_step.key)
@@ -340,6 +384,7 @@
             spaces,
             self._trial_workers,
             self._now,
+            is_overdue=self._is_overdue(waiting_step),
         )
 
     # Guarantees and victims.
--- a/crocusrouter/work/planner_policy.py
+++ b/crocusrouter/work/planner_policy.py
@@ -33,6 +33,10 @@
             work is likely to follow, and would stop it again.
         max_stops: Number of stops of a task for other jobs after which only a
             guaranteed claim may stop it again.
+        max_delay_s: A step of a job none of whose tasks run waits for a better
+            place, or for the sake of other steps, no longer than this while
+            there is room for it twice over. Callers are promised 3 s, which
+            includes the decision, and a start that is rejected and repeated.
     """
 
     rack_patience: float = 5.0
@@ -44,6 +48,7 @@
     second_loss_factor: float = 0.05
     hold_back_s: float = 2.0
     max_stops: int = 3
+    max_delay_s: float = 2.0
 
     def find_loss_factor(self, priority: int) -> float:
         """Return the loss factor of a priority; 0 if it may stop nothing.
--- a/crocusrouter/work/pool_state.py
+++ b/crocusrouter/work/pool_state.py
@@ -89,7 +89,19 @@
             causes: Why each of them waits.
             now: Steady time in seconds.
         """
-        for key, delay in self.start_delays.update(causes, now):
+        pending = {
+            key
+            for key in self.start_delays.list_steps()
+            if self._is_start_pending(key, now)
+        }
+        stood_since = {}
+        for key in causes:
+            tracked_step = self.find_tracked_step(key)
+            if tracked_step is not None and tracked_step.lost_since is not None:
+                stood_since[key] = tracked_step.lost_since
+        for key, delay in self.start_delays.update(
+            causes, now, stood_since=stood_since, pending=pending
+        ):
             self.note(
                 "step:waits",
                 step=key,
@@ -98,6 +110,16 @@
                 **self._describe_delay(key, delay.cause),
             )
 
+    def _is_start_pending(self, key: model.StepKey, now: float) -> bool:
+        """Tell whether a step's latest starts may still turn out to fail."""
+        tracked_step = self.find_tracked_step(key)
+        if tracked_step is None:
+            return False
+        if tracked_step.not_before > now:
+            return True
+        runs = tracked_step.runs_by_index.values()
+        return bool(runs) and all(run.confirmed_at is None for run in runs)
+
     def _describe_delay(
         self, key: model.StepKey, cause: start_delays.Cause
     ) -> dict[str, object]:
@@ -435,6 +457,8 @@
                 ran_s=round((worker.silent_since or now) - run.ordered_at, 3),
             )
             self.drop_run(run)
+            if run.tracked_step is not None:
+                run.tracked_step.lost_since = worker.silent_since
             self.requeue(run, worker_port.RunOutcome.LAPSED, now)
         worker.all_runs_ended = True
         return lost_runs
@@ -590,6 +614,8 @@
             run.progressed_at = now
         if run.phase is tracking.Phase.ORDERED:
             run.phase = tracking.Phase.RUNNING
+        if run.tracked_step is not None:
+            run.tracked_step.lost_since = None
         tracked_job = self.jobs.get(key.job)
         if tracked_job is not None:
             tracked_job.has_started = True
--- a/crocusrouter/work/start_delays.py
+++ b/crocusrouter/work/start_delays.py
@@ -6,6 +6,7 @@
 cause, and its time counts on when the cause changes.
 """
 
+from collections.abc import Collection
 from collections.abc import Mapping
 import dataclasses
 import enum
@@ -26,6 +27,7 @@
     HELD_BACK = "held-back"  # free room is left to urgent work
     HELD_WORKERS = "held-workers"  # earlier steps hold the workers with room
     AVOIDED_WORKERS = "avoided-workers"  # the step failed on those with room
+    TICKETS = "tickets"  # it has no tickets for workers with room
     TRIAL = "trial"  # it may crash workers, and waits for its next trial
     UNREPORTED_WORKER = "unreported-worker"  # it may run on a silent worker
     UNSAVED_CRASH = "unsaved-crash"  # a crash under it is not journaled yet
@@ -63,28 +65,41 @@
         delay = self._delays.get(key)
         return now - delay.since if delay is not None else 0.0
 
+    def list_steps(self) -> list[model.StepKey]:
+        """Return the delayed steps."""
+        return list(self._delays)
+
     def update(
-        self, causes: Mapping[model.StepKey, Cause], now: float
+        self,
+        causes: Mapping[model.StepKey, Cause],
+        now: float,
+        *,
+        stood_since: Mapping[model.StepKey, float] | None = None,
+        pending: Collection[model.StepKey] = (),
     ) -> list[tuple[model.StepKey, Delay]]:
         """Replace the delays by those of the present decision.
 
         Args:
             causes: The cause for each step that waits although it has room.
             now: Steady time in seconds.
+            stood_since: Since when such a step has had no run, where that was
+                known only later.
+            pending: Steps whose start may still fail; their delays go on.
 
         Returns:
             The delays to log: those that last and have a new cause. If there
             are many, the next updates return the others.
         """
-        delays: dict[model.StepKey, Delay] = {}
+        delays = {
+            key: delay for key, delay in self._delays.items() if key in pending
+        }
         to_log: list[tuple[model.StepKey, Delay]] = []
         for key, cause in causes.items():
             delay = self._delays.get(key)
-            delay = (
-                Delay(now, cause)
-                if delay is None
-                else dataclasses.replace(delay, cause=cause)
-            )
+            if delay is None:
+                delay = Delay((stood_since or {}).get(key, now), cause)
+            else:
+                delay = dataclasses.replace(delay, cause=cause)
             lasts = now >= delay.since + _LOGGED_AFTER_S
             if lasts and cause != delay.logged and len(to_log) < _MAX_LINES:
                 delay = dataclasses.replace(delay, logged=cause)
--- a/crocusrouter/work/tests/test_start_delays.py
+++ b/crocusrouter/work/tests/test_start_delays.py
@@ -68,6 +68,10 @@
     return pool_state
 
 
+def _wait_for_tickets():
+    return _make_pool_state(build.make_step(1), advised=True)
+
+
 def _wait_for_gang_member():
     pool_state = _make_pool_state(build.make_step(2, gang=True))
     build.apply_plan(pool_state)
@@ -85,6 +89,7 @@
         (_wait_for_urgent_work, "held-back"),
         (_wait_for_other_workers, "avoided-workers"),
         (_wait_for_held_workers, "held-workers"),
+        (_wait_for_tickets, "tickets"),
         (_wait_for_worker, "unreported-worker"),
         (_wait_for_journal, "unsaved-crash"),
         (_wait_for_gang_member, "gang-members"),
--- a/crocusrouter/work/tracking.py
+++ b/crocusrouter/work/tracking.py
@@ -208,6 +208,8 @@
             rejected.
         not_before: Steady time before which no task of the step starts again.
         waiting_since: Steady time since which tasks have been waiting.
+        lost_since: Since when the worker of a lost run had not answered; None
+            if a task has started since.
         permits: Answers of the policy service about the step.
     """
 
@@ -219,6 +221,7 @@
     avoided_workers: set[str] = dataclasses.field(default_factory=set)
     not_before: float = 0.0
     waiting_since: float | None = None
+    lost_since: float | None = None
     permits: permit.Permits = dataclasses.field(default_factory=permit.Permits)
 
     @property
--- a/crocusrouter/work/worker_choice.py
+++ b/crocusrouter/work/worker_choice.py
@@ -7,6 +7,7 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
+from collections.abc import Iterator
 import dataclasses
 import enum
 
@@ -185,7 +186,7 @@
         self._exhausted_rooms = _ExhaustedRooms()
         self._allowed_spaces: list[packing.Space] = []
         self._allowed_for: tuple[model.StepKey, int, bool] | None = None
-        self._usable_slots: dict[tuple[model.Room, str, int], int] = {}
+        self._slot_counts: dict[tuple[model.Room, str, int], int] = {}
         self.groups = pool_state.speeds.find_groups()
         self._slowed_workers: frozenset[str] = frozenset()
         if self.groups.is_split:
@@ -243,23 +244,48 @@
             and self._is_permitted(waiting_step, space.worker)
         ]
 
-    def count_usable_slots(
+    def list_fallbacks(
         self, waiting_step: waiting_steps.WaitingStep
-    ) -> int:
+    ) -> Iterator[list[packing.Space]]:
+        """Yield spaces for a step that must start now, the better ones first.
+
+        First those that it may always use, then those that other steps hold,
+        then workers on which it has failed too.
+        """
+        usable_spaces = [
+            space
+            for space in self.list_usable(waiting_step)
+            if space.free.holds(waiting_step.tracked_step.step.charge)
+        ]
+        avoided_workers = waiting_step.tracked_step.avoided_workers
+        yield [
+            space
+            for space in usable_spaces
+            if space.worker not in self.held_workers
+            and space.worker not in avoided_workers
+        ]
+        yield [
+            space
+            for space in usable_spaces
+            if space.worker not in avoided_workers
+        ]
+        yield usable_spaces
+
+    def count_slots(self, step: model.Step) -> int:
         """Return for how many tasks of a step the plan leaves room.
 
         The counts are kept for all steps with equal needs, so the plan must be
-        complete.
+        complete. Tickets are not considered.
         """
-        step = waiting_step.tracked_step.step
-        if waiting_step.tracked_job.job.advised:
-            return packing.count_slots(self.list_usable(waiting_step), step)
         key = step.charge, step.label, step.per_worker
-        if key not in self._usable_slots:
-            self._usable_slots[key] = packing.count_slots(
-                self.list_usable(waiting_step), step
+        if key not in self._slot_counts:
+            spaces = (
+                space
+                for space in self.spaces.values()
+                if self._has_label(space.worker, step.label)
             )
-        return self._usable_slots[key]
+            self._slot_counts[key] = packing.count_slots(spaces, step)
+        return self._slot_counts[key]
 
     def _find_allowed(
         self, waiting_step: waiting_steps.WaitingStep
