Log workers that are reserved for trials as held by earlier steps

The cause is 'held-workers' then; the row [_wait_for_trial_worker] was red before ('other' == 'held-workers'). No decision changes.

--- a/crocusrouter/work/planner.py
+++ b/crocusrouter/work/planner.py
@@ -354,8 +354,9 @@
             return True
         for space in spaces_by_index.values():
             space.take(waiting_step.tracked_step.step.charge)
-            self._choice.held_workers.add(space.worker)
-            self._trial_workers.add(space.worker)
+        workers = {space.worker for space in spaces_by_index.values()}
+        self._hold(waiting_step, workers)
+        self._trial_workers |= workers
         spots = {
             index: space.worker for index, space in spaces_by_index.items()
         }
@@ -467,7 +468,14 @@
             key=lambda space: self._free_times.find(space.worker, step.charge),
         )
         worker_count = packing.count_workers(task_count, step, ranked_spaces)
-        workers = {space.worker for space in ranked_spaces[:worker_count]}
+        self._hold(
+            waiting_step,
+            {space.worker for space in ranked_spaces[:worker_count]},
+        )
+
+    def _hold(
+        self, waiting_step: waiting_steps.WaitingStep, workers: set[str]
+    ) -> None:
         self._choice.held_workers |= workers
         self._holds.append((waiting_step.tracked_step.key, workers))
 
--- a/crocusrouter/work/tests/test_start_delays.py
+++ b/crocusrouter/work/tests/test_start_delays.py
@@ -1,6 +1,7 @@
 import pytest
 
 from crocusrouter import work
+from crocusrouter.work import progress
 from crocusrouter.work import start_delays
 from crocusrouter.work import worker_port
 from crocusrouter.work.tests import build
@@ -47,10 +48,22 @@
 
 
 def _wait_for_held_workers():
-    """A gang of an earlier rank waits for its rack and holds all workers."""
+    """Gangs of an earlier rank wait for their racks and hold all workers."""
     pool_state = _make_pool_state(build.make_step(1))
-    gang = build.make_step(7, gpu=8, gang=True, one_rack=True)
-    build.add_job(pool_state, build.make_job("g", gang, priority=0))
+    gang = build.make_step(5, gpu=8, gang=True, one_rack=True)
+    for job_id in ("g0", "g1"):
+        build.add_job(pool_state, build.make_job(job_id, gang, priority=0))
+    return pool_state
+
+
+def _wait_for_trial_worker():
+    """The only worker with room is reserved for the trial of another step."""
+    pool_state = _make_pool_state(build.make_step(1))
+    _fill(pool_state, *_WORKERS[1:])
+    suspect = build.make_job("s", build.make_step(1), priority=0)
+    build.add_job(pool_state, suspect)
+    step = pool_state.find_tracked_step(work.StepKey("s", 0, 0))
+    step.progress.crashes[0] = [progress.Crash(1, early=True)]
     return pool_state
 
 
@@ -89,6 +102,7 @@
         (_wait_for_urgent_work, "held-back"),
         (_wait_for_other_workers, "avoided-workers"),
         (_wait_for_held_workers, "held-workers"),
+        (_wait_for_trial_worker, "held-workers"),
         (_wait_for_tickets, "tickets"),
         (_wait_for_worker, "unreported-worker"),
         (_wait_for_journal, "unsaved-crash"),
