Let a gang that the pool can't hold hold no workers

What callers saw: jobs of later rank wait beside idle workers for as long as a gang is there that needs more workers than the pool has, for example after workers were lost for good.

Cause: steps without a place hold the workers that will have room first. A gang that could not start if all workers were empty holds them without an end, and with them the whole pool.

Evidence: test_gang_larger_than_the_pool_holds_no_workers was red ('assert 2.0 == 0.0'; without the bound on delays such a job never starts).

Same class as the delays beside free room: a wait that serves nobody.

--- a/crocusrouter/work/planner.py
+++ b/crocusrouter/work/planner.py
@@ -459,7 +459,13 @@
         return True
 
     def _hold_workers(self, waiting_step: waiting_steps.WaitingStep) -> None:
-        """Keep later steps off the workers that will fit this step first."""
+        """Keep later steps off the workers that will fit this step first.
+
+        A gang that could not start if all workers were empty holds none: it
+        would keep every other step waiting for as long as it is there.
+        """
+        if not self._choice.could_hold(waiting_step):
+            return
         step = waiting_step.tracked_step.step
         task_count = len(waiting_step.tracked_step.waiting_indices)
         ranked_spaces = sorted(
--- a/crocusrouter/work/tests/test_standing_jobs.py
+++ b/crocusrouter/work/tests/test_standing_jobs.py
@@ -119,6 +119,14 @@
     assert waited_s < _MAX_WAIT_S
 
 
+def test_gang_larger_than_the_pool_holds_no_workers():
+    """Jobs of later rank waited for as long as such a gang was there."""
+    pool_state = _make_pool_state(build.make_step(1), priority=2)
+    gang = build.make_step(7, gpu=8, gang=True)
+    build.add_job(pool_state, build.make_job("g", gang))
+    assert _measure_wait(pool_state) == 0.0
+
+
 def test_rejected_starts_do_not_begin_the_wait_anew():
     """Each rejected start made the job wait for a better place once more."""
     pool_state = _require_large_rack()
--- a/crocusrouter/work/worker_choice.py
+++ b/crocusrouter/work/worker_choice.py
@@ -186,6 +186,7 @@
         self._exhausted_rooms = _ExhaustedRooms()
         self._allowed_spaces: list[packing.Space] = []
         self._allowed_for: tuple[model.StepKey, int, bool] | None = None
+        self._could_hold_by_step: dict[model.Step, bool] = {}
         self._slot_counts: dict[tuple[model.Room, str, int], int] = {}
         self.groups = pool_state.speeds.find_groups()
         self._slowed_workers: frozenset[str] = frozenset()
@@ -326,6 +327,25 @@
         )
         return slot_count >= (step.count if step.gang else 1)
 
+    def could_hold(self, waiting_step: waiting_steps.WaitingStep) -> bool:
+        """Tell whether a step could start if all workers were empty."""
+        step = waiting_step.tracked_step.step
+        if not step.gang:
+            return True
+        if step not in self._could_hold_by_step:
+            workers = self._pool_state.workers.items()
+            slot_count = sum(
+                min(
+                    step.per_worker or step.count,
+                    worker.entry.room.count(step.charge),
+                )
+                for worker_id, worker in workers
+                if worker.may_take_tasks_later
+                and self._has_label(worker_id, step.label)
+            )
+            self._could_hold_by_step[step] = slot_count >= step.count
+        return self._could_hold_by_step[step]
+
     def list_fitting(
         self,
         waiting_step: waiting_steps.WaitingStep,
