Hold workers of one rack for a step that waits for its rack

What callers saw: jobs of later rank wait beside idle workers that are held for a gang or step which can't use them, since it waits for room in one rack.

Cause: a step without a place holds the workers that have room first, wherever they are. Idle workers of several racks come first, and none of these racks can hold the step.

Change: of the racks with enough workers, the one that will have room first is held; all workers as before if no rack has enough, or if the step need not wait for its rack.

Evidence: test_step_that_waits_for_a_rack_holds_workers_of_one_rack was red (['j0'] == ['j0', 'j1']).

--- a/crocusrouter/work/packing.py
+++ b/crocusrouter/work/packing.py
@@ -124,16 +124,12 @@
     return total
 
 
-def count_workers(
-    task_count: int, step: model.Step, spaces: list[Space]
-) -> int:
+def estimate_worker_count(task_count: int, step: model.Step) -> int:
     """Return how many workers `task_count` tasks of a step would occupy."""
-    if not spaces:
-        return 0
     tasks_per_worker = 1
     if step.charge.accelerators:
         # Workers of a pool are alike; they usually have eight accelerators.
         tasks_per_worker = max(1, 8 // step.charge.accelerators)
     if step.per_worker:
         tasks_per_worker = min(tasks_per_worker, step.per_worker)
-    return min(len(spaces), -(-task_count // tasks_per_worker))
+    return -(-task_count // tasks_per_worker)
--- a/crocusrouter/work/planner.py
+++ b/crocusrouter/work/planner.py
@@ -467,18 +467,52 @@
         if not self._choice.could_hold(waiting_step):
             return
         step = waiting_step.tracked_step.step
-        task_count = len(waiting_step.tracked_step.waiting_indices)
         ranked_spaces = sorted(
             self._choice.list_allowed(waiting_step)
             or self._choice.list_allowed(waiting_step, uses_slowed=True),
             key=lambda space: self._free_times.find(space.worker, step.charge),
         )
-        worker_count = packing.count_workers(task_count, step, ranked_spaces)
+        worker_count = packing.estimate_worker_count(
+            len(waiting_step.tracked_step.waiting_indices), step
+        )
+        if not self._choice.may_use_any_rack(waiting_step):
+            ranked_spaces = self._choose_first_rack(
+                step, ranked_spaces, worker_count
+            )
         self._hold(
             waiting_step,
             {space.worker for space in ranked_spaces[:worker_count]},
         )
 
+    def _choose_first_rack(
+        self,
+        step: model.Step,
+        ranked_spaces: list[packing.Space],
+        worker_count: int,
+    ) -> list[packing.Space]:
+        """Return the workers of the rack that will have room for a step first.
+
+        Args:
+            step: A step that waits for its rack.
+            ranked_spaces: The workers that may run it, by when they have room.
+            worker_count: How many workers it needs.
+
+        Returns:
+            Workers of one rack; all of them if no rack has enough.
+        """
+        racks = [
+            spaces
+            for rack, spaces in packing.group_by_rack(ranked_spaces).items()
+            if len(spaces) >= worker_count and step.rack in ("", rack)
+        ]
+        return min(
+            racks,
+            key=lambda spaces: self._free_times.find(
+                spaces[worker_count - 1].worker, step.charge
+            ),
+            default=ranked_spaces,
+        )
+
     def _hold(
         self, waiting_step: waiting_steps.WaitingStep, workers: set[str]
     ) -> None:
--- a/crocusrouter/work/tests/test_planner.py
+++ b/crocusrouter/work/tests/test_planner.py
@@ -402,3 +402,24 @@
     full_worker = pool_state.workers["w2"]
     full_worker.used = full_worker.used._replace(accelerators=8)
     assert work.plan(pool_state, 0.0, build.WALL).placements == []
+
+
+def test_step_that_waits_for_a_rack_holds_workers_of_one_rack():
+    """It held idle workers of several racks, none of which was of use to it."""
+    workers = ("w0", "w1", "w2", "w3", "w4", "w5")
+    gang = build.make_step(2, gpu=8, gang=True, one_rack=True, expected_s=50.0)
+    pool_state = build.make_pool_state(
+        build.make_job("g", gang, priority=0),
+        *(
+            build.make_job(f"j{number}", build.make_step(1, gpu=8), priority=2)
+            for number in range(3)
+        ),
+        workers=workers,
+        racks=("r0-0", "r0-0", "r0-1", "r0-1", "r0-2", "r0-2"),
+    )
+    for worker_id in ("w0", "w2", "w4"):
+        worker = pool_state.workers[worker_id]
+        worker.used = worker.entry.room
+    plan = work.plan(pool_state, 0.0, build.WALL)
+    started = [placement.step.job for placement in plan.placements]
+    assert started == ["j0", "j1"]
--- a/crocusrouter/work/worker_choice.py
+++ b/crocusrouter/work/worker_choice.py
@@ -421,8 +421,7 @@
                 has_slowed=self.has_slowed,
                 needs_fast=waiting_step.needs_fast,
                 needs_rack=needs_rack,
-                may_leave_rack=not needs_rack
-                or self.may_leave_rack(waiting_step),
+                may_leave_rack=self.may_use_any_rack(waiting_step),
             )
             if may_stop or not attempt.stops
         ]
@@ -535,6 +534,13 @@
         spaces = self.list_group(spaces, attempt.group)
         return packing.fill(spaces, step.charge, step.count, count_slots)
 
+    def may_use_any_rack(self, waiting_step: waiting_steps.WaitingStep) -> bool:
+        """Tell whether a step needs no rack, or need not wait for it."""
+        step = waiting_step.tracked_step.step
+        if not step.one_rack and not step.rack:
+            return True
+        return self.may_leave_rack(waiting_step)
+
     def may_leave_rack(self, waiting_step: waiting_steps.WaitingStep) -> bool:
         """Tell whether a step has waited long enough for its rack.
 
