--- a/crocusrouter/work/planner.py
+++ b/crocusrouter/work/planner.py
@@ -385,7 +385,6 @@
             spaces,
             self._trial_workers,
             self._now,
-            is_overdue=self._is_overdue(waiting_step),
         )
 
     # Guarantees and victims.
--- a/crocusrouter/work/planner_policy.py
+++ b/crocusrouter/work/planner_policy.py
@@ -37,6 +37,7 @@
             place, or for the sake of other steps, no longer than this while
             there is room for it twice over. Callers are promised 3 s, which
             includes the decision, and a start that is rejected and repeated.
+            Trials of suspected tasks are not limited.
     """
 
     rack_patience: float = 5.0
