--- a/bench/replay/tests/test_days.py
+++ b/bench/replay/tests/test_days.py
@@ -73,9 +73,11 @@
 # day and of its worst windows.
 @pytest.mark.parametrize("site", ["fbusw", "kilima", "rosario"])
 def test_urgent_work_preempts_other_work(site):
-    current = _score_days(site, work.PlannerPolicy())
+    current = _score_days(site, work.PlannerPolicy(), _MORE_SEEDS)
     changed = _score_days(
-        site, work.PlannerPolicy(loss_factor=0.0, second_loss_factor=0.0)
+        site,
+        work.PlannerPolicy(loss_factor=0.0, second_loss_factor=0.0),
+        _MORE_SEEDS,
     )
     gain = statistics.mean(
         a.combined_score - b.combined_score
