--- a/crocusrouter/work/worker_choice.py
+++ b/crocusrouter/work/worker_choice.py
@@ -7,6 +7,7 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
+from collections.abc import Iterator
 import dataclasses
 import enum
 
@@ -185,7 +186,8 @@
         self._exhausted_rooms = _ExhaustedRooms()
         self._allowed_spaces: list[packing.Space] = []
         self._allowed_for: tuple[model.StepKey, int, bool] | None = None
-        self._usable_slots: dict[tuple[model.Room, str, int], int] = {}
+        self._could_hold_by_step: dict[model.Step, bool] = {}
+        self._slot_counts: dict[tuple[model.Room, str, int], int] = {}
         self.groups = pool_state.speeds.find_groups()
         self._slowed_workers: frozenset[str] = frozenset()
         if self.groups.is_split:
@@ -243,23 +245,48 @@
             and self._is_permitted(waiting_step, space.worker)
         ]
 
-    def count_usable_slots(
+    def list_fallbacks(
         self, waiting_step: waiting_steps.WaitingStep
-    ) -> int:
+    ) -> Iterator[list[packing.Space]]:
+        """Yield spaces for a step that must start now, the better ones first.
+
+        First those that it may always use, then those that other steps hold,
+        then workers on which it has failed too.
+        """
+        usable_spaces = [
+            space
+            for space in self.list_usable(waiting_step)
+            if space.free.holds(waiting_step.tracked_step.step.charge)
+        ]
+        avoided_workers = waiting_step.tracked_step.avoided_workers
+        yield [
+            space
+            for space in usable_spaces
+            if space.worker not in self.held_workers
+            and space.worker not in avoided_workers
+        ]
+        yield [
+            space
+            for space in usable_spaces
+            if space.worker not in avoided_workers
+        ]
+        yield usable_spaces
+
+    def count_slots(self, step: model.Step) -> int:
         """Return for how many tasks of a step the plan leaves room.
 
         The counts are kept for all steps with equal needs, so the plan must be
-        complete.
+        complete. Tickets are not considered.
         """
-        step = waiting_step.tracked_step.step
-        if waiting_step.tracked_job.job.advised:
-            return packing.count_slots(self.list_usable(waiting_step), step)
         key = step.charge, step.label, step.per_worker
-        if key not in self._usable_slots:
-            self._usable_slots[key] = packing.count_slots(
-                self.list_usable(waiting_step), step
+        if key not in self._slot_counts:
+            spaces = (
+                space
+                for space in self.spaces.values()
+                if self._has_label(space.worker, step.label)
             )
-        return self._usable_slots[key]
+            self._slot_counts[key] = packing.count_slots(spaces, step)
+        return self._slot_counts[key]
 
     def _find_allowed(
         self, waiting_step: waiting_steps.WaitingStep
@@ -300,6 +327,25 @@
         )
         return slot_count >= (step.count if step.gang else 1)
 
+    def could_hold(self, waiting_step: waiting_steps.WaitingStep) -> bool:
+        """Tell whether a step could start if all workers were empty."""
+        step = waiting_step.tracked_step.step
+        if not step.gang:
+            return True
+        if step not in self._could_hold_by_step:
+            workers = self._pool_state.workers.items()
+            slot_count = sum(
+                min(
+                    step.per_worker or step.count,
+                    worker.entry.room.count(step.charge),
+                )
+                for worker_id, worker in workers
+                if worker.may_take_tasks_later
+                and self._has_label(worker_id, step.label)
+            )
+            self._could_hold_by_step[step] = slot_count >= step.count
+        return self._could_hold_by_step[step]
+
     def list_fitting(
         self,
         waiting_step: waiting_steps.WaitingStep,
@@ -375,8 +421,7 @@
                 has_slowed=self.has_slowed,
                 needs_fast=waiting_step.needs_fast,
                 needs_rack=needs_rack,
-                may_leave_rack=not needs_rack
-                or self.may_leave_rack(waiting_step),
+                may_leave_rack=self.may_use_any_rack(waiting_step),
             )
             if may_stop or not attempt.stops
         ]
@@ -489,6 +534,13 @@
         spaces = self.list_group(spaces, attempt.group)
         return packing.fill(spaces, step.charge, step.count, count_slots)
 
+    def may_use_any_rack(self, waiting_step: waiting_steps.WaitingStep) -> bool:
+        """Tell whether a step needs no rack, or need not wait for it."""
+        step = waiting_step.tracked_step.step
+        if not step.one_rack and not step.rack:
+            return True
+        return self.may_leave_rack(waiting_step)
+
     def may_leave_rack(self, waiting_step: waiting_steps.WaitingStep) -> bool:
         """Tell whether a step has waited long enough for its rack.
 
