Stop a run again whose start was not confirmed and whose stop was lost

Callers could see a job with nothing running for ever: the start of its task had no answer, and the stop that settles it ended with an error that nobody expected. The task counted as running (STOPPING) on a worker that had never begun it.

Cause: a stop is ordered again only while its worker reports the run. A run that no report has confirmed and none lists was passed over, and only the answer to a stop settles such a run.

Now each report without the run repeats its stop 1.5 s after the last one, as a report with the run does. The link sends no stop twice at a time, so a stop that is still being delivered is not doubled. The run counts until its worker has answered, as before, so nothing can run twice.

--- a/crocusrouter/work/pool_state.py
+++ b/crocusrouter/work/pool_state.py
@@ -535,10 +535,11 @@
         )
 
     def repeat_stop(self, run: tracking.Run, now: float) -> None:
-        """Order the stop of a run again that its worker still reports.
+        """Order the stop of a run again that has not ended.
 
         A stop that was answered takes effect within a second. One that was
-        lost on its way would otherwise never be sent again.
+        lost on its way would otherwise never be sent again. A stop that is
+        still being delivered is not sent twice.
         """
         is_stopping = run.phase is tracking.Phase.STOPPING
         if is_stopping and now >= run.stop_queued_at + STOP_REPEAT_S:
--- a/crocusrouter/work/reports.py
+++ b/crocusrouter/work/reports.py
@@ -152,16 +152,18 @@
     """Drop runs that their worker no longer knows.
 
     A previous owner may have confirmed an end and died before it could record
-    it. Without this, the task would count as running for ever.
+    it. Without this, the task would count as running for ever. A run that was
+    not confirmed may still begin until its worker has answered a stop.
     """
     for key in list(worker.runs):
+        if key in running_by_key:
+            continue
         run = pool_state.runs[key]
         confirmed_at = run.confirmed_at
-        if (
-            key in running_by_key
-            or confirmed_at is None
-            or confirmed_at >= sent_at
-        ):
+        if confirmed_at is None:
+            pool_state.repeat_stop(run, now)
+            continue
+        if confirmed_at >= sent_at:
             continue
         pool_state.note(
             "run:missing",
--- a/crocusrouter/work/tests/test_pool_state.py
+++ b/crocusrouter/work/tests/test_pool_state.py
@@ -376,6 +376,25 @@
     assert pool_state.outbox == [(run.worker_id, stop)] * expected
 
 
+# Guards against a task that counts as running for ever: its start had no
+# answer, and the only stop of it was lost with an unexpected error.
+@pytest.mark.parametrize(
+    ("reports_at", "expected"),
+    [([2.0, 2.9], 1), ([2.0, 3.1], 2), ([3.1, 3.2, 4.7], 3)],
+)
+def test_stop_of_a_start_that_was_not_confirmed_is_repeated(
+    reports_at, expected
+):
+    pool_state = build.make_pool_state(build.make_job("j", build.make_step(1)))
+    build.apply_plan(pool_state, confirm=False)
+    run = pool_state.runs[_key("j")]
+    pool_state.stop_run(run, "test", 1.5)
+    for now in reports_at:
+        build.apply_report(pool_state, run.worker_id, now=now, running=())
+    stop = worker_port.Stop(run.key, run.number)
+    assert pool_state.outbox == [(run.worker_id, stop)] * expected
+
+
 @pytest.mark.parametrize("how", [HOW.DONE, HOW.FAILED])
 def test_lasting_task_runs_once_when_an_earlier_end_is_learnt_late(how):
     """A lasting task ran twice after its earlier run was listed as done."""
