Hold a late start on the incarnation that answers, not on one that is gone

Callers could see a job with nothing running for ever beside a worker whose process restarts twice within a second or two.

Cause: an unanswered start on a replaced incarnation is assigned to its successor until that has answered a stop. The answer that names the successor may come after the successor has itself been replaced; then the run went to an incarnation without a link, so that no stop and no lapse ever ended it.

The state now keeps which incarnation replaced which, and the run goes to the one that answers now, which is also the one that could carry the start out. If none is known, the task waits again, as it does for an unknown successor.

--- a/crocusrouter/work/replacement.py
+++ b/crocusrouter/work/replacement.py
@@ -62,17 +62,19 @@
     if worker is None or worker.replaced:
         return
     worker.replaced = True
+    worker.successor = successor
     pool_state.note(
         "worker:restarted",
         worker=worker_id,
         successor=successor,
         runs=len(worker.runs),
     )
-    if successor is not None:
+    present = _find_present(pool_state, successor)
+    if present is not None:
         for stop in late_stops:
             run = worker.runs.get(stop.key)
             if run is not None and run.number == stop.run:
-                pool_state.move_run(run, successor)
+                pool_state.move_run(run, present)
                 reason = (
                     "its worker has restarted before its start was answered"
                 )
@@ -81,6 +83,26 @@
     pool_state.note_lapsed(worker_id, "another incarnation answers", now)
 
 
+def _find_present(
+    pool_state: pool_states.PoolState, successor: str | None
+) -> str | None:
+    """Return the incarnation that answers now; None if it is unknown.
+
+    The answer that named `successor` may have come after those of later
+    incarnations, and nothing ends the runs of one that is gone already.
+    """
+    seen_ids: set[str] = set()
+    while successor is not None and successor not in seen_ids:
+        worker = pool_state.workers.get(successor)
+        if worker is None:
+            return None
+        if not worker.replaced:
+            return successor
+        seen_ids.add(successor)
+        successor = worker.successor
+    return None
+
+
 def _stop_gang(
     pool_state: pool_states.PoolState, run: tracking.Run, now: float
 ) -> None:
--- a/crocusrouter/work/tests/test_restarts.py
+++ b/crocusrouter/work/tests/test_restarts.py
@@ -86,6 +86,35 @@
     assert pool_state.find_tracked_step(_FIRST_TASK).waiting_indices == {0}
 
 
+# Guards against a task that counts as running for ever, on an incarnation that
+# has ended already: the answer that named it came after that of the next one.
+@pytest.mark.parametrize("last_worker", [None, "w0@9"])
+def test_late_start_is_not_left_on_an_incarnation_that_was_replaced(
+    last_worker,
+):
+    pool_state = build.make_pool_state(
+        build.make_job("j", build.make_step(1)), workers=(_OLD_WORKER,)
+    )
+    build.apply_plan(pool_state)
+    run = pool_state.runs[_FIRST_TASK]
+    run.maybe_started = True
+    work.add_successor(pool_state, _OLD_WORKER, _NEW_WORKER, 1.0)
+    if last_worker is not None:
+        work.add_successor(pool_state, _NEW_WORKER, last_worker, 1.5)
+    work.note_replaced(pool_state, _NEW_WORKER, 1.5, last_worker)
+    stop = worker_port.Stop(run.key, run.number)
+    work.note_replaced(pool_state, _OLD_WORKER, 2.0, _NEW_WORKER, [stop])
+    tracked_step = pool_state.find_tracked_step(_FIRST_TASK)
+    if last_worker is None:
+        # As where no incarnation is known that could carry the start out.
+        assert tracked_step.waiting_indices == {0}
+        assert not pool_state.runs
+    else:
+        assert run.worker_id == last_worker
+        assert pool_state.outbox == [(last_worker, stop)]
+    assert not pool_state.workers[_NEW_WORKER].runs
+
+
 def test_gang_with_a_member_that_may_start_late_is_stopped():
     """The other members would work for a member that is to be stopped."""
     step = build.make_step(2, gang=True, gpu=8)
--- a/crocusrouter/work/tracking.py
+++ b/crocusrouter/work/tracking.py
@@ -96,6 +96,7 @@
         last_report_at: When the worker last reported its runs; None if never.
         all_runs_ended: Whether everything that ran there has certainly ended.
         replaced: Whether another incarnation answers at the worker's address.
+        successor: That incarnation; None if it is unknown.
         used: Room that runs take.
         runs: Runs there by task, in the order of their starts. Iterating over a
             set of keys would differ between processes, and equal states would
@@ -126,6 +127,7 @@
     last_report_at: float | None = None
     all_runs_ended: bool = False
     replaced: bool = False
+    successor: str | None = None
     used: model.Room = model.Room()
     runs: dict[model.TaskKey, Run] = dataclasses.field(default_factory=dict)
     stray_runs: set[tuple[model.TaskKey, int]] = dataclasses.field(
