Don't let a new silent worker delay the jobs from before the takeover

Cause: a worker that has not answered this owner may run what an earlier owner started there, so every job accepted before the takeover waits for its answer or for 7.7 s. That held for workers that are listed long after the takeover, too: one whose process ends right after it has registered, or that can't be reached, stopped all those jobs, and the next such worker stopped them again.

26.8 s after the takeover nothing of an earlier owner can run anywhere: it renews for 1.5 s, its last start is carried out at most 15 s later, and a worker grants leases of 10 s, on a clock of 0.98 (lease_contract, rule 5). From then on an unreported worker makes only those jobs wait of which this owner has an unanswered start to the same worker; that now holds for jobs from after the takeover as well.

--- a/crocusrouter/pools/lease_contract.py
+++ b/crocusrouter/pools/lease_contract.py
@@ -14,6 +14,9 @@
     `LEASE_S` ahead on the worker's clock.
 4.  End: an owner counts the leases of earlier owners as ended when rule 3 says
     so, or, on a worker that has not answered, when rules 1 and 2 do.
+5.  Late starts: a start without an answer is carried out within
+    `MAX_START_DELAY_S`, if at all, maybe by the worker's next process. That
+    process has another clock, but grants no lease of more than `MAX_GRANT_S`.
 
 Times without a unit in their names are seconds of a steady clock.
 """
@@ -25,6 +28,8 @@
 RENEWAL_GRACE_S = 1.5
 MIN_CLOCK_RATE = 0.98
 SAFETY_MARGIN_S = 0.05
+MAX_START_DELAY_S = 15.0
+MAX_GRANT_S = 10.0
 _LEASE_MS = LEASE_S * 1000
 _SAFETY_MARGIN_MS = SAFETY_MARGIN_S * 1000
 
@@ -90,3 +95,21 @@
     """
     longest_s = RENEWAL_GRACE_S + LEASE_S / MIN_CLOCK_RATE
     return now > owned_since + longest_s + SAFETY_MARGIN_S
+
+
+def have_late_starts_ended(owned_since: float, now: float) -> bool:
+    """Return whether nothing that an earlier owner has ordered can go on.
+
+    That includes starts carried out late by processes of which neither owner
+    knew at that time.
+
+    Args:
+        owned_since: When the present owner began, or later.
+        now: Present time.
+
+    >>> have_late_starts_ended(0.0, 26.7), have_late_starts_ended(0.0, 26.8)
+    (False, True)
+    """
+    last_start_s = RENEWAL_GRACE_S + MAX_START_DELAY_S
+    longest_s = last_start_s + MAX_GRANT_S / MIN_CLOCK_RATE
+    return now > owned_since + longest_s + SAFETY_MARGIN_S
--- a/crocusrouter/pools/owner.py
+++ b/crocusrouter/pools/owner.py
@@ -19,6 +19,7 @@
 from crocusrouter.pools import job_expiry
 from crocusrouter.pools import journal as journals
 from crocusrouter.pools import known_workers
+from crocusrouter.pools import lease_contract
 from crocusrouter.pools import owner_leases
 from crocusrouter.pools import parked_jobs
 from crocusrouter.pools import reservations
@@ -127,6 +128,7 @@
             str, unanswered_starts.UnansweredStarts
         ] = collections.defaultdict(unanswered_starts.UnansweredStarts)
         self._reservations = reservations.Reservations()
+        self._owned_since = clock.steady()
         self._last_run_number = owner_lease.epoch << _RUN_NUMBER_BITS
         self._wake_event = trio.Event()
         self._nursery: trio.Nursery | None = None
@@ -314,6 +316,26 @@
         self._links[incarnation] = link
         self._nursery.start_soon(self._run_link, incarnation, link)
 
+    def _limit_possible_jobs(self, now: float) -> None:
+        """Note which jobs may run on workers that have not answered yet.
+
+        Long after the takeover, only late starts of this owner can be there.
+        Other jobs need not wait until such a worker answers: a new one may end
+        right after it has registered.
+        """
+        owned_long = lease_contract.have_late_starts_ended(
+            self._owned_since, now
+        )
+        for worker_state in self.pool_state.workers.values():
+            if not worker_state.has_unknown_runs:
+                continue
+            possible_jobs = worker_state.possible_jobs
+            if possible_jobs is None and not owned_long:
+                continue
+            unanswered = self._unanswered_starts[worker_state.entry.worker]
+            late_jobs = unanswered.list_jobs(now)
+            worker_state.possible_jobs = late_jobs | (possible_jobs or set())
+
     def _handle_replaced(
         self,
         incarnation: str,
@@ -462,6 +484,7 @@
 
     def _decide(self, now: float, wall: float) -> None:
         self.pool_state.open_due_occurrences(wall, now)
+        self._limit_possible_jobs(now)
         self._check_recovered(now)
         if self.is_recovered:
             self._state_log.write_shortfall()
--- a/crocusrouter/pools/tests/test_unanswered_starts.py
+++ b/crocusrouter/pools/tests/test_unanswered_starts.py
@@ -58,3 +58,10 @@
     starts.listeners.append(lambda: calls.append(1))
     starts.note(worker_port.Start(_KEY, 7, ""), "w0@5", 1.0)
     assert calls == [1]
+
+
+@pytest.mark.parametrize(("at", "expected"), [(2.0, {_KEY.job}), (30.0, set())])
+def test_jobs_whose_starts_may_be_carried_out_late(at, expected):
+    starts = unanswered_starts.UnansweredStarts()
+    starts.note(worker_port.Start(_KEY, 7, ""), "w0@5", 1.0)
+    assert starts.list_jobs(at) == expected
--- a/crocusrouter/pools/unanswered_starts.py
+++ b/crocusrouter/pools/unanswered_starts.py
@@ -10,11 +10,9 @@
 import dataclasses
 
 from crocusrouter import work
+from crocusrouter.pools import lease_contract
 from crocusrouter.work import worker_port
 
-# Longest time after which an unanswered order is still carried out.
-_MAX_DELAY_S = 15.0
-
 
 @dataclasses.dataclass(frozen=True)
 class _UnansweredStart:
@@ -86,6 +84,15 @@
             and incarnation not in start.refused_by
         ]
 
+    def list_jobs(self, now: float) -> frozenset[str]:
+        """Return the jobs of which a start may still be carried out.
+
+        Args:
+            now: Steady time in seconds.
+        """
+        self._drop_expired(now)
+        return frozenset(key.job for key, _ in self._starts)
+
     def is_settled(self, now: float) -> bool:
         """Return whether none of the starts can be carried out any more."""
         self._drop_expired(now)
@@ -95,5 +102,5 @@
         self._starts = {
             start_key: start
             for start_key, start in self._starts.items()
-            if now < start.sent_at + _MAX_DELAY_S
+            if now < start.sent_at + lease_contract.MAX_START_DELAY_S
         }
--- a/crocusrouter/work/tracking.py
+++ b/crocusrouter/work/tracking.py
@@ -115,8 +115,9 @@
         was_evacuated: Whether it was ever emptied for upkeep, in which case its
             end is expected and no crash.
         trial_until: Steady time until which a suspected task runs there alone.
-        possible_jobs: Jobs that may run there according to the previous owner's
-            records, while the worker has not been reached; None for any job.
+        possible_jobs: Jobs that may run there while the worker has not been
+            reached, by the records of the previous owner and the unanswered
+            starts of this one; None for any job.
     """
 
     entry: worker_port.WorkerEntry
--- a/standins/emulator/tests/test_takeover.py
+++ b/standins/emulator/tests/test_takeover.py
@@ -1,9 +1,12 @@
 """Which jobs a new owner starts at once, and which wait for a silent worker."""
 
+import dataclasses
+
 import pytest
 import trio
 
 from crocusrouter import work
+from crocusrouter.work import worker_port
 from standins import emulator
 from standins.emulator import cluster as clusters
 from standins.emulator import store as stores
@@ -189,6 +192,93 @@
     assert cluster.list_owner_failures() == []
 
 
+# Guards against jobs that stand beside idle workers because a new worker ends
+# right after it has registered, long after the takeover: all jobs from before
+# the takeover waited 7.7 s for its leases, and again for the next such worker.
+@pytest.mark.parametrize("new_workers", [1, 3])
+async def test_new_silent_worker_delays_no_jobs_from_before_the_takeover(
+    new_workers, autojump_clock
+):
+    cluster = emulator.Cluster(3)
+    room = work.Room(1000, 4096, 8)
+    steps = (
+        work.Step(1, room, 35.0),
+        work.Step(1, room, 1.0, after=(0,)),
+    )
+    job = dataclasses.replace(_make_job(1), steps=steps)
+    first_task, second_task = (
+        work.TaskKey(job.id, 0, position, 0) for position in (0, 1)
+    )
+    async with trio.open_nursery() as nursery:
+        await nursery.start(cluster.run)
+        await trio.sleep(3.0)
+        assert await cluster.submit(job) == "accepted"
+        await trio.sleep(1.0)
+        cluster.kill_entry(cluster.find_owner())
+        await trio.sleep(32.0)
+        for number in range(new_workers):
+            name = f"new{number}"
+            cluster.add_worker(name, "r0-0")
+            cluster.workers[name].unreachable_from = set(cluster.entry_names)
+            await trio.sleep(1.0)
+        with trio.fail_after(10.0):
+            while first_task not in cluster.oracle.done:
+                await trio.sleep(0.01)
+        ended_at = trio.current_time()
+        with trio.fail_after(10.0):
+            while second_task not in cluster.oracle.done:
+                await trio.sleep(0.01)
+        waited_s = trio.current_time() - ended_at - steps[1].expected_s
+        nursery.cancel_scope.cancel()
+    assert waited_s < 0.5
+    assert cluster.oracle.broken == []
+
+
+# Guards against a task that runs twice: a start without an answer is carried
+# out by the worker's next process, which has answered nobody yet.
+async def test_job_waits_for_a_process_that_may_carry_out_its_start(
+    autojump_clock, monkeypatch
+):
+    original_start = worker_views.WorkerView.start
+    lost_on = []
+
+    async def lose_starts_of_first_worker(view, epoch, order, *arguments):
+        worker = view._worker
+        if not lost_on:
+            lost_on.append(worker)
+        if worker is not lost_on[0]:
+            return await original_start(view, epoch, order, *arguments)
+        worker.crash()
+        await trio.sleep(arguments[-1])
+        return worker_port.NoAnswer("lost")
+
+    monkeypatch.setattr(
+        worker_views.WorkerView, "start", lose_starts_of_first_worker
+    )
+    cluster = emulator.Cluster(3)
+    job = _make_job(1)
+    async with trio.open_nursery() as nursery:
+        await nursery.start(cluster.run)
+        await trio.sleep(32.0)
+        assert await cluster.submit(job) == "accepted"
+        await trio.sleep(4.0)
+        [crashed_worker] = lost_on
+        name = crashed_worker.entry.id
+        cluster.restart_worker(name)
+        cluster.workers[name].unreachable_from = set(cluster.entry_names)
+        cluster.write_worker_entry(name)
+        # Until the leases of the crashed process have ended.
+        await trio.sleep(6.0)
+        owner = cluster.entries[cluster.find_owner()]
+        pool_state = owner.pool_owners[clusters.POOL].pool_state
+        has_run = pool_state.jobs[job.id].has_runs
+        blocked_jobs = pool_state.list_blocked_jobs()
+        nursery.cancel_scope.cancel()
+    assert not has_run
+    assert blocked_jobs == {job.id}
+    assert cluster.oracle.broken == []
+
+
 async def test_owner_that_restarts_does_not_wait_for_its_own_lease(
     autojump_clock,
 ):
