Count the wait of a step from its turn, not from its job's arrival

The line step:start told callers' operators that a later step had waited for as long as its job was known, and the planner decided by the same time: such a step was let off its rack at once, did not wait for calm before its last starts, and started on any worker instead of a quiet one on trial.

Cause: waiting_since was set for all steps when their occurrence was opened, and again only after a run that did not succeed. It is now set for a step when all tasks of the steps that it depends on are done, and is None before that.

Later steps can now wait for their racks for as long as first steps do; before, those that came late enough did not wait at all. Where that wait must be bounded, the planner has to bound it.

Red before: test_step_waits_since_its_turn_came ("assert 0.0 == 9.0", two rows).

--- a/crocusrouter/work/pool_state.py
+++ b/crocusrouter/work/pool_state.py
@@ -207,8 +207,20 @@
             progress = tracked_job.progress.get(number, position)
             waiting = set(range(step.count)) - progress.done
             tracked_step = tracking.TrackedStep(key, step, progress, waiting)
-            tracked_step.waiting_since = now
             tracked_job.steps[key] = tracked_step
+        self.note_ready_steps(tracked_job, number, now)
+
+    def note_ready_steps(
+        self, tracked_job: tracking.TrackedJob, occurrence: int, now: float
+    ) -> None:
+        """Record since when steps wait whose turn has come now."""
+        for key, tracked_step in tracked_job.steps.items():
+            if (
+                key.occurrence == occurrence
+                and tracked_step.waiting_since is None
+                and self.is_ready(tracked_job, tracked_step)
+            ):
+                tracked_step.waiting_since = now
 
     def _close_job(
         self, tracked_job: tracking.TrackedJob, reason: str, now: float
--- a/crocusrouter/work/reports.py
+++ b/crocusrouter/work/reports.py
@@ -284,6 +284,8 @@
         is_member = tracked_step.step.gang and other_run.number == run_end.run
         if not is_member:
             pool_state.stop_run(other_run, "its task has ended elsewhere", now)
+    if tracked_step.is_done:
+        pool_state.note_ready_steps(tracked_job, key.occurrence, now)
     pool_state.dirty.add(tracked_job.job.id)
     pool_state.finish_if_done(tracked_job, now)
 
--- a/crocusrouter/work/tests/test_pool_state.py
+++ b/crocusrouter/work/tests/test_pool_state.py
@@ -430,3 +430,37 @@
         work.apply_report(pool_state, run.worker_id, report, now, now)
     stopped = [order for _, order in pool_state.outbox]
     assert worker_port.Stop(_key("j"), run.number) in stopped
+
+
+# Guards against a step that seems to have waited since its job arrived: it was
+# let off its rack, and counted as late for a trial, as soon as its turn came.
+@pytest.mark.parametrize(
+    ("after", "expected"), [((), 0.0), ((0,), 9.0), ((0, 1), 9.0)]
+)
+def test_step_waits_since_its_turn_came(after, expected):
+    steps = [
+        build.make_step(),
+        build.make_step(),
+        build.make_step(2, after=after),
+    ]
+    pool_state = build.make_pool_state(build.make_job("j", *steps))
+    build.apply_plan(pool_state)
+    for position, at in ((1, 4.0), (0, 9.0)):
+        key = work.TaskKey("j", 0, position, 0)
+        worker_id = pool_state.runs[key].worker_id
+        build.apply_report(pool_state, worker_id, (key, HOW.DONE), now=at)
+    tracked_step = pool_state.find_tracked_step(work.TaskKey("j", 0, 2, 0))
+    assert tracked_step.waiting_since == expected
+
+
+def test_step_of_an_adopted_job_waits_since_its_turn_came():
+    """A new owner reads from the journal that the earlier step has ended."""
+    steps = [build.make_step(), build.make_step(after=(0,))]
+    pool_state = build.make_pool_state()
+    progress = work.Progress()
+    progress.get(0, 0).done.add(0)
+    job = build.make_job("j", *steps)
+    pool_state.put_job(job, progress, 99, 7.0)
+    pool_state.open_due_occurrences(build.WALL, 7.0)
+    tracked_step = pool_state.find_tracked_step(work.TaskKey("j", 0, 1, 0))
+    assert tracked_step.waiting_since == 7.0
--- a/crocusrouter/work/tracking.py
+++ b/crocusrouter/work/tracking.py
@@ -210,7 +210,8 @@
         avoided_workers: Workers on which a task of the step failed or was
             rejected.
         not_before: Steady time before which no task of the step starts again.
-        waiting_since: Steady time since which tasks have been waiting.
+        waiting_since: Steady time since which tasks have been waiting; None
+            until all earlier steps are done that it depends on.
         permits: Answers of the policy service about the step.
     """
 
