Let the questions of all steps take turns with repeated ones

Jobs of advised queues could stand for ever beside free workers that may run them.

Cause: the one question at a time went to the first step in the planner's order that lacks tickets. A gang for which the policy allows too few of the free workers needs new tickets each 2.5 s. Once the questions of such gangs take as long as that, no step behind them is asked about.

After a repeated question, the next one goes to a step that was not asked about yet, the one with the fewest workers first, then to the one that has waited longest for each worker that its question names. First questions keep the planner's order, and at least every second question goes by it.

--- a/crocusrouter/pools/advisor.py
+++ b/crocusrouter/pools/advisor.py
@@ -41,6 +41,8 @@
         self._clock = clock
         self._on_change = on_change
         self._wake_event = trio.Event()
+        # Whether the next question goes by turns, not by the planner's order.
+        self._takes_turns = False
 
     def wake(self) -> None:
         """Check again whether there is a question to ask."""
@@ -51,9 +53,16 @@
         try:
             while True:
                 question = work.choose_question(
-                    self._pool_state, self._clock.steady(), self._clock.wall()
+                    self._pool_state,
+                    self._clock.steady(),
+                    self._clock.wall(),
+                    takes_turns=self._takes_turns,
                 )
                 if question is not None:
+                    self._takes_turns = (
+                        question.is_repeated and not self._takes_turns
+                    )
+                    self._note_asked(question.step)
                     await self._ask(question)
                     continue
                 with trio.move_on_after(_CHECK_INTERVAL_S):
@@ -64,6 +73,11 @@
                 with trio.CancelScope(shield=True):
                     await self._policy.aclose()
 
+    def _note_asked(self, step: work.StepKey) -> None:
+        step_work = self._pool_state.find_tracked_step(step)
+        if step_work is not None:
+            step_work.permits.asked_at = self._clock.steady()
+
     async def _ask(self, question: work.PolicyQuestion) -> None:
         step = question.step
         if self._policy is None:
--- a/crocusrouter/work/permit.py
+++ b/crocusrouter/work/permit.py
@@ -15,12 +15,14 @@
         tickets: Ticket and the end of its validity in steady seconds, by
             worker.
         rejected_workers: Workers that may not run the step.
+        asked_at: Steady time of the latest question; None if there was none.
     """
 
     tickets: dict[str, tuple[str, float]] = dataclasses.field(
         default_factory=dict
     )
     rejected_workers: set[str] = dataclasses.field(default_factory=set)
+    asked_at: float | None = None
 
     def note_answer(
         self,
--- a/crocusrouter/work/policy_questions.py
+++ b/crocusrouter/work/policy_questions.py
@@ -5,8 +5,13 @@
 the more workers a question names, and issues tickets that are valid for
 seconds. Whether a worker may run a step does not change, so the service is not
 asked again about a worker that it has rejected.
+
+A step that can't start although it has tickets needs new ones every few
+seconds. Some of these could take up the service, so the questions of all other
+steps take turns with such repeated ones.
 """
 
+from collections.abc import Iterator
 import dataclasses
 
 from crocusrouter.work import model
@@ -28,14 +33,20 @@
     Attributes:
         step: The step.
         workers: Workers that may run it, those with free room first.
+        is_repeated: Whether there were earlier questions for the step.
     """
 
     step: model.StepKey
     workers: tuple[str, ...]
+    is_repeated: bool = False
 
 
 def choose_question(
-    pool_state: pool_states.PoolState, now: float, wall: float
+    pool_state: pool_states.PoolState,
+    now: float,
+    wall: float,
+    *,
+    takes_turns: bool = False,
 ) -> PolicyQuestion | None:
     """Return the question that lets the first step in the order start.
 
@@ -46,14 +57,48 @@
         pool_state: State of the pool; not changed.
         now: Steady time in seconds.
         wall: Unix time in seconds.
+        takes_turns: Whether a step that was not asked about yet, or has waited
+            longest for its few workers, goes first instead.
     """
+    questions = _list_questions(pool_state, now, wall)
+    if takes_turns:
+        return min(
+            questions,
+            key=lambda question: _rank_turn(pool_state, question, now),
+            default=None,
+        )
+    return next(questions, None)
+
+
+def _list_questions(
+    pool_state: pool_states.PoolState, now: float, wall: float
+) -> Iterator[PolicyQuestion]:
+    """Yield the questions of the waiting steps in the planner's order."""
     for waiting_step in waiting_steps.list_waiting_steps(pool_state, now, wall):
         if not waiting_step.tracked_job.job.advised:
             continue
         worker_ids = _choose_workers(pool_state, waiting_step, now)
         if worker_ids:
-            return PolicyQuestion(waiting_step.tracked_step.key, worker_ids)
-    return None
+            tracked_step = waiting_step.tracked_step
+            yield PolicyQuestion(
+                tracked_step.key,
+                worker_ids,
+                tracked_step.permits.asked_at is not None,
+            )
+
+
+def _rank_turn(
+    pool_state: pool_states.PoolState, question: PolicyQuestion, now: float
+) -> tuple[bool, float]:
+    """Return the sort key of a question where steps take turns.
+
+    The more workers a question names, the longer it keeps others waiting.
+    """
+    worker_count = len(question.workers)
+    tracked_step = pool_state.find_tracked_step(question.step)
+    if tracked_step is None or tracked_step.permits.asked_at is None:
+        return False, worker_count
+    return True, (tracked_step.permits.asked_at - now) / worker_count
 
 
 def _choose_workers(
--- a/crocusrouter/work/tests/test_policy_questions.py
+++ b/crocusrouter/work/tests/test_policy_questions.py
@@ -103,3 +103,33 @@
         key, number, worker_port.RejectionReason.NO_TICKET, 0.0
     )
     assert work.choose_question(pool_state, 1.0, build.WALL).workers == ("w0",)
+
+
+# Guards against steps that are never asked about, and against a gang that takes
+# as many turns as a step for which a short question suffices.
+@pytest.mark.parametrize(
+    ("gang_asked_at", "small_asked_at", "takes_turns", "expected"),
+    [
+        (None, None, False, "g"),
+        (3.0, None, False, "g"),
+        (3.0, None, True, "j"),
+        (None, 3.0, True, "g"),
+        (None, None, True, "j"),
+        (3.0, 3.0, True, "j"),
+        (0.0, 3.5, True, "g"),
+    ],
+)
+def test_steps_take_turns(gang_asked_at, small_asked_at, takes_turns, expected):
+    gang = build.make_step(2, gpu=8, gang=True)
+    pool_state = build.make_pool_state(
+        build.make_job("g", gang, advised=True, priority=0),
+        build.make_job("j", build.make_step(1), advised=True),
+        workers=("w0", "w1", "w2", "w3", "w4", "w5"),
+    )
+    for name, asked_at in (("g", gang_asked_at), ("j", small_asked_at)):
+        tracked_step = pool_state.find_tracked_step(work.StepKey(name, 0, 0))
+        tracked_step.permits.asked_at = asked_at
+    question = work.choose_question(
+        pool_state, 4.0, build.WALL, takes_turns=takes_turns
+    )
+    assert question.step.job == expected
