Suspect no more than a third of the workers at a time

Cause: a worker on which tasks of two jobs have failed, and none has succeeded in between, takes nothing for 4 s, and each further failure renews that. Two jobs whose tasks always fail, with a task on each worker, made all workers of a pool suspect at once, so nothing of any job could start for 4 s and more.

At most a third of the listed workers, but at least one, are suspect at a time now. If tasks fail on more, their jobs are at fault rather than the workers, and the others still need room. A pool with faulty workers on more than a third of its places loses attempts there as it did before there was suspicion; the tasks still avoid the workers on which they have failed.

Red before: test_failing_jobs_make_no_more_than_a_third_suspect ("assert 12 == 4", all twelve suspect; also 2, 3 and 6 workers).

--- a/crocusrouter/work/reports.py
+++ b/crocusrouter/work/reports.py
@@ -300,7 +300,8 @@
 ) -> None:
     """Record that a task has failed; fail its job after the last attempt."""
     worker_failures.note_failure(
-        pool_state.workers.get(worker_id),
+        pool_state.workers,
+        worker_id,
         tracked_job.job.id,
         now,
         pool_state.note,
--- a/crocusrouter/work/tests/test_pool_state.py
+++ b/crocusrouter/work/tests/test_pool_state.py
@@ -207,6 +207,37 @@
     assert pool_state.workers["w0"].may_start_tasks(20.0)
 
 
+# Guards against a pool in which nothing starts for 4 s, and longer with each
+# further failure: tasks of two jobs that always fail have failed everywhere.
+@pytest.mark.parametrize(
+    ("workers", "suspected"), [(1, 1), (2, 1), (3, 1), (6, 2), (12, 4)]
+)
+def test_failing_jobs_make_no_more_than_a_third_suspect(workers, suspected):
+    names = [f"w{number}" for number in range(workers)]
+    step = build.make_step(workers, per_worker=1)
+    pool_state = build.make_pool_state(
+        *(build.make_job(name, step, max_attempts=99) for name in "jk"),
+        workers=names,
+    )
+    build.apply_plan(pool_state)
+    for now in (1.0, 2.0):
+        for worker_id in names:
+            for run in list(pool_state.workers[worker_id].runs.values()):
+                build.apply_report(
+                    pool_state, worker_id, (run.key, HOW.FAILED), now=now
+                )
+        may_start = [
+            pool_state.workers[worker_id].may_start_tasks(now + 0.5)
+            for worker_id in names
+        ]
+        assert may_start.count(False) == suspected
+        build.apply_plan(pool_state, now=now + 0.5)
+    build.add_job(pool_state, build.make_job("x", build.make_step()))
+    plan = build.apply_plan(pool_state, now=2.5)
+    # Of two workers, the steps that wait for the first hold the second.
+    assert len(plan.placements) == (workers > 2)
+
+
 @pytest.mark.parametrize("how", [None, HOW.DONE])
 def test_report_before_the_first_decision(how):
     """A new owner must not repeat tasks that have run, or stop those that run.
