Drop a reservation whose worker can't take the task any more

A step could stand beside free workers: after other runs were stopped for it, its room stayed reserved on a worker that had become silent, drained or left. Found by reading for the standing jobs of the shifted FBUSW; not seen in the users' record.

Cause: a reservation ended early only for a closed data centre. Otherwise it was kept for 1.5 times the expected time of a stop and 0.7 s more: 1.3 s at first, and up to 5.2 s after stops of 3 s.

It is dropped now as soon as one of its workers is silent, unlisted, draining, replaced or forgotten, and the step is planned again with the room of that time.

Red before: test_reservation_ends_when_its_worker_is_gone ("assert True is False", four rows).

--- a/crocusrouter/pools/reservations.py
+++ b/crocusrouter/pools/reservations.py
@@ -51,6 +51,9 @@
             elif _is_any_closed(pool_state, placement):
                 pool_state.note("reservation:closed", step=step_key)
                 del self._reservations[step_key]
+            elif _is_any_gone(pool_state, placement):
+                pool_state.note("reservation:worker-gone", step=step_key)
+                del self._reservations[step_key]
             elif _has_room(pool_state, placement, taken, now):
                 ready.append(placement)
                 _take_room(pool_state, placement, taken)
@@ -79,6 +82,17 @@
     return any(worker is not None and worker.closed for worker in workers)
 
 
+def _is_any_gone(pool_state: work.PoolState, placement: work.Placement) -> bool:
+    """Tell whether a worker won't take tasks soon, or no more at all."""
+    workers = map(pool_state.workers.get, placement.spots.values())
+    return any(
+        worker is None
+        or not worker.may_take_tasks_later
+        or worker.silent_since is not None
+        for worker in workers
+    )
+
+
 def _take_room(
     pool_state: work.PoolState,
     placement: work.Placement,
--- a/crocusrouter/pools/tests/test_reservations.py
+++ b/crocusrouter/pools/tests/test_reservations.py
@@ -43,6 +43,37 @@
     assert bool(list(reserved.list_spots())) is is_kept
 
 
+# Guards against a step that stands beside free workers for 1.3 to 5.2 s because
+# its room is reserved on a worker that can't take it any more.
+@pytest.mark.parametrize(
+    ("change", "is_kept"),
+    [
+        (lambda state: None, True),
+        (lambda state: state.note_silent("w0", 0.1), False),
+        (lambda state: state.unlist_worker("w0"), False),
+        (lambda state: state.forget_worker("w0"), False),
+        (
+            lambda state: state.set_worker(
+                build.make_entry("w0", draining=True), 0.1
+            ),
+            False,
+        ),
+    ],
+    ids=["none", "silent", "unlisted", "forgotten", "draining"],
+)
+def test_reservation_ends_when_its_worker_is_gone(change, is_kept):
+    job = build.make_job("j", build.make_step(1, gpu=8))
+    pool_state = build.make_pool_state(job, workers=("w0",))
+    for _ in range(60):
+        pool_state.stop_durations.note(3.0)
+    pool_state.workers["w0"].used = work.Room(0, 0, 8)
+    reserved = reservations.Reservations()
+    reserved.add(work.Placement(work.StepKey("j", 0, 0), {0: "w0"}), 0.0)
+    change(pool_state)
+    reserved.take_ready(pool_state, 0.2)
+    assert bool(list(reserved.list_spots())) is is_kept
+
+
 # Guards against a start in a data centre that was closed while victims of the
 # start were ending, and against a step that goes on waiting for room there.
 def test_reservation_ends_when_its_data_centre_is_closed():
