End the link to a lost worker that was listed for longer than its lease

An owner polled such a worker without an end, each poll with a new connection: the price of connections and the processor time of a small VM, on which all decisions run. No job stood because of it alone.

Cause: the link ended only if the worker was unlisted already when its leases ended. One that the platform still listed then (an outage of the store, or a worker that is cut off from entries only) was never asked about again.

The link now ends at the first poll without an answer at which the leases have ended and the worker is unlisted, in whichever order the two happened.

Red before: test_link_to_a_lost_worker_ends_once_it_is_unlisted[20.0] ("trio.TooSlowError").

--- a/crocusrouter/pools/tests/test_worker_links.py
+++ b/crocusrouter/pools/tests/test_worker_links.py
@@ -413,6 +413,25 @@
     assert port.sent == [order] * 4
 
 
+# Guards against polls of a worker without an end: the platform still listed it
+# when its leases had ended.
+@pytest.mark.parametrize("unlisted_at", [2.0, 20.0])
+async def test_link_to_a_lost_worker_ends_once_it_is_unlisted(
+    unlisted_at, autojump_clock
+):
+    port = _Port(polls=[_SILENT] * 10_000)
+    pool_state, link = _make_link(port)
+    job = build.make_job("00000000000000aa", build.make_step(1))
+    build.add_job(pool_state, job)
+    build.apply_plan(pool_state)
+    with trio.fail_after(30.0):
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(link.run)
+            await trio.sleep(unlisted_at)
+            pool_state.unlist_worker(_WORKER)
+    assert not pool_state.runs
+
+
 # Guards against an owner that ends with an error because a poll is answered, or
 # fails, after its worker was forgotten.
 @pytest.mark.parametrize("poll", [_SILENT, worker_port.Report(1000, (), ())])
--- a/crocusrouter/pools/worker_links.py
+++ b/crocusrouter/pools/worker_links.py
@@ -194,10 +194,12 @@
         worker_state = self._pool_state.workers.get(self.incarnation)
         if worker_state is None:
             return
-        if not worker_state.all_runs_ended and self.lease.has_lapsed(now):
-            why = "the worker's lease expired"
-            work.note_lapsed(self._pool_state, self.incarnation, why, now)
-            self._on_change()
+        if self.lease.has_lapsed(now):
+            if not worker_state.all_runs_ended:
+                why = "the worker's lease expired"
+                work.note_lapsed(self._pool_state, self.incarnation, why, now)
+                self._on_change()
+            # The platform may have listed the worker for longer than its lease.
             if not worker_state.listed:
                 self._is_abandoned = True
         await trio.sleep(_RETRY_DELAY_S)
