--- a/standins/emulator/tests/test_followers.py
+++ b/standins/emulator/tests/test_followers.py
@@ -23,6 +23,9 @@
 # Peers report a missed change in their heartbeats, which they send each second
 # to owners, to neighbours and to a random peer.
 _PEER_REPORT_S = 2.5
+# A watch that is refused is replaced by a read after 1 s, and an answer that is
+# lost in between is noticed 1 s later.
+_LONGEST_WAIT_S = 2.8
 
 
 def _put_job(cluster):
@@ -186,3 +189,64 @@
         await trio.sleep(_PEER_REPORT_S)
         assert "new" in cluster.entries[name].peers.list_members()
         nursery.cancel_scope.cancel()
+
+
+# Guards against accepted jobs that stand for 3 s beside idle workers while the
+# store refuses some watches and serves all else, and does not answer the owner
+# for a moment.
+@pytest.mark.parametrize("silent_s", [0.0, 0.1, 0.5, 1.0])
+@pytest.mark.parametrize(
+    "prefixes",
+    [
+        (),
+        (keys.JOBS,),
+        (clusters.WORKERS_PREFIX,),
+        (keys.JOBS, clusters.WORKERS_PREFIX),
+    ],
+    ids=["none", "jobs", "workers", "both"],
+)
+async def test_jobs_start_although_watches_are_refused(
+    prefixes, silent_s, autojump_clock
+):
+    cluster = clusters.Cluster(5)
+    accepted_at = {}
+
+    async def submit(number):
+        step = work.Step(1, work.Room(1000, 512, 1), 1.0)
+        job = work.Job(
+            f"{number:016x}",
+            "q",
+            clusters.POOL,
+            "a",
+            0,
+            1,
+            2.0,
+            1.0,
+            "",
+            (step,),
+            1_700_000_000.0,
+        )
+        if await cluster.submit(job) == "accepted":
+            accepted_at[job.id] = trio.current_time()
+
+    async with trio.open_nursery() as nursery:
+        await nursery.start(cluster.run)
+        await trio.sleep(_SETTLE_S)
+        cluster.store.rejected_prefixes.update(prefixes)
+        for number in range(40):
+            if silent_s and number % 8 == 4:
+                owner = cluster.find_owner()
+                cluster.store.entry_faults[owner] = stores.StoreFault.SILENT
+                await trio.sleep(silent_s)
+                cluster.store.entry_faults.clear()
+            nursery.start_soon(submit, number)
+            await trio.sleep(0.37)
+        await trio.sleep(4.0)
+        nursery.cancel_scope.cancel()
+    assert len(accepted_at) > 30
+    assert cluster.oracle.first_started_at.keys() >= accepted_at.keys()
+    waits_s = [
+        cluster.oracle.first_started_at[job_id] - at
+        for job_id, at in accepted_at.items()
+    ]
+    assert max(waits_s) < _LONGEST_WAIT_S
