--- a/crocusrouter/work/pool_state.py
+++ b/crocusrouter/work/pool_state.py
@@ -229,8 +229,20 @@
             progress = tracked_job.progress.get(number, position)
             waiting = set(range(step.count)) - progress.done
             tracked_step = tracking.TrackedStep(key, step, progress, waiting)
-            tracked_step.waiting_since = now
             tracked_job.steps[key] = tracked_step
+        self.note_ready_steps(tracked_job, number, now)
+
+    def note_ready_steps(
+        self, tracked_job: tracking.TrackedJob, occurrence: int, now: float
+    ) -> None:
+        """Record since when steps wait whose turn has come now."""
+        for key, tracked_step in tracked_job.steps.items():
+            if (
+                key.occurrence == occurrence
+                and tracked_step.waiting_since is None
+                and self.is_ready(tracked_job, tracked_step)
+            ):
+                tracked_step.waiting_since = now
 
     def _close_job(
         self, tracked_job: tracking.TrackedJob, reason: str, now: float
@@ -559,10 +571,11 @@
         )
 
     def repeat_stop(self, run: tracking.Run, now: float) -> None:
-        """Order the stop of a run again that its worker still reports.
+        """Order the stop of a run again that has not ended.
 
         A stop that was answered takes effect within a second. One that was
-        lost on its way would otherwise never be sent again.
+        lost on its way would otherwise never be sent again. A stop that is
+        still being delivered is not sent twice.
         """
         is_stopping = run.phase is tracking.Phase.STOPPING
         if is_stopping and now >= run.stop_queued_at + STOP_REPEAT_S:
--- a/crocusrouter/work/reports.py
+++ b/crocusrouter/work/reports.py
@@ -152,16 +152,18 @@
     """Drop runs that their worker no longer knows.
 
     A previous owner may have confirmed an end and died before it could record
-    it. Without this, the task would count as running for ever.
+    it. Without this, the task would count as running for ever. A run that was
+    not confirmed may still begin until its worker has answered a stop.
     """
     for key in list(worker.runs):
+        if key in running_by_key:
+            continue
         run = pool_state.runs[key]
         confirmed_at = run.confirmed_at
-        if (
-            key in running_by_key
-            or confirmed_at is None
-            or confirmed_at >= sent_at
-        ):
+        if confirmed_at is None:
+            pool_state.repeat_stop(run, now)
+            continue
+        if confirmed_at >= sent_at:
             continue
         pool_state.note(
             "run:missing",
@@ -282,6 +284,8 @@
         is_member = tracked_step.step.gang and other_run.number == run_end.run
         if not is_member:
             pool_state.stop_run(other_run, "its task has ended elsewhere", now)
+    if tracked_step.is_done:
+        pool_state.note_ready_steps(tracked_job, key.occurrence, now)
     pool_state.dirty.add(tracked_job.job.id)
     pool_state.finish_if_done(tracked_job, now)
 
@@ -296,7 +300,8 @@
 ) -> None:
     """Record that a task has failed; fail its job after the last attempt."""
     worker_failures.note_failure(
-        pool_state.workers.get(worker_id),
+        pool_state.workers,
+        worker_id,
         tracked_job.job.id,
         now,
         pool_state.note,
--- a/crocusrouter/work/tests/test_pool_state.py
+++ b/crocusrouter/work/tests/test_pool_state.py
@@ -207,6 +207,37 @@
     assert pool_state.workers["w0"].may_start_tasks(20.0)
 
 
+# Guards against a pool in which nothing starts for 4 s, and longer with each
+# further failure: tasks of two jobs that always fail have failed everywhere.
+@pytest.mark.parametrize(
+    ("workers", "suspected"), [(1, 1), (2, 1), (3, 1), (6, 2), (12, 4)]
+)
+def test_failing_jobs_make_no_more_than_a_third_suspect(workers, suspected):
+    names = [f"w{number}" for number in range(workers)]
+    step = build.make_step(workers, per_worker=1)
+    pool_state = build.make_pool_state(
+        *(build.make_job(name, step, max_attempts=99) for name in "jk"),
+        workers=names,
+    )
+    build.apply_plan(pool_state)
+    for now in (1.0, 2.0):
+        for worker_id in names:
+            for run in list(pool_state.workers[worker_id].runs.values()):
+                build.apply_report(
+                    pool_state, worker_id, (run.key, HOW.FAILED), now=now
+                )
+        may_start = [
+            pool_state.workers[worker_id].may_start_tasks(now + 0.5)
+            for worker_id in names
+        ]
+        assert may_start.count(False) == suspected
+        build.apply_plan(pool_state, now=now + 0.5)
+    build.add_job(pool_state, build.make_job("x", build.make_step()))
+    plan = build.apply_plan(pool_state, now=2.5)
+    # Of two workers, the steps that wait for the first hold the second.
+    assert len(plan.placements) == (workers > 2)
+
+
 @pytest.mark.parametrize("how", [None, HOW.DONE])
 def test_report_before_the_first_decision(how):
     """A new owner must not repeat tasks that have run, or stop those that run.
@@ -376,6 +407,25 @@
     assert pool_state.outbox == [(run.worker_id, stop)] * expected
 
 
+# Guards against a task that counts as running for ever: its start had no
+# answer, and the only stop of it was lost with an unexpected error.
+@pytest.mark.parametrize(
+    ("reports_at", "expected"),
+    [([2.0, 2.9], 1), ([2.0, 3.1], 2), ([3.1, 3.2, 4.7], 3)],
+)
+def test_stop_of_a_start_that_was_not_confirmed_is_repeated(
+    reports_at, expected
+):
+    pool_state = build.make_pool_state(build.make_job("j", build.make_step(1)))
+    build.apply_plan(pool_state, confirm=False)
+    run = pool_state.runs[_key("j")]
+    pool_state.stop_run(run, "test", 1.5)
+    for now in reports_at:
+        build.apply_report(pool_state, run.worker_id, now=now, running=())
+    stop = worker_port.Stop(run.key, run.number)
+    assert pool_state.outbox == [(run.worker_id, stop)] * expected
+
+
 @pytest.mark.parametrize("how", [HOW.DONE, HOW.FAILED])
 def test_lasting_task_runs_once_when_an_earlier_end_is_learnt_late(how):
     """A lasting task ran twice after its earlier run was listed as done."""
@@ -411,3 +461,37 @@
         work.apply_report(pool_state, run.worker_id, report, now, now)
     stopped = [order for _, order in pool_state.outbox]
     assert worker_port.Stop(_key("j"), run.number) in stopped
+
+
+# Guards against a step that seems to have waited since its job arrived: it was
+# let off its rack, and counted as late for a trial, as soon as its turn came.
+@pytest.mark.parametrize(
+    ("after", "expected"), [((), 0.0), ((0,), 9.0), ((0, 1), 9.0)]
+)
+def test_step_waits_since_its_turn_came(after, expected):
+    steps = [
+        build.make_step(),
+        build.make_step(),
+        build.make_step(2, after=after),
+    ]
+    pool_state = build.make_pool_state(build.make_job("j", *steps))
+    build.apply_plan(pool_state)
+    for position, at in ((1, 4.0), (0, 9.0)):
+        key = work.TaskKey("j", 0, position, 0)
+        worker_id = pool_state.runs[key].worker_id
+        build.apply_report(pool_state, worker_id, (key, HOW.DONE), now=at)
+    tracked_step = pool_state.find_tracked_step(work.TaskKey("j", 0, 2, 0))
+    assert tracked_step.waiting_since == expected
+
+
+def test_step_of_an_adopted_job_waits_since_its_turn_came():
+    """A new owner reads from the journal that the earlier step has ended."""
+    steps = [build.make_step(), build.make_step(after=(0,))]
+    pool_state = build.make_pool_state()
+    progress = work.Progress()
+    progress.get(0, 0).done.add(0)
+    job = build.make_job("j", *steps)
+    pool_state.put_job(job, progress, 99, 7.0)
+    pool_state.open_due_occurrences(build.WALL, 7.0)
+    tracked_step = pool_state.find_tracked_step(work.TaskKey("j", 0, 1, 0))
+    assert tracked_step.waiting_since == 7.0
--- a/crocusrouter/work/tracking.py
+++ b/crocusrouter/work/tracking.py
@@ -96,6 +96,7 @@
         last_report_at: When the worker last reported its runs; None if never.
         all_runs_ended: Whether everything that ran there has certainly ended.
         replaced: Whether another incarnation answers at the worker's address.
+        successor: That incarnation; None if it is unknown.
         used: Room that runs take.
         runs: Runs there by task, in the order of their starts. Iterating over a
             set of keys would differ between processes, and equal states would
@@ -114,8 +115,9 @@
         was_evacuated: Whether it was ever emptied for upkeep, in which case its
             end is expected and no crash.
         trial_until: Steady time until which a suspected task runs there alone.
-        possible_jobs: Jobs that may run there according to the previous owner's
-            records, while the worker has not been reached; None for any job.
+        possible_jobs: Jobs that may run there while the worker has not been
+            reached, by the records of the previous owner and the unanswered
+            starts of this one; None for any job.
     """
 
     entry: worker_port.WorkerEntry
@@ -126,6 +128,7 @@
     last_report_at: float | None = None
     all_runs_ended: bool = False
     replaced: bool = False
+    successor: str | None = None
     used: model.Room = model.Room()
     runs: dict[model.TaskKey, Run] = dataclasses.field(default_factory=dict)
     stray_runs: set[tuple[model.TaskKey, int]] = dataclasses.field(
@@ -207,7 +210,8 @@
         avoided_workers: Workers on which a task of the step failed or was
             rejected.
         not_before: Steady time before which no task of the step starts again.
-        waiting_since: Steady time since which tasks have been waiting.
+        waiting_since: Steady time since which tasks have been waiting; None
+            until all earlier steps are done that it depends on.
         lost_since: Since when the worker of a lost run had not answered; None
             if a task has started since.
         permits: Answers of the policy service about the step.
