Name the listed workers where guarantees don't fit

Cause: the check takes the workers of the VM list as the entry last read it. The list shows VMs some time after they were added, and an entry is ready once it has read the list, also an empty one. The refusal named neither.

Links to workers play no part: the check doesn't read them.

The detail now ends with "the VM list has 0 live workers there", and the remedy names the command that counts the workers which the entry knows. The status, the reason and what is refused stay the same.

--- a/crocusrouter/jobs/admission.py
+++ b/crocusrouter/jobs/admission.py
@@ -18,27 +18,32 @@
     Attributes:
         data_centre: Data centre in which the cell must be.
         demand: The cell.
+        worker_count: Number of the data centre's live workers in the VM list,
+            including those that the check took as lost.
         lost_part: The worker or rack that the check took as lost; empty for
             the whole fleet.
     """
 
     data_centre: str
     demand: cells.CellDemand
+    worker_count: int
     lost_part: str = ""
 
     def __str__(self) -> str:
-        """Describe the cell.
+        """Describe the cell and the workers in which it was to be embedded.
 
         >>> demand = cells.CellDemand("a", Level.RACK, 16)
-        >>> str(UnsatisfiableGuarantee("liege", demand, "rack r1"))
-        "a's cell of 16 in one rack of liege, after the loss of rack r1"
+        >>> str(UnsatisfiableGuarantee("lg", demand, 1))
+        "a's cell of 16 in one rack of lg; the VM list has 1 live worker there"
         """
         after = (
             f", after the loss of {self.lost_part}" if self.lost_part else ""
         )
+        noun = "worker" if self.worker_count == 1 else "workers"
         return (
             f"{self.demand.customer}'s cell of {self.demand.accelerators} in"
-            f" one {self.demand.level} of {self.data_centre}{after}"
+            f" one {self.demand.level} of {self.data_centre}{after}; the VM"
+            f" list has {self.worker_count} live {noun} there"
         )
 
 
@@ -86,7 +91,7 @@
             result = cells.embed(surviving_demands, remaining_capacities)
             if isinstance(result, cells.EmbeddingFailure):
                 return UnsatisfiableGuarantee(
-                    data_centre, result.demand, lost_part
+                    data_centre, result.demand, len(capacities), lost_part
                 )
     return None
 
--- a/crocusrouter/outcomes/reasons.py
+++ b/crocusrouter/outcomes/reasons.py
@@ -184,7 +184,9 @@
     RefusalReason.GUARANTEES_DO_NOT_FIT: _ReasonDetails(
         422,
         "The guarantees don't embed together in the fleet",
-        "Shrink the cell named here, or add workers.",
+        "Shrink the cell named here, or add workers. If workers were just "
+        "added, apply it again once all are counted by: "
+        "crocusrouter data-centre list",
     ),
     RefusalReason.ANSWER_LOST: _ReasonDetails(
         504,
