Demo: start only once the entries know all workers

What was seen: "apply fbusw-tagging: refused: The guarantees don't embed together in the fleet", the first of the demo's steps that needs workers.

Cause: Cluster.start waited until the entries were ready, which they are once they have read the VM list. The list shows VMs 0.5 s after they were added, and an entry reads it every 0.25 s, so an entry can be ready with an empty list. The demo relied on its first command taking longer than the rest of that time.

Cluster.start now also waits, for at most 20 s, until each entry counts all workers. The list only shrinks later, when the demo removes VMs.

The new test fails without the change (status 422) and passes with it.

--- a/demo/cluster.py
+++ b/demo/cluster.py
@@ -67,12 +67,19 @@
         }
 
     def start(self) -> None:
-        """Start all processes and wait until the entries are ready."""
+        """Start all processes and wait until the entries know all workers.
+
+        Raises:
+            TimeoutError: A process isn't ready in time, or an entry doesn't
+                list all workers within 20 seconds.
+        """
         self._start_standins()
         for name in self.entries:
             self.start_entry(name)
         for name in self.entries:
             self.wait_ready(name)
+        for name in self.entries:
+            self._wait_for_workers(name)
 
     def start_entry(self, name: str) -> None:
         """Start one entry process."""
@@ -109,13 +116,34 @@
                 time.sleep(_POLL_S)
         raise TimeoutError(f"entry {name} is not ready")
 
+    def _wait_for_workers(self, name: str) -> None:
+        """Wait until an entry has read a VM list that has all workers.
+
+        An entry is ready once it has read the list, which shows VMs only
+        some time after they were added.
+        """
+        expected = len(self.workers) + len(self.bulk)
+        deadline = time.monotonic() + _READY_LIMIT_S
+        while time.monotonic() < deadline:
+            if self._count_listed_workers(name) == expected:
+                return
+            time.sleep(_POLL_S)
+        raise TimeoutError(f"entry {name} doesn't list {expected} workers")
+
+    def _count_listed_workers(self, name: str) -> int:
+        rows = self._fetch_as_operator(name, "/v1/data-centres")["data_centres"]
+        return sum(row["workers"] for row in rows)
+
     def fetch_status(self, name: str) -> dict[str, Any]:
         """Return an entry's status."""
+        return self._fetch_as_operator(name, "/v1/status")
+
+    def _fetch_as_operator(self, name: str, path: str) -> dict[str, Any]:
         key = {"Authorization": f"Bearer {OPERATOR_KEY}"}
-        status: dict[str, Any] = fetch(
-            "GET", f"{self.url(name)}/v1/status", headers=key
+        document: dict[str, Any] = fetch(
+            "GET", f"{self.url(name)}{path}", headers=key
         )
-        return status
+        return document
 
     def put_template(self, document: dict[str, Any], entry: str) -> int:
         """Write a template through an entry; return the revision."""
--- a/demo/tests/test_processes.py
+++ b/demo/tests/test_processes.py
@@ -30,7 +30,8 @@
 
     def start_cluster(**shape):
         demo_cluster = cluster.Cluster(
-            tmp_path, cluster.Shape(settings=_SETTINGS, lag_s=0.1, **shape)
+            tmp_path,
+            cluster.Shape(settings=_SETTINGS, **({"lag_s": 0.1} | shape)),
         )
         clusters.append(demo_cluster)
         demo_cluster.start()
@@ -83,6 +84,16 @@
         return None
 
 
+# Guards against a cluster that refuses guarantees right after its start, since
+# its entries are ready before the VM list shows them the workers.
+def test_started_cluster_accepts_guarantees(start):
+    demo_cluster = start(
+        entries=2, racks=1, workers_per_rack=2, runners=0, lag_s=5.0
+    )
+    document = templates.build_templates()["fbusw-tagging"]
+    assert demo_cluster.put_template(document, "e1") == 2
+
+
 # A paused owner must not run a job twice. The owner is paused for longer than
 # its lease and another entry takes over. When the old owner resumes in the
 # middle of its work, its epoch is fenced, so it changes nothing.
