Demo: cancel a job that can't end by itself

What was seen: "jobs ended as Counter({'done': 10})" on one core beside three busy processes.

Cause: the job to cancel ran for 3 s, and the command that cancels it has to start an interpreter within that time. In the entries' logs of the plays that failed, the job went from "assigned" to "done" after 3.02 to 3.04 s, before the cancel came; in those that added up, "cancelled" came after 2.32 and 3.00 s. Cancelling a job that has ended changes nothing and answers with the job, so the product is right.

The job now declares a run time of an hour, so that the cancel always meets an unfinished job. If a cancel were lost, the demo would report a job that has not ended.

--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -23,6 +23,8 @@
 _SINGLES = 8
 _GANG_MEMBERS = 2
 _JOBS_LIMIT_S = 40.0
+# Longer than the demo, so that the job to cancel can't end by itself.
+_CANCELLED_RUN_TIME_S = 3600.0
 _FINAL_STATES = ("done", "failed", "cancelled")
 _EXIT_REFUSED = 3
 
@@ -71,7 +73,14 @@
             entry = f"e{number % 3 + 1}"
             self._submit(entry, "kilima-logs", "tag", f"single-{number}")
         self._submit("e2", "kilima-maps", "render", "gang")
-        cancelled_id = self._submit("e3", "fbusw-matching", "tag", "to-cancel")
+        cancelled_id = self._submit(
+            "e3",
+            "fbusw-matching",
+            "tag",
+            "to-cancel",
+            "--run-time",
+            str(_CANCELLED_RUN_TIME_S),
+        )
         result = self._run_command(
             "e1", "fbusw-matching", "job", "cancel", cancelled_id
         )
@@ -94,9 +103,18 @@
             "jobs are accepted; one is cancelled, one is refused as never-fits"
         )
 
-    def _submit(self, entry: str, customer: str, kind: str, key: str) -> str:
+    def _submit(
+        self, entry: str, customer: str, kind: str, key: str, *options: str
+    ) -> str:
         result = self._run_command(
-            entry, customer, "job", "submit", kind, "--idempotency-key", key
+            entry,
+            customer,
+            "job",
+            "submit",
+            kind,
+            "--idempotency-key",
+            key,
+            *options,
         )
         self.check(result.code == 0, f"submit {key}: {result.message}")
         job_id = result.document["id"] if result.code == 0 else ""
