Demo: kill a worker only while it runs a member of the gang

What was seen: "kill -9 of worker w1, which ran a member of the gang", although the gang had ended. Nothing was interrupted, and the demo added up all the same.

Cause: the gang runs for 5 s from its submission, and the demo looks for its worker only after several commands and the owner's end. A gang that has ended has no workers, so the demo searched for 40 s and then took w1. No check noticed it.

Now a gang that has ended is replaced by another one, which the demo finds while it runs. The worker is stopped first, and its records must show that its task of the gang has started and not ended; then it is killed, or continued and the search goes on, for at most 40 s. Without such a gang the demo fails, and it also fails if the interrupted gang isn't started again. All gangs must end as done.

--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -21,6 +21,7 @@
 _REQUESTS = 200
 _CONCURRENCY = 8
 _SINGLES = 8
+_GANG_CUSTOMER = "kilima-maps"
 _GANG_MEMBERS = 2
 _JOBS_LIMIT_S = 40.0
 # Longer than the demo, so that the job to cancel can't end by itself.
@@ -38,6 +39,7 @@
         self.jobs: dict[str, str] = {}
         self.rows: list[tuple[str, Any]] = []
         self.killed_at: dict[str, float] = {}
+        self.interrupted_gang: Any = None
 
     def check(self, condition: bool, description: str) -> None:
         """Record `description` as a failure if the condition is false."""
@@ -72,7 +74,7 @@
         for number in range(_SINGLES):
             entry = f"e{number % 3 + 1}"
             self._submit(entry, "kilima-logs", "tag", f"single-{number}")
-        self._submit("e2", "kilima-maps", "render", "gang")
+        self._submit_gang("e2", "gang")
         cancelled_id = self._submit(
             "e3",
             "fbusw-matching",
@@ -87,7 +89,7 @@
         self.check(result.code == 0, f"cancel: {result.message}")
         refused = self._run_command(
             "e1",
-            "kilima-maps",
+            _GANG_CUSTOMER,
             "job",
             "submit",
             "render",
@@ -103,6 +105,9 @@
             "jobs are accepted; one is cancelled, one is refused as never-fits"
         )
 
+    def _submit_gang(self, entry: str, key: str) -> None:
+        self._submit(entry, _GANG_CUSTOMER, "render", key)
+
     def _submit(
         self, entry: str, customer: str, kind: str, key: str, *options: str
     ) -> str:
@@ -137,22 +142,59 @@
         return name
 
     def kill_worker(self, survivor: str) -> None:
-        """Kill a worker that runs a member of the gang."""
-        name = self._find_gang_worker(survivor)
-        self.killed_at[name] = time.monotonic()
-        self.cluster.processes.kill(name)
-        self.cluster.remove_vm(name)
-        self.say(f"kill -9 of worker {name}, which ran a member of the gang")
-
-    def _find_gang_worker(self, entry: str) -> str:
+        """Kill a worker that runs a member of a gang."""
         deadline = time.monotonic() + _JOBS_LIMIT_S
         while time.monotonic() < deadline:
-            for job_id, customer in self.jobs.items():
-                job = self._fetch_job(entry, job_id, customer)
-                if job and job["kind"] == "render" and job["workers"]:
-                    return str(min(job["workers"]))
+            gang = self._find_running_gang(survivor)
+            if gang is not None:
+                name = min(gang["workers"])
+                if self._kill_while_running(name, gang):
+                    self.interrupted_gang = gang
+                    self.say(
+                        f"kill -9 of worker {name}, which ran a member of the "
+                        "gang"
+                    )
+                    return
             time.sleep(0.1)
-        return "w1"
+        self.check(False, "no gang ran whose worker could be killed")
+
+    def _find_running_gang(self, entry: str) -> Any:
+        """Return a gang that runs, or None if there is none at present.
+
+        Beside other load, a gang may have ended before the demo gets here.
+        Then another one is submitted.
+        """
+        gangs = [
+            self._fetch_job(entry, job_id, customer)
+            for job_id, customer in self.jobs.items()
+            if customer == _GANG_CUSTOMER
+        ]
+        for gang in gangs:
+            if gang and gang["phase"] == "running":
+                return gang
+        if all(gang and gang["state"] in _FINAL_STATES for gang in gangs):
+            self._submit_gang(entry, f"gang-{len(gangs) + 1}")
+        return None
+
+    def _kill_while_running(self, name: str, gang: Any) -> bool:
+        """Kill a worker if its task of a gang still runs; tell if it did."""
+        # A stopped worker can't end the task between the check and the kill.
+        self.cluster.processes.signal(name, signal.SIGSTOP)
+        kinds = [
+            record["what"]
+            for record in history.read_records(
+                [self.cluster.processes.read_output(name)]
+            )
+            if record["job_id"] == gang["id"]
+            and record["attempt"] == gang["attempt"]
+        ]
+        if kinds[-1:] != ["started"]:
+            self.cluster.processes.signal(name, signal.SIGCONT)
+            return False
+        self.killed_at[name] = time.monotonic()
+        self.cluster.processes.kill(name)
+        self.cluster.remove_vm(name)
+        return True
 
     def _fetch_job(self, entry: str, job_id: str, customer: str) -> Any:
         headers = {"Authorization": f"Bearer {templates.find_key(customer)}"}
@@ -177,10 +219,25 @@
         self.check(
             not open_jobs, f"jobs that have not ended: {sorted(open_jobs)}"
         )
-        self.check(states["done"] == _SINGLES + 1, f"jobs ended as {states}")
+        gangs = list(self.jobs.values()).count(_GANG_CUSTOMER)
+        self.check(
+            states["done"] == _SINGLES + gangs, f"jobs ended as {states}"
+        )
         self.check(states["cancelled"] == 1, f"jobs ended as {states}")
+        self._check_interrupted_gang(entry)
         self.rows += [(f"job {s}", n) for s, n in sorted(states.items())]
 
+    def _check_interrupted_gang(self, entry: str) -> None:
+        """Check that the gang whose worker was killed was started again."""
+        if self.interrupted_gang is None:
+            return  # recorded as a failure when no gang was found
+        job_id = self.interrupted_gang["id"]
+        job = self._fetch_job(entry, job_id, _GANG_CUSTOMER)
+        self.check(
+            bool(job) and job["attempt"] > self.interrupted_gang["attempt"],
+            f"{job_id} was not started again after its worker was killed",
+        )
+
     def check_requests(self, sender: callers.Callers) -> None:
         """Compare the outcomes with the runners' records of executions."""
         executed: collections.Counter[int] = collections.Counter()
@@ -222,7 +279,7 @@
         attempts = history.collect_attempts(records, self.killed_at)
         longest_partial_s = 0.0
         for job_id, customer in self.jobs.items():
-            if customer != "kilima-maps":
+            if customer != _GANG_CUSTOMER:
                 continue
             for (name, _), attempt_runs in attempts.items():
                 if name == job_id:
