Judge jobs that stand still beside room for their tasks

No check of ours judged the second half of LOST: an accepted job has nothing running for 3 s although a task of it could run.

A worker that a task has crashed counts as impaired until it is delisted, as for cancelled runs.

--- a/standins/emulator/__init__.py
+++ b/standins/emulator/__init__.py
@@ -10,6 +10,7 @@
 from standins.emulator import cluster
 from standins.emulator import config_oracle
 from standins.emulator import oracle
+from standins.emulator import standing_oracle
 from standins.emulator import vms
 from standins.emulator.cluster import Cluster
 from standins.emulator.faults import Fault
@@ -24,6 +25,7 @@
     oracle.RULES
     | config_oracle.RULES
     | closure_oracle.RULES
+    | standing_oracle.RULES
     | cluster.RULES
     | vms.RULES
 )
--- a/standins/emulator/cluster.py
+++ b/standins/emulator/cluster.py
@@ -29,6 +29,7 @@
 from standins.emulator import oracle as oracles
 from standins.emulator import policy as policies
 from standins.emulator import rules
+from standins.emulator import standing_oracle as standing_oracles
 from standins.emulator import store as stores
 from standins.emulator import suspension
 from standins.emulator import vms as vm_control
@@ -199,6 +200,9 @@
         self.impairments = impairment_logs.ImpairmentLog()
         self.config_oracle = config_oracles.ConfigOracle(self.impairments)
         self.closure_oracle = closure_oracles.ClosureOracle()
+        self.standing_oracle = standing_oracles.StandingOracle(
+            self.oracle, self.policy
+        )
         self._suspended_at: dict[str, float] = {}
         self._closing_counts: collections.Counter[str] = collections.Counter()
         guaranteed = {"a": 16, "b": 8}
@@ -259,6 +263,27 @@
             if worker.alive and worker.entry.data_centre == data_centre
         ]
 
+    def _list_open_workers(self) -> list[workers.Worker]:
+        """Return the workers that are listed, in open data centres."""
+        return [
+            worker
+            for name, worker in self.workers.items()
+            if not self._closing_counts[worker.entry.data_centre]
+            and self._is_listed(name)
+        ]
+
+    def _is_listed(self, name: str) -> bool:
+        """Tell whether the store holds the entry of a worker's process."""
+        key = WORKERS_PREFIX + name
+        if key not in self.store.items:
+            return False
+        worker = self.workers[name]
+        listed_entry = _parse_worker_entry(key, self.store.read(key).value)
+        return listed_entry is not None and (
+            listed_entry.id
+            == incarnations.build_incarnation(name, worker.born_ms)
+        )
+
     # Workers.
 
     def add_worker(self, name: str, rack: str) -> None:
@@ -542,6 +567,16 @@
             now,
         )
 
+    def _check_standing(self, now: float) -> None:
+        """Report jobs that stand still although their tasks could run."""
+        self.standing_oracle.check(
+            self.workers.values(),
+            self._list_open_workers,
+            self.impairments.find_calm_since(),
+            now,
+            _WALL_CLOCK_START_S + now,
+        )
+
     def _check_drains(self, now: float) -> None:
         """Report starts on workers that have been draining for too long.
 
@@ -600,6 +635,7 @@
                     self.impairments.is_unimpaired_since
                 )
                 self._check_cancelled_runs(now)
+                self._check_standing(now)
                 self.store.note_silences(self.entry_names, now)
                 self._check_drains(now)
                 self._check_closures(now)
--- a/standins/emulator/faults.py
+++ b/standins/emulator/faults.py
@@ -279,6 +279,7 @@
                 )
             for event in faults:
                 day.start_soon(inject_fault, cluster, event)
+        cluster.standing_oracle.note_traffic_ended(trio.current_time())
         end_limit_s = _END_LIMIT_S * max(1.0, load.duration_factor)
         await _wait_until_idle(
             cluster,
@@ -288,6 +289,7 @@
         cluster.oracle.broken += cluster.list_owner_failures()
         cluster.oracle.broken += cluster.config_oracle.broken
         cluster.oracle.broken += cluster.closure_oracle.broken
+        cluster.oracle.broken += cluster.standing_oracle.broken
         nursery.cancel_scope.cancel()
     return cluster
 
--- a/standins/emulator/oracle.py
+++ b/standins/emulator/oracle.py
@@ -84,6 +84,8 @@
         entries_back_at: When all entries were last back after the loss of all.
         done: When each finished task was first done.
         first_started_at: When a task of each job was first started.
+        last_starts: When each task was last started.
+        last_job_starts: When a task of each job was last started.
         failed: How often each task has failed.
         task_crashes: Crashes caused by tasks, with their times.
         crashes_caused: How many workers each task has crashed.
@@ -109,6 +111,8 @@
         self.entries_back_at: float | None = None
         self.done: dict[work.TaskKey, float] = {}
         self.first_started_at: dict[str, float] = {}
+        self.last_starts: dict[work.TaskKey, float] = {}
+        self.last_job_starts: dict[str, float] = {}
         self.failed: collections.Counter[work.TaskKey] = collections.Counter()
         self._maybe_uncounted: collections.Counter[work.TaskKey] = (
             collections.Counter()
@@ -158,6 +162,7 @@
             self.broken.append(f"{now:.3f} unasked: {key} on {worker}")
             return
         self.first_started_at.setdefault(key.job, now)
+        self.last_starts[key] = self.last_job_starts[key.job] = now
         step = job.steps[key.step]
         running = self._running[key]
         if running:
@@ -365,6 +370,25 @@
         for index in indices:
             self._rerun_allowed.add(key._replace(position=index))
 
+    def is_surely_done(self, key: work.TaskKey) -> bool:
+        """Tell whether a task is done, and its end can't have been lost."""
+        return key in self.done and key not in self._rerun_allowed
+
+    def may_have_ended(self, job_id: str) -> bool:
+        """Tell whether a job may have ended by itself, as its tasks did.
+
+        Failures that owners may not count are taken as counted.
+        """
+        tasks = self._list_tasks(job_id)
+        if all(key in self.done for key in tasks) or self._may_give_up(tasks):
+            return True
+        job = self.jobs[job_id]
+        return any(
+            _sum_gang(job, key, self.failed) >= job.max_attempts
+            for key in tasks
+            if not job.steps[key.step].lasting
+        )
+
     def allow_uncounted_failure(self, key: work.TaskKey) -> None:
         """Allow owners not to count a failure whose worker has crashed.
 
--- a/standins/emulator/rules.py
+++ b/standins/emulator/rules.py
@@ -18,6 +18,7 @@
     LIMIT_WAVES = "limit-waves"
     LOST_JOBS = "lost-jobs"
     LOST_REQUESTS = "lost-requests"
+    LOST_STANDING = "lost-standing"
     MIXED_JOBS = "mixed-jobs"
     MIXED_WAVES = "mixed-waves"
     ONE = "one"
--- a/standins/emulator/worker.py
+++ b/standins/emulator/worker.py
@@ -322,9 +322,7 @@
             )
         job = self.oracle.jobs[order.key.job]
         step = job.steps[order.key.step]
-        if self.checks_room and not self._compute_free_room().holds(
-            step.charge
-        ):
+        if self.checks_room and not self.compute_free_room().holds(step.charge):
             return worker_port.Rejected(
                 worker_port.RejectionReason.NO_ROOM, int(clock)
             )
@@ -411,7 +409,7 @@
         ]
         rooms = [self.entry.room, *recent]
         room = work.Room(*map(max, zip(*rooms, strict=True)))
-        free = room.minus(self.entry.room).plus(self._compute_free_room())
+        free = room.minus(self.entry.room).plus(self.compute_free_room())
         if any(
             needed > available
             for needed, available in zip(charge, free, strict=True)
@@ -431,7 +429,8 @@
         where = entry.id, entry.pool, entry.labels
         self.oracle.check_placement(key, where, running_count, now)
 
-    def _compute_free_room(self) -> work.Room:
+    def compute_free_room(self) -> work.Room:
+        """Return the room that the tasks here leave."""
         free = self.entry.room
         for key in self.tasks:
             step = self.oracle.jobs[key.job].steps[key.step]
