--- a/standins/emulator/cluster.py
+++ b/standins/emulator/cluster.py
@@ -47,6 +47,7 @@
 ROUTE_HOST = "h"
 ROUTE_PREFIX = "/q/"
 WORKER_ROOM = work.Room(32_000, 131_072, 8)
+_WORKERS_PER_RACK = 3
 _CLOCK_STEP_S = 0.02
 _PEER_DELAY_S = 0.001
 # How long after its notice a draining worker may still get new tasks.
@@ -179,8 +180,11 @@
         entries: int = 4,
         worker_count: int = 6,
         workers_check_room: bool = True,
+        workers_per_rack: int = _WORKERS_PER_RACK,
+        rejected_share: float = 0.0,
     ) -> None:
         self.random = random.Random(seed)
+        self._rejected_share = rejected_share
         self._workers_check_room = workers_check_room
         self.store = stores.Store(seed)
         self.oracle = oracles.JobOracle()
@@ -215,7 +219,7 @@
         self._start_counts: collections.Counter[str] = collections.Counter()
         self._last_fault_at = 0.0
         for number in range(worker_count):
-            self.add_worker(f"w{number}", f"r0-{number // 3}")
+            self.add_worker(f"w{number}", f"r0-{number // workers_per_rack}")
         self.operators.write(0.0)
 
     def put_config(self, guaranteed: dict[str, int]) -> None:
@@ -312,6 +316,7 @@
             worker_entry, self.oracle, self.gangs, self.policy, seed
         )
         worker.checks_room = self._workers_check_room
+        worker.rejected_share = self._rejected_share
         self.workers[name] = worker
         return worker
 
--- a/standins/emulator/faults.py
+++ b/standins/emulator/faults.py
@@ -241,6 +241,8 @@
     worker_count: int = 6,
     workers_check_room: bool = True,
     changes_per_s: float = 0.0,
+    workers_per_rack: int = 3,
+    rejected_share: float = 0.0,
 ) -> clusters.Cluster:
     """Play a day with load and faults, and check the final states.
 
@@ -256,11 +258,21 @@
             for.
         changes_per_s: How often the configuration changes. Calls on the routes
             and keys that it adds and removes are made only if it does.
+        workers_per_rack: How many workers stand in a rack.
+        rejected_share: Share of the starts that workers reject for want of
+            room although they have it.
 
     Returns:
         The cluster; its oracle lists the broken rules.
     """
-    cluster = clusters.Cluster(seed, entries, worker_count, workers_check_room)
+    cluster = clusters.Cluster(
+        seed,
+        entries,
+        worker_count,
+        workers_check_room,
+        workers_per_rack,
+        rejected_share,
+    )
     cluster.store.leases_expire = leases_expire
     async with trio.open_nursery() as nursery:
         await nursery.start(cluster.run)
--- a/standins/emulator/load.py
+++ b/standins/emulator/load.py
@@ -11,6 +11,7 @@
 # Labels in a cluster of six workers: of all of them, and of each rack.
 _LABELS = ("a", "r0-0", "r0-1")
 _LONGEST_CANCEL_DELAYS_S = (0.0, 0.3, 3.0, 8.0)
+_RACKS = ("r0-0", "r0-1")
 
 
 @dataclasses.dataclass(frozen=True)
@@ -31,6 +32,11 @@
         duration_factor: Multiplies the durations of all tasks.
         lasting: Share of the cancelled jobs without gangs whose first tasks run
             until the cancel.
+        lasting_s: By how many seconds the cancels of such jobs come later.
+        racks: Share of the steps without a gang whose data is on a rack.
+        whole_gangs: Share of the gangs that take whole workers, of one rack if
+            it is large enough.
+        whole_gang_members: How many members these gangs have.
     """
 
     per_s: float = 1.0
@@ -43,6 +49,10 @@
     cancels: float = 0.0
     duration_factor: float = 1.0
     lasting: float = 0.0
+    lasting_s: float = 0.0
+    racks: float = 0.0
+    whole_gangs: float = 0.0
+    whole_gang_members: int = 4
 
     def draw(self, seed: int) -> list[tuple[float, work.Job]]:
         """Return jobs with the times at which they are submitted."""
@@ -52,7 +62,7 @@
         while at < self.length_s:
             jobs.append((at, self._draw_job(rng, len(jobs), at)))
             at += rng.expovariate(self.per_s)
-        return self._make_lasting(seed, jobs)
+        return self._make_lasting(seed, self._change_shapes(seed, jobs))
 
     def draw_cancels(
         self, seed: int, jobs: list[tuple[float, work.Job]]
@@ -70,10 +80,45 @@
         rng = random.Random(f"cancels {seed}")
         return {
             job.id: rng.uniform(0.0, rng.choice(_LONGEST_CANCEL_DELAYS_S))
+            + (self.lasting_s if job.steps[0].lasting else 0.0)
             for _, job in jobs
             if rng.random() < self.cancels
         }
 
+    def _change_shapes(
+        self, seed: int, jobs: list[tuple[float, work.Job]]
+    ) -> list[tuple[float, work.Job]]:
+        """Place data of steps on racks, and let gangs take whole workers."""
+        rng = random.Random(f"shapes {seed}")
+        return [
+            (
+                at,
+                dataclasses.replace(
+                    job,
+                    steps=tuple(
+                        self._change_shape(step, rng) for step in job.steps
+                    ),
+                ),
+            )
+            for at, job in jobs
+        ]
+
+    def _change_shape(self, step: work.Step, rng: random.Random) -> work.Step:
+        if not step.gang:
+            rack = rng.choice(_RACKS)
+            has_data = rng.random() < self.racks
+            return dataclasses.replace(step, rack=rack) if has_data else step
+        if rng.random() >= self.whole_gangs:
+            return step
+        return dataclasses.replace(
+            step,
+            count=self.whole_gang_members,
+            room=step.room._replace(
+                accelerators=cluster.WORKER_ROOM.accelerators
+            ),
+            one_rack=True,
+        )
+
     def _make_lasting(
         self, seed: int, jobs: list[tuple[float, work.Job]]
     ) -> list[tuple[float, work.Job]]:
--- a/standins/emulator/worker.py
+++ b/standins/emulator/worker.py
@@ -120,6 +120,8 @@
         self.recent_starts: list[closure_oracles.ObservedStart] = []
         self.starts_while_draining: list[tuple[work.TaskKey, float]] = []
         self.fails_all = False
+        # Share of the starts that are rejected although there is room.
+        self.rejected_share = 0.0
         # Speed of all tasks here, as a share of the usual speed.
         self.speed = 1.0
         self._last_step_at: float | None = None
@@ -351,6 +353,12 @@
             self.starts_while_draining.append((order.key, trio.current_time()))
         return worker_port.Accepted(int(clock))
 
+    def _rejects_at_random(self) -> bool:
+        # No random number is used if the share is 0, so that days without such
+        # rejections stay the same.
+        share = self.rejected_share
+        return share > 0 and self.random.random() < share
+
     def list_runs(self) -> list[oracles.ObservedRun]:
         """Return what runs here now."""
         return [
