--- a/standins/emulator/cluster.py
+++ b/standins/emulator/cluster.py
@@ -29,6 +29,7 @@
 from standins.emulator import oracle as oracles
 from standins.emulator import policy as policies
 from standins.emulator import rules
+from standins.emulator import standing_oracle as standing_oracles
 from standins.emulator import store as stores
 from standins.emulator import suspension
 from standins.emulator import vms as vm_control
@@ -46,6 +47,7 @@
 ROUTE_HOST = "h"
 ROUTE_PREFIX = "/q/"
 WORKER_ROOM = work.Room(32_000, 131_072, 8)
+_WORKERS_PER_RACK = 3
 _CLOCK_STEP_S = 0.02
 _PEER_DELAY_S = 0.001
 # How long after its notice a draining worker may still get new tasks.
@@ -178,8 +180,11 @@
         entries: int = 4,
         worker_count: int = 6,
         workers_check_room: bool = True,
+        workers_per_rack: int = _WORKERS_PER_RACK,
+        rejected_share: float = 0.0,
     ) -> None:
         self.random = random.Random(seed)
+        self._rejected_share = rejected_share
         self._workers_check_room = workers_check_room
         self.store = stores.Store(seed)
         self.oracle = oracles.JobOracle()
@@ -199,6 +204,9 @@
         self.impairments = impairment_logs.ImpairmentLog()
         self.config_oracle = config_oracles.ConfigOracle(self.impairments)
         self.closure_oracle = closure_oracles.ClosureOracle()
+        self.standing_oracle = standing_oracles.StandingOracle(
+            self.oracle, self.policy
+        )
         self._suspended_at: dict[str, float] = {}
         self._closing_counts: collections.Counter[str] = collections.Counter()
         guaranteed = {"a": 16, "b": 8}
@@ -211,7 +219,7 @@
         self._start_counts: collections.Counter[str] = collections.Counter()
         self._last_fault_at = 0.0
         for number in range(worker_count):
-            self.add_worker(f"w{number}", f"r0-{number // 3}")
+            self.add_worker(f"w{number}", f"r0-{number // workers_per_rack}")
         self.operators.write(0.0)
 
     def put_config(self, guaranteed: dict[str, int]) -> None:
@@ -259,6 +267,27 @@
             if worker.alive and worker.entry.data_centre == data_centre
         ]
 
+    def _list_open_workers(self) -> list[workers.Worker]:
+        """Return the workers that are listed, in open data centres."""
+        return [
+            worker
+            for name, worker in self.workers.items()
+            if not self._closing_counts[worker.entry.data_centre]
+            and self._is_listed(name)
+        ]
+
+    def _is_listed(self, name: str) -> bool:
+        """Tell whether the store holds the entry of a worker's process."""
+        key = WORKERS_PREFIX + name
+        if key not in self.store.items:
+            return False
+        worker = self.workers[name]
+        listed_entry = _parse_worker_entry(key, self.store.read(key).value)
+        return listed_entry is not None and (
+            listed_entry.id
+            == incarnations.build_incarnation(name, worker.born_ms)
+        )
+
     # Workers.
 
     def add_worker(self, name: str, rack: str) -> None:
@@ -287,6 +316,7 @@
             worker_entry, self.oracle, self.gangs, self.policy, seed
         )
         worker.checks_room = self._workers_check_room
+        worker.rejected_share = self._rejected_share
         self.workers[name] = worker
         return worker
 
@@ -542,6 +572,16 @@
             now,
         )
 
+    def _check_standing(self, now: float) -> None:
+        """Report jobs that stand still although their tasks could run."""
+        self.standing_oracle.check(
+            self.workers.values(),
+            self._list_open_workers,
+            self.impairments.find_calm_since(),
+            now,
+            _WALL_CLOCK_START_S + now,
+        )
+
     def _check_drains(self, now: float) -> None:
         """Report starts on workers that have been draining for too long.
 
@@ -600,6 +640,7 @@
                     self.impairments.is_unimpaired_since
                 )
                 self._check_cancelled_runs(now)
+                self._check_standing(now)
                 self.store.note_silences(self.entry_names, now)
                 self._check_drains(now)
                 self._check_closures(now)
