Count the wait beside room from when there is room, reserved or not

Cause: the bound's time began only once the planner could use the room. Until 7.14 s it was reserved for urgent jobs whose victims had ended, and on a worker that was suspected; the hold-back then added up to 2 s. For its callers the job had stood all the time.

Change: the room is counted that no run takes, on all workers that are listed, answer and don't drain. Where a step may start is decided as before. A step that has room nowhere else is logged as 'reserved-room'.

--- a/crocusrouter/work/planner.py
+++ b/crocusrouter/work/planner.py
@@ -9,6 +9,7 @@
 from collections.abc import Iterable
 import dataclasses
 
+from crocusrouter.work import free_room as free_rooms
 from crocusrouter.work import model
 from crocusrouter.work import packing
 from crocusrouter.work import planner_policy as policies
@@ -167,6 +168,13 @@
         }
         started_steps |= self._reservations.keys()
         started_jobs = {key.job for key in started_steps}
+        free_room = free_rooms.FreeRoom(
+            self._pool_state,
+            (
+                (placement.step, placement.spots.values())
+                for placement in self._plan.placements
+            ),
+        )
         causes = {}
         for waiting_step in ordered_steps:
             key = waiting_step.tracked_step.key
@@ -177,11 +185,15 @@
                     key.job not in started_jobs
                     and not waiting_step.tracked_job.has_runs
                 )
-            if stands and self._has_room(waiting_step):
+            if stands and self._has_room(waiting_step, free_room):
                 causes[key] = self._find_cause(waiting_step)
         return causes
 
-    def _has_room(self, waiting_step: waiting_steps.WaitingStep) -> bool:
+    def _has_room(
+        self,
+        waiting_step: waiting_steps.WaitingStep,
+        free_room: free_rooms.FreeRoom,
+    ) -> bool:
         """Tell whether a step could start, and leave as much room again.
 
         Its time goes on as long as it could start at all; otherwise room that
@@ -192,7 +204,7 @@
         delays = self._pool_state.start_delays
         if delays.find(waiting_step.tracked_step.key) is None:
             needed_slots *= 2
-        return self._choice.count_slots(step) >= needed_slots
+        return free_room.count_slots(step) >= needed_slots
 
     def _find_cause(
         self, waiting_step: waiting_steps.WaitingStep
@@ -205,7 +217,9 @@
         needed_slots = step.count if step.gang else 1
         usable_spaces = self._choice.list_usable(waiting_step)
         if packing.count_slots(usable_spaces, step) < needed_slots:
-            return start_delays.Cause.TICKETS
+            if waiting_step.tracked_job.job.advised:
+                return start_delays.Cause.TICKETS
+            return start_delays.Cause.RESERVED_ROOM
         held_workers = self._list_held_before(key)
         unheld_spaces = [
             space for space in usable_spaces if space.worker not in held_workers
--- a/crocusrouter/work/start_delays.py
+++ b/crocusrouter/work/start_delays.py
@@ -27,6 +27,7 @@
     HELD_BACK = "held-back"  # free room is left to urgent work
     HELD_WORKERS = "held-workers"  # earlier steps hold the workers with room
     AVOIDED_WORKERS = "avoided-workers"  # the step failed on those with room
+    RESERVED_ROOM = "reserved-room"  # or on workers that take no tasks now
     TICKETS = "tickets"  # it has no tickets for workers with room
     TRIAL = "trial"  # it may crash workers, and waits for its next trial
     UNREPORTED_WORKER = "unreported-worker"  # it may run on a silent worker
--- a/crocusrouter/work/tests/test_start_delays.py
+++ b/crocusrouter/work/tests/test_start_delays.py
@@ -85,6 +85,14 @@
     return _make_pool_state(build.make_step(1), advised=True)
 
 
+def _wait_for_suspected_worker():
+    """The only worker with room has failed the tasks of other jobs."""
+    pool_state = _make_pool_state(build.make_step(1))
+    _fill(pool_state, *_WORKERS[1:])
+    pool_state.workers["w0"].suspect_until = 4.0
+    return pool_state
+
+
 def _wait_for_gang_member():
     pool_state = _make_pool_state(build.make_step(2, gang=True))
     build.apply_plan(pool_state)
@@ -104,6 +112,7 @@
         (_wait_for_held_workers, "held-workers"),
         (_wait_for_trial_worker, "held-workers"),
         (_wait_for_tickets, "tickets"),
+        (_wait_for_suspected_worker, "reserved-room"),
         (_wait_for_worker, "unreported-worker"),
         (_wait_for_journal, "unsaved-crash"),
         (_wait_for_gang_member, "gang-members"),
--- a/crocusrouter/work/worker_choice.py
+++ b/crocusrouter/work/worker_choice.py
@@ -187,7 +187,6 @@
         self._allowed_spaces: list[packing.Space] = []
         self._allowed_for: tuple[model.StepKey, int, bool] | None = None
         self._could_hold_by_step: dict[model.Step, bool] = {}
-        self._slot_counts: dict[tuple[model.Room, str, int], int] = {}
         self.groups = pool_state.speeds.find_groups()
         self._slowed_workers: frozenset[str] = frozenset()
         if self.groups.is_split:
@@ -272,22 +271,6 @@
         ]
         yield usable_spaces
 
-    def count_slots(self, step: model.Step) -> int:
-        """Return for how many tasks of a step the plan leaves room.
-
-        The counts are kept for all steps with equal needs, so the plan must be
-        complete. Tickets are not considered.
-        """
-        key = step.charge, step.label, step.per_worker
-        if key not in self._slot_counts:
-            spaces = (
-                space
-                for space in self.spaces.values()
-                if self._has_label(space.worker, step.label)
-            )
-            self._slot_counts[key] = packing.count_slots(spaces, step)
-        return self._slot_counts[key]
-
     def _find_allowed(
         self, waiting_step: waiting_steps.WaitingStep
     ) -> list[packing.Space]:
