Judge standing jobs in soaks too

Soaks of real processes had no check of that half of LOST either. Their world uses the oracle of the emulator. A long stall of the soak's own process, and of the store and workers with it, excuses all jobs as an impairment does, after the traffic as well.

--- a/standins/emulator/standing_oracle.py
+++ b/standins/emulator/standing_oracle.py
@@ -130,6 +130,7 @@
         self._job_oracle = job_oracle
         self._policy = policy
         self._traffic_ended_at = math.inf
+        self._excused_until = -math.inf
         self._ended_jobs: set[str] = set()
         self._last_runs: dict[work.TaskKey, float] = {}
         self._standings: dict[str | work.TaskKey, _Standing] = {}
@@ -138,6 +139,13 @@
         """Record that the callers and the faults of the day have ended."""
         self._traffic_ended_at = now
 
+    def note_stall(self, now: float) -> None:
+        """Record that the process of the check and of the workers stood still.
+
+        It excuses all jobs as an impairment does, after the traffic as well.
+        """
+        self._excused_until = now + CALM_BEFORE_S
+
     def check(
         self,
         all_workers: Iterable[workers.Worker],
@@ -186,9 +194,10 @@
     def _judge(
         self, idler: _Idler, standing: _Standing, calm_since: float, now: float
     ) -> None:
-        calm_from = max(standing.since, calm_since + CALM_BEFORE_S)
+        since = max(standing.since, self._excused_until)
+        calm_from = max(since, calm_since + CALM_BEFORE_S)
         finished_from = max(
-            standing.half_used_at, self._traffic_ended_at + FINISH_S
+            since, standing.half_used_at, self._traffic_ended_at + FINISH_S
         )
         stands_s = now - min(calm_from, finished_from)
         if stands_s <= 0.0:
--- a/standins/emulator/tests/test_standing_oracle.py
+++ b/standins/emulator/tests/test_standing_oracle.py
@@ -241,6 +241,16 @@
     assert scene.is_broken is broken
 
 
+# The check's own process stood still, and the workers with it.
+@pytest.mark.parametrize(("length_s", "broken"), [(6.75, False), (7.5, True)])
+def test_stall_excuses_jobs_after_the_traffic_too(length_s, broken):
+    scene = _Scene(_make_job(work.Step(1, _SMALL)))
+    scene.oracle.note_traffic_ended(-100.0)
+    scene.oracle.note_stall(0.0)
+    scene.run_for(length_s)
+    assert scene.is_broken is broken
+
+
 def test_half_of_the_capacity_in_use_interrupts_the_standing():
     scene = _Scene(_make_job(work.Step(1, _SMALL)))
     scene.calm_since = 1000.0
--- a/standins/soak/__main__.py
+++ b/standins/soak/__main__.py
@@ -96,6 +96,11 @@
             f", {result.judged_cancels} cancels judged (longest run after one "
             f"{result.longest_after_cancel_s:.2f} s)"
         )
+        summary += (
+            f", {result.judged_standings} standing jobs judged (longest "
+            f"{result.longest_standing_s:.2f} s, {result.excused_standings} "
+            f"excused)"
+        )
         if result.stalled_s > _NOTABLE_STALL_S:
             summary += f", stalled for {result.stalled_s:.2f} s"
         print(f"seed {seed}: {result.verdict}, {summary}, {seed_folder}")
--- a/standins/soak/run.py
+++ b/standins/soak/run.py
@@ -17,6 +17,7 @@
 from standins.emulator import config_oracle as config_oracles
 from standins.emulator import oracle as oracles
 from standins.emulator import rules
+from standins.emulator import standing_oracle as standing_oracles
 from standins.emulator import store as stores
 from standins.emulator import worker as workers
 from standins.soak import cancels
@@ -31,6 +32,7 @@
     | config_oracles.RULES
     | cut_requests.RULES
     | closure_oracles.RULES
+    | standing_oracles.RULES
     | {rules.Rule.DRAIN}
 )
 
@@ -179,6 +181,10 @@
             in which all runs of the job must end.
         longest_after_cancel_s: The longest time from a cancel, or from the
             last impairment after it, to the end of a run of the job.
+        judged_standings: How many times of standing of jobs were judged.
+        excused_standings: How many long ones were excused.
+        longest_standing_s: For how many seconds a job stood at most while it
+            was judged.
         stalled_s: How long this process did nothing at worst; much of it
             shows that the machine is overloaded.
     """
@@ -192,6 +198,9 @@
     starts_while_closed: int = 0
     judged_cancels: int = 0
     longest_after_cancel_s: float = 0.0
+    judged_standings: int = 0
+    excused_standings: int = 0
+    longest_standing_s: float = 0.0
     stalled_s: float = 0.0
 
     @property
@@ -210,6 +219,7 @@
             "cut requests": self.cut_checker.judged,
             "closures": self.starts_while_closed,
             "cancels": self.judged_cancels,
+            "standing jobs": self.judged_standings,
         }
         return [check for check, count in cases.items() if not count]
 
@@ -245,6 +255,7 @@
         world.oracle.broken
         + world.config_oracle.broken
         + world.closure_oracle.broken
+        + world.standing_oracle.broken
         + world.cut_checker.broken
         + world.list_internal_errors(),
         len(world.oracle.accepted),
@@ -255,6 +266,9 @@
         world.closure_oracle.judged,
         world.oracle.judged_cancels,
         world.oracle.longest_after_cancel,
+        world.standing_oracle.judged,
+        world.standing_oracle.excused,
+        world.standing_oracle.longest_s,
         world.longest_stall_s,
     )
 
@@ -296,6 +310,7 @@
         # Entries that restarted while the document was unreadable have no
         # configuration yet.
         self.world.operators.write(trio.current_time())
+        self.world.standing_oracle.note_traffic_ended(trio.current_time())
         states = await self._wait_for_jobs()
         await self._canceller.wait_until_judged()
         self.world.oracle.check_final_states(states)
--- a/standins/soak/world.py
+++ b/standins/soak/world.py
@@ -5,6 +5,7 @@
 import pathlib
 import random
 import signal
+import time
 from typing import Any
 
 import orjson
@@ -24,6 +25,7 @@
 from standins.emulator import operators
 from standins.emulator import oracle as oracles
 from standins.emulator import policy as policies
+from standins.emulator import standing_oracle as standing_oracles
 from standins.emulator import store as stores
 from standins.emulator import worker as workers
 from standins.soak import cut_requests
@@ -38,6 +40,8 @@
 KEY = "key-of-a"
 _STEP_INTERVAL_S = 0.02
 _HEARTBEAT_INTERVAL_S = 1.5
+# Workers stay listed until three heartbeats are missed.
+_DELISTING_DELAY_S = 3 * _HEARTBEAT_INTERVAL_S
 # In a line of an entry's log: scheduling has ended by an unexpected error.
 _ERROR_MARK = '"owner:failed"'
 # After this delay another worker runs at a crashed worker's address, under
@@ -135,6 +139,9 @@
         self._workers_check_room = seed % 2 == 0
         self._gangs = workers.Gangs()
         self._policy = policies.Policy()
+        self.standing_oracle = standing_oracles.StandingOracle(
+            self.oracle, self._policy
+        )
         self._worker_ports: dict[str, int] = {}
         for number in range(worker_count):
             labels = frozenset({"a", f"r0-{number // 3}"})
@@ -332,6 +339,7 @@
             self._check_starts_while_draining()
             self._check_closures()
             self._check_cancelled_runs(now)
+            self._check_standing(now)
             self.oracle.check_incomplete_gangs(
                 self.impairments.is_unimpaired_since
             )
@@ -345,6 +353,44 @@
         self.longest_stall_s = max(self.longest_stall_s, late_s)
         if late_s > _STALL_S:
             self._note_store_impaired(trio.current_time())
+            self.standing_oracle.note_stall(trio.current_time())
+
+    def _check_standing(self, now: float) -> None:
+        """Check for jobs that stand still although their tasks could run.
+
+        A worker that a task has crashed counts as impaired until it is no
+        longer listed.
+        """
+        calm_since = self.impairments.find_calm_since()
+        if self.oracle.task_crashes:
+            crashed_at, _ = self.oracle.task_crashes[-1]
+            delisted_at = crashed_at + _DELISTING_DELAY_S
+            calm_since = max(calm_since, min(now, delisted_at))
+        self.standing_oracle.check(
+            self.workers.values(),
+            self._list_open_workers,
+            calm_since,
+            now,
+            time.time(),
+        )
+
+    def _list_open_workers(self) -> list[workers.Worker]:
+        """Return the workers that are listed, in open data centres."""
+        return [
+            worker
+            for name, worker in self.workers.items()
+            if not self._closing_counts[worker.entry.data_centre]
+            and self._is_listed(name)
+        ]
+
+    def _is_listed(self, name: str) -> bool:
+        """Tell whether the store holds the entry of a worker's process."""
+        item = self.store.items.get(f"servers/{name}")
+        if item is None or name in self._planned_exits:
+            return False
+        return bool(
+            orjson.loads(item.value)["born"] == self.workers[name].born_ms
+        )
 
     def _check_cancelled_runs(self, now: float) -> None:
         """Check for runs of cancelled jobs that go on."""
@@ -576,7 +622,7 @@
             self.workers[new_name]
         )
         self._platform.worker_names[port] = new_name
-        await trio.sleep(3 * _HEARTBEAT_INTERVAL_S - _REPLACEMENT_DELAY_S)
+        await trio.sleep(_DELISTING_DELAY_S - _REPLACEMENT_DELAY_S)
         self.store.remove(f"servers/{name}")
 
     # Entry processes.
