--- a/standins/emulator/faults.py
+++ b/standins/emulator/faults.py
@@ -241,6 +241,8 @@
     worker_count: int = 6,
     workers_check_room: bool = True,
     changes_per_s: float = 0.0,
+    workers_per_rack: int = 3,
+    rejected_share: float = 0.0,
 ) -> clusters.Cluster:
     """Play a day with load and faults, and check the final states.
 
@@ -256,11 +258,21 @@
             for.
         changes_per_s: How often the configuration changes. Calls on the routes
             and keys that it adds and removes are made only if it does.
+        workers_per_rack: How many workers stand in a rack.
+        rejected_share: Share of the starts that workers reject for want of
+            room although they have it.
 
     Returns:
         The cluster; its oracle lists the broken rules.
     """
-    cluster = clusters.Cluster(seed, entries, worker_count, workers_check_room)
+    cluster = clusters.Cluster(
+        seed,
+        entries,
+        worker_count,
+        workers_check_room,
+        workers_per_rack,
+        rejected_share,
+    )
     cluster.store.leases_expire = leases_expire
     async with trio.open_nursery() as nursery:
         await nursery.start(cluster.run)
@@ -279,6 +291,7 @@
                 )
             for event in faults:
                 day.start_soon(inject_fault, cluster, event)
+        cluster.standing_oracle.note_traffic_ended(trio.current_time())
         end_limit_s = _END_LIMIT_S * max(1.0, load.duration_factor)
         await _wait_until_idle(
             cluster,
@@ -288,6 +301,7 @@
         cluster.oracle.broken += cluster.list_owner_failures()
         cluster.oracle.broken += cluster.config_oracle.broken
         cluster.oracle.broken += cluster.closure_oracle.broken
+        cluster.oracle.broken += cluster.standing_oracle.broken
         nursery.cancel_scope.cancel()
     return cluster
 
--- a/standins/emulator/worker.py
+++ b/standins/emulator/worker.py
@@ -120,6 +120,8 @@
         self.recent_starts: list[closure_oracles.ObservedStart] = []
         self.starts_while_draining: list[tuple[work.TaskKey, float]] = []
         self.fails_all = False
+        # Share of the starts that are rejected although there is room.
+        self.rejected_share = 0.0
         # Speed of all tasks here, as a share of the usual speed.
         self.speed = 1.0
         self._last_step_at: float | None = None
@@ -322,9 +324,7 @@
             )
         job = self.oracle.jobs[order.key.job]
         step = job.steps[order.key.step]
-        if self.checks_room and not self._compute_free_room().holds(
-            step.charge
-        ):
+        if self.checks_room and not self.compute_free_room().holds(step.charge):
             return worker_port.Rejected(
                 worker_port.RejectionReason.NO_ROOM, int(clock)
             )
@@ -353,6 +353,12 @@
             self.starts_while_draining.append((order.key, trio.current_time()))
         return worker_port.Accepted(int(clock))
 
+    def _rejects_at_random(self) -> bool:
+        # No random number is used if the share is 0, so that days without such
+        # rejections stay the same.
+        share = self.rejected_share
+        return share > 0 and self.random.random() < share
+
     def list_runs(self) -> list[oracles.ObservedRun]:
         """Return what runs here now."""
         return [
@@ -411,7 +417,7 @@
         ]
         rooms = [self.entry.room, *recent]
         room = work.Room(*map(max, zip(*rooms, strict=True)))
-        free = room.minus(self.entry.room).plus(self._compute_free_room())
+        free = room.minus(self.entry.room).plus(self.compute_free_room())
         if any(
             needed > available
             for needed, available in zip(charge, free, strict=True)
@@ -431,7 +437,8 @@
         where = entry.id, entry.pool, entry.labels
         self.oracle.check_placement(key, where, running_count, now)
 
-    def _compute_free_room(self) -> work.Room:
+    def compute_free_room(self) -> work.Room:
+        """Return the room that the tasks here leave."""
         free = self.entry.room
         for key in self.tasks:
             step = self.oracle.jobs[key.job].steps[key.step]
