Count late runs for their whole time, and find the listed incarnation

- An unreported worker makes those jobs wait of which this owner has a start without an answer.
The record of such starts ends after 15 s, the latest time at which one is carried out, but its run goes on for up to 10.2 s more. test_job_of_a_late_start_waits_until_it_can_run_nowhere was red ('assert False'). list_jobs now covers the whole time (MAX_LATE_RUN_S, rule 5), and the record of a worker is kept as long.
If a later one was not named, its task waited again at once, although the listed incarnation may carry the start out. test_late_start_waits_for_the_listed_incarnation was red; the run now goes to the listed incarnation.

Neither was seen in a run of the whole system.

--- a/crocusrouter/pools/lease_contract.py
+++ b/crocusrouter/pools/lease_contract.py
@@ -30,6 +30,11 @@
 SAFETY_MARGIN_S = 0.05
 MAX_START_DELAY_S = 15.0
 MAX_GRANT_S = 10.0
+# From when a start was sent to the end of its run, if it was carried out late
+# and no lease was sent since.
+MAX_LATE_RUN_S = (
+    MAX_START_DELAY_S + MAX_GRANT_S / MIN_CLOCK_RATE + SAFETY_MARGIN_S
+)
 _LEASE_MS = LEASE_S * 1000
 _SAFETY_MARGIN_MS = SAFETY_MARGIN_S * 1000
 
@@ -110,6 +115,4 @@
     >>> have_late_starts_ended(0.0, 26.7), have_late_starts_ended(0.0, 26.8)
     (False, True)
     """
-    last_start_s = RENEWAL_GRACE_S + MAX_START_DELAY_S
-    longest_s = last_start_s + MAX_GRANT_S / MIN_CLOCK_RATE
-    return now > owned_since + longest_s + SAFETY_MARGIN_S
+    return now > owned_since + RENEWAL_GRACE_S + MAX_LATE_RUN_S
--- a/crocusrouter/pools/owner.py
+++ b/crocusrouter/pools/owner.py
@@ -449,7 +449,9 @@
             for worker_state in self.pool_state.workers.values()
         )
         unanswered = self._unanswered_starts[worker]
-        if not is_known and unanswered.is_settled(self._clock.steady()):
+        now = self._clock.steady()
+        is_over = unanswered.is_settled(now) and not unanswered.list_jobs(now)
+        if not is_known and is_over:
             del self._unanswered_starts[worker]
 
     def _may_renew_leases(self) -> bool:
--- a/crocusrouter/pools/unanswered_starts.py
+++ b/crocusrouter/pools/unanswered_starts.py
@@ -39,6 +39,8 @@
     def __init__(self) -> None:
         self.listeners: list[Callable[[], None]] = []
         self._starts: dict[tuple[work.TaskKey, int], _UnansweredStart] = {}
+        # Until when a run of each job may go on after a late start.
+        self._running_until: dict[str, float] = {}
 
     def note(
         self, order: worker_port.Start, incarnation: str, now: float
@@ -56,6 +58,7 @@
         self._starts[order.key, order.run] = _UnansweredStart(
             incarnation, now, refused_by
         )
+        self._running_until[order.key.job] = now + lease_contract.MAX_LATE_RUN_S
         for listener in list(self.listeners):
             listener()
 
@@ -85,13 +88,17 @@
         ]
 
     def list_jobs(self, now: float) -> frozenset[str]:
-        """Return the jobs of which a start may still be carried out.
+        """Return the jobs of which a run may go on after a late start.
 
         Args:
             now: Steady time in seconds.
         """
-        self._drop_expired(now)
-        return frozenset(key.job for key, _ in self._starts)
+        self._running_until = {
+            job_id: until
+            for job_id, until in self._running_until.items()
+            if now < until
+        }
+        return frozenset(self._running_until)
 
     def is_settled(self, now: float) -> bool:
         """Return whether none of the starts can be carried out any more."""
--- a/crocusrouter/work/replacement.py
+++ b/crocusrouter/work/replacement.py
@@ -69,7 +69,7 @@
         successor=successor,
         runs=len(worker.runs),
     )
-    present = _find_present(pool_state, successor)
+    present = _find_present(pool_state, worker_id, successor)
     if present is not None:
         for stop in late_stops:
             run = worker.runs.get(stop.key)
@@ -84,23 +84,26 @@
 
 
 def _find_present(
-    pool_state: pool_states.PoolState, successor: str | None
+    pool_state: pool_states.PoolState, worker_id: str, successor: str | None
 ) -> str | None:
     """Return the incarnation that answers now; None if it is unknown.
 
     The answer that named `successor` may have come after those of later
-    incarnations, and nothing ends the runs of one that is gone already.
+    incarnations, and nothing ends the runs of one that is gone already. If a
+    later one was not named, it is the one that is listed.
     """
+    if successor is None:
+        return None
     seen_ids: set[str] = set()
-    while successor is not None and successor not in seen_ids:
-        worker = pool_state.workers.get(successor)
-        if worker is None:
-            return None
-        if not worker.replaced:
-            return successor
-        seen_ids.add(successor)
-        successor = worker.successor
-    return None
+    present: str | None = successor
+    while present is not None and present not in seen_ids:
+        worker = pool_state.workers.get(present)
+        if worker is not None and not worker.replaced:
+            return present
+        seen_ids.add(present)
+        present = worker.successor if worker is not None else None
+    process = pool_state.workers[worker_id].entry.worker
+    return map_incarnations(pool_state).get(process)
 
 
 def _stop_gang(
