Keep the bound on delays cheap, and let it begin and end where it should

The cause is now looked for only when it is about to be logged (8 a decision), and places for 16 overdue steps a decision, of those that can fit. - Overdue steps joined the worker of a trial that began in the same plan. - The delay went on over runs that were confirmed and failed, so the attempts of a job were used up in a second on a worker that fails; it ends now when a run is confirmed. It went on over rejected starts only if no task of the step ran, so that lasting tasks began to wait anew. - The begin was taken from the loss of a worker, however long there had been no room since; and room counted on workers that are emptied for upkeep. - Gangs that the pool can't hold used up the three holds. - A line about unreported workers named all of them (279 kB a decision at 1,390).

--- a/crocusrouter/work/free_room.py
+++ b/crocusrouter/work/free_room.py
@@ -35,7 +35,9 @@
         spaces = {
             worker_id: packing.Space(worker_id, "", worker.free)
             for worker_id, worker in self._pool_state.workers.items()
-            if worker.may_take_tasks_later and worker.silent_since is None
+            if worker.may_take_tasks_later
+            and worker.silent_since is None
+            and not worker.evacuating
         }
         for key, worker_ids in self._starts:
             tracked_step = self._pool_state.find_tracked_step(key)
--- a/crocusrouter/work/planner.py
+++ b/crocusrouter/work/planner.py
@@ -24,6 +24,9 @@
 from crocusrouter.work import worker_choice
 
 _DEFAULT = policies.PlannerPolicy()
+# How many overdue steps are placed on any worker in one plan. The search looks
+# at all workers, and the next plan follows at once.
+_MAX_FALLBACKS = 16
 _ANYWHERE = worker_choice.Attempt(
     worker_choice.Group.ALL, stops=False, leaves_rack=True, uses_slowed=True
 )
@@ -106,6 +109,8 @@
         self._guaranteed_used = preemption.count_guaranteed(pool_state)
         # Why steps are left waiting, where the search for room doesn't tell.
         self._wait_causes: dict[model.StepKey, start_delays.Cause] = {}
+        self._fallback_count = 0
+        self._cause_count = 0
         # Which steps hold workers, in the order of their rank.
         self._holds: list[tuple[model.StepKey, set[str]]] = []
         self._reservations = dict(reserved)
@@ -149,8 +154,7 @@
             placed = self._place(waiting_step)
             if placed or holding_count >= self._policy.max_holding_steps:
                 continue
-            self._hold_workers(waiting_step)
-            holding_count += 1
+            holding_count += self._hold_workers(waiting_step)
         self._plan.delays = waiting_steps.list_blocked_steps(self._pool_state)
         self._plan.delays |= self._find_delays(ordered_steps)
         return self._plan
@@ -209,10 +213,19 @@
     def _find_cause(
         self, waiting_step: waiting_steps.WaitingStep
     ) -> start_delays.Cause:
-        """Return why a step waits for which there is room."""
+        """Return why a step waits for which there is room.
+
+        The cause is looked for when it is about to be logged.
+        """
         key = waiting_step.tracked_step.key
         if key in self._wait_causes:
             return self._wait_causes[key]
+        delay = self._pool_state.start_delays.find(key)
+        if delay is None or not delay.needs_cause(self._now):
+            return delay.cause if delay else start_delays.Cause.UNKNOWN
+        self._cause_count += 1
+        if self._cause_count > start_delays.MAX_LINES:
+            return delay.cause
         step = waiting_step.tracked_step.step
         needed_slots = step.count if step.gang else 1
         usable_spaces = self._choice.list_usable(waiting_step)
@@ -322,7 +335,14 @@
         self, waiting_step: waiting_steps.WaitingStep, indices: set[int]
     ) -> dict[int, str]:
         """Take free room for the tasks of an overdue step, wherever it is."""
-        for free_spaces in self._choice.list_fallbacks(waiting_step):
+        if self._fallback_count >= _MAX_FALLBACKS:
+            return {}
+        if not self._choice.may_have_fallback(waiting_step):
+            return {}
+        self._fallback_count += 1
+        for free_spaces in self._choice.list_fallbacks(
+            waiting_step, self._trial_workers
+        ):
             spaces = self._choice.choose_free(
                 waiting_step, free_spaces, len(indices), _ANYWHERE
             )
@@ -471,14 +491,17 @@
             self._choice.spaces[worker].take(step.charge)
         return True
 
-    def _hold_workers(self, waiting_step: waiting_steps.WaitingStep) -> None:
+    def _hold_workers(self, waiting_step: waiting_steps.WaitingStep) -> bool:
         """Keep later steps off the workers that will fit this step first.
 
         A gang that could not start if all workers were empty holds none: it
         would keep every other step waiting for as long as it is there.
+
+        Returns:
+            Whether it may hold workers.
         """
         if not self._choice.could_hold(waiting_step):
-            return
+            return False
         step = waiting_step.tracked_step.step
         ranked_spaces = sorted(
             self._choice.list_allowed(waiting_step)
@@ -496,6 +519,7 @@
             waiting_step,
             {space.worker for space in ranked_spaces[:worker_count]},
         )
+        return True
 
     def _choose_first_rack(
         self,
--- a/crocusrouter/work/pool_state.py
+++ b/crocusrouter/work/pool_state.py
@@ -25,6 +25,11 @@
 RETRY_PAUSE_S = 0.3
 # A run that is still reported this long after its stop is stopped again.
 STOP_REPEAT_S = 1.5
+# If there is room this soon after the runs of a worker are known to be lost,
+# there was room before as well.
+_ROOM_KNOWN_S = 1.0
+# How many workers a log line names.
+_MAX_NAMED_WORKERS = 8
 WorkerStop = tuple[str, worker_port.Stop]
 
 
@@ -97,7 +102,12 @@
         stood_since = {}
         for key in causes:
             tracked_step = self.find_tracked_step(key)
-            if tracked_step is not None and tracked_step.lost_since is not None:
+            if (
+                tracked_step is not None
+                and tracked_step.lost_since is not None
+                and tracked_step.waiting_since is not None
+                and now < tracked_step.waiting_since + _ROOM_KNOWN_S
+            ):
                 stood_since[key] = tracked_step.lost_since
         for key, delay in self.start_delays.update(
             causes, now, stood_since=stood_since, pending=pending
@@ -118,7 +128,7 @@
         if tracked_step.not_before > now:
             return True
         runs = tracked_step.runs_by_index.values()
-        return bool(runs) and all(run.confirmed_at is None for run in runs)
+        return any(run.confirmed_at is None for run in runs)
 
     def _describe_delay(
         self, key: model.StepKey, cause: start_delays.Cause
@@ -130,7 +140,10 @@
                 for worker_id, worker in self.workers.items()
                 if worker.has_unknown_runs
             ]
-            return {"workers": unreported_workers}
+            return {
+                "workers": unreported_workers[:_MAX_NAMED_WORKERS],
+                "worker_count": len(unreported_workers),
+            }
         tracked_step = self.find_tracked_step(key)
         if cause is start_delays.Cause.GANG_MEMBERS and tracked_step:
             runs = self.list_step_runs(tracked_step)
@@ -625,6 +638,7 @@
         if run.confirmed_at is None:
             run.confirmed_at = now
             run.progressed_at = now
+            self.start_delays.drop(model.get_step_key(key))
         if run.phase is tracking.Phase.ORDERED:
             run.phase = tracking.Phase.RUNNING
         if run.tracked_step is not None:
--- a/crocusrouter/work/start_delays.py
+++ b/crocusrouter/work/start_delays.py
@@ -15,9 +15,9 @@
 
 # Shorter delays are not logged; most steps that wait at all start before.
 _LOGGED_AFTER_S = 1.0
-# After a takeover all jobs may wait at once; the lines of one decision must not
-# delay the next.
-_MAX_LINES = 8
+# After a takeover all jobs may wait at once; the lines of one decision, and the
+# search for the causes, must not delay the next.
+MAX_LINES = 8
 
 
 class Cause(enum.StrEnum):
@@ -34,6 +34,7 @@
     UNSAVED_CRASH = "unsaved-crash"  # a crash under it is not journaled yet
     GANG_MEMBERS = "gang-members"  # members of its last start are not over
     OTHER = "other"
+    UNKNOWN = "unknown"  # not searched for yet; never logged
 
 
 @dataclasses.dataclass(frozen=True)
@@ -50,6 +51,10 @@
     cause: Cause
     logged: Cause | None = None
 
+    def needs_cause(self, now: float) -> bool:
+        """Tell whether its cause should be found, to be logged."""
+        return self.logged is None and now >= self.since + _LOGGED_AFTER_S
+
 
 class StartDelays:
     """The delays of one pool."""
@@ -66,6 +71,10 @@
         delay = self._delays.get(key)
         return now - delay.since if delay is not None else 0.0
 
+    def drop(self, key: model.StepKey) -> None:
+        """Forget the delay of a step, since one of its tasks runs."""
+        self._delays.pop(key, None)
+
     def list_steps(self) -> list[model.StepKey]:
         """Return the delayed steps."""
         return list(self._delays)
@@ -101,8 +110,11 @@
                 delay = Delay((stood_since or {}).get(key, now), cause)
             else:
                 delay = dataclasses.replace(delay, cause=cause)
-            lasts = now >= delay.since + _LOGGED_AFTER_S
-            if lasts and cause != delay.logged and len(to_log) < _MAX_LINES:
+            if (
+                now >= delay.since + _LOGGED_AFTER_S
+                and cause not in (delay.logged, Cause.UNKNOWN)
+                and len(to_log) < MAX_LINES
+            ):
                 delay = dataclasses.replace(delay, logged=cause)
                 to_log.append((key, delay))
             delays[key] = delay
--- a/crocusrouter/work/worker_choice.py
+++ b/crocusrouter/work/worker_choice.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Callable
+from collections.abc import Container
 from collections.abc import Iterable
 from collections.abc import Iterator
 import dataclasses
@@ -186,6 +187,7 @@
         self._exhausted_rooms = _ExhaustedRooms()
         self._allowed_spaces: list[packing.Space] = []
         self._allowed_for: tuple[model.StepKey, int, bool] | None = None
+        self._fallback_slots: dict[tuple[model.Room, str, int], int] = {}
         self._could_hold_by_step: dict[model.Step, bool] = {}
         self.groups = pool_state.speeds.find_groups()
         self._slowed_workers: frozenset[str] = frozenset()
@@ -244,18 +246,43 @@
             and self._is_permitted(waiting_step, space.worker)
         ]
 
-    def list_fallbacks(
+    def may_have_fallback(
         self, waiting_step: waiting_steps.WaitingStep
+    ) -> bool:
+        """Tell whether a step may fit if it may use any worker.
+
+        The count is kept for all steps with equal needs. Room only shrinks, so
+        there may be less by now.
+        """
+        step = waiting_step.tracked_step.step
+        if waiting_step.tracked_job.job.advised:
+            return True
+        key = step.charge, step.label, step.per_worker
+        if key not in self._fallback_slots:
+            self._fallback_slots[key] = packing.count_slots(
+                self.list_usable(waiting_step), step
+            )
+        return self._fallback_slots[key] >= (step.count if step.gang else 1)
+
+    def list_fallbacks(
+        self,
+        waiting_step: waiting_steps.WaitingStep,
+        excluded_workers: Container[str],
     ) -> Iterator[list[packing.Space]]:
         """Yield spaces for a step that must start now, the better ones first.
 
         First those that it may always use, then those that other steps hold,
         then workers on which it has failed too.
+
+        Args:
+            waiting_step: The step.
+            excluded_workers: Workers that it must not use.
         """
         usable_spaces = [
             space
             for space in self.list_usable(waiting_step)
-            if space.free.holds(waiting_step.tracked_step.step.charge)
+            if space.worker not in excluded_workers
+            and space.free.holds(waiting_step.tracked_step.step.charge)
         ]
         avoided_workers = waiting_step.tracked_step.avoided_workers
         yield [
