--- a/crocusrouter/work/tests/build.py
+++ b/crocusrouter/work/tests/build.py
@@ -7,6 +7,9 @@
 from crocusrouter.work import worker_port
 
 WALL = 1_000_000.0
+# Six workers in three racks.
+SIX_WORKERS = tuple(f"w{number}" for number in range(6))
+SIX_RACKS = ("r0-0", "r0-0", "r0-1", "r0-1", "r0-2", "r0-2")
 
 
 def make_step(count=1, gpu=1, **overrides):
@@ -63,6 +66,20 @@
     worker.reached = True
 
 
+def make_six_workers(step, **overrides):
+    """Return the state of three racks of two, with one step to place."""
+    return make_pool_state(
+        make_job("j", step, **overrides), workers=SIX_WORKERS, racks=SIX_RACKS
+    )
+
+
+def fill(pool_state, worker_ids):
+    """Let runs that are not known take all room of some workers."""
+    for worker_id in worker_ids:
+        worker = pool_state.workers[worker_id]
+        worker.used = worker.entry.room
+
+
 def add_job(pool_state, job, created=99, now=0.0, wall=WALL):
     pool_state.put_job(job, work.Progress(), created, now)
     pool_state.open_due_occurrences(wall, now)
--- a/crocusrouter/work/tests/test_delay_bounds.py
+++ b/crocusrouter/work/tests/test_delay_bounds.py
@@ -11,21 +11,13 @@
 from crocusrouter.work import worker_port
 from crocusrouter.work.tests import build
 
-_RACKS = ("r0-0", "r0-0", "r0-1", "r0-1", "r0-2", "r0-2")
-_WORKERS = tuple(f"w{number}" for number in range(6))
 _INTERVAL_S = 0.25
 
 
-def _make_pool_state(*jobs, racks=_RACKS, workers=_WORKERS):
+def _make_pool_state(*jobs, racks=build.SIX_RACKS, workers=build.SIX_WORKERS):
     return build.make_pool_state(*jobs, workers=workers, racks=racks)
 
 
-def _fill(pool_state, worker_ids):
-    for worker_id in worker_ids:
-        worker = pool_state.workers[worker_id]
-        worker.used = worker.entry.room
-
-
 def _decide(pool_state, now, **options):
     plan = build.apply_plan(pool_state, now, build.WALL + now, **options)
     pool_state.note_delays(plan.delays, now)
@@ -44,20 +36,20 @@
 
 def _suspect_two_idle_workers(pool_state):
     """Two idle workers are suspect; all others are full."""
-    _fill(pool_state, list(pool_state.workers)[2:])
+    build.fill(pool_state, list(pool_state.workers)[2:])
     for worker_id in ("w0", "w1"):
         pool_state.workers[worker_id].suspect_until = 100.0
 
 
 def _hold_idle_workers(pool_state):
     """A large gang holds idle workers."""
-    _fill(pool_state, list(pool_state.workers)[300:])
+    build.fill(pool_state, list(pool_state.workers)[300:])
     gang = build.make_step(400, gpu=8, gang=True)
     build.add_job(pool_state, build.make_job("g", gang, priority=1))
 
 
 def _leave_idle_workers_off_rack(pool_state):
-    _fill(pool_state, list(pool_state.workers)[20:])
+    build.fill(pool_state, list(pool_state.workers)[20:])
 
 
 # Guards against decisions that take seconds, in which no lease is renewed. The
@@ -99,7 +91,7 @@
     step = build.make_step(2, gpu=4, lasting=True, rack="r0-0", expected_s=99.0)
     pool_state = _make_pool_state(build.make_job("j", step, priority=2))
     pool_state.workers["w0"].used = work.Room(0, 0, 4)
-    _fill(pool_state, ["w1"])
+    build.fill(pool_state, ["w1"])
     starts = []
     for tick in range(40):
         now = tick * _INTERVAL_S
@@ -119,7 +111,7 @@
 def test_overdue_step_leaves_the_worker_of_a_new_trial_alone():
     """It started beside a suspected task in the plan that began its trial."""
     pool_state = _make_pool_state(build.make_job("j", build.make_step(1)))
-    _fill(pool_state, _WORKERS[1:])
+    build.fill(pool_state, build.SIX_WORKERS[1:])
     pool_state.workers["w0"].suspect_until = 3.0
     for now in (0.0, 1.0, 2.0, 2.75):
         _decide(pool_state, now)
@@ -179,7 +171,7 @@
     """Its run takes three times as long, though no room was usable before."""
     step = build.make_step(1, gpu=4, rack="r0-0", expected_s=11.0)
     pool_state = _make_pool_state(build.make_job("j", step))
-    _fill(pool_state, _WORKERS[:5])
+    build.fill(pool_state, build.SIX_WORKERS[:5])
     pool_state.workers["w5"].evacuating = True
     for tick in range(20):
         assert not _decide(pool_state, tick * _INTERVAL_S).placements
@@ -196,7 +188,9 @@
     key = work.TaskKey("j", 0, 0, 0)
     worker_id = pool_state.runs[key].worker_id
     work.note_silent(pool_state, worker_id, 1.0)
-    _fill(pool_state, [name for name in _WORKERS if name != worker_id])
+    build.fill(
+        pool_state, [name for name in build.SIX_WORKERS if name != worker_id]
+    )
     work.note_lapsed(pool_state, worker_id, "its lease expired", 7.5)
     # The crash is journaled, and other evidence has explained it.
     pool_state.jobs["j"].has_unsaved_crash = False
@@ -239,11 +233,11 @@
     _decide(pool_state, 0.0)
     key = work.TaskKey("j", 0, 0, 0)
     worker_id = pool_state.runs[key].worker_id
-    _fill(pool_state, {"w0", "w1"} - {worker_id})
+    build.fill(pool_state, {"w0", "w1"} - {worker_id})
     end = key, worker_port.RunOutcome.FAILED
     failed_at = 5.05
     build.apply_report(pool_state, worker_id, end, now=failed_at)
-    _fill(pool_state, [worker_id])
+    build.fill(pool_state, [worker_id])
     rejected_count = 0
     for tick in range(1, 40):
         now = 5.0 + tick * _INTERVAL_S
@@ -261,7 +255,7 @@
     pool_state = _make_pool_state(
         build.make_job("j", build.make_step(1), max_attempts=3, priority=2)
     )
-    _fill(pool_state, _WORKERS[1:])
+    build.fill(pool_state, build.SIX_WORKERS[1:])
     pool_state.note_contention(0.0)
     pool_state.note_contention(1.0)
     starts = []
@@ -291,7 +285,7 @@
     pool_state = _make_pool_state(
         *gangs, build.make_job("f", feasible, priority=1, slack=3.0)
     )
-    _fill(pool_state, ["w0"])
+    build.fill(pool_state, ["w0"])
     small = build.make_job("s", build.make_step(1), priority=2, slack=20.0)
     build.add_job(pool_state, small)
     assert not _decide(pool_state, 0.0).placements
@@ -304,7 +298,7 @@
         job, workers=("w0@1", "w0@2", "w1"), racks=("r0-0",) * 3
     )
     pool_state.workers["w0@2"].listed = False
-    _fill(pool_state, ["w1"])
+    build.fill(pool_state, ["w1"])
     _decide(pool_state, 0.0, confirm=False)
     key = work.TaskKey("j", 0, 0, 0)
     run = pool_state.runs[key]
--- a/crocusrouter/work/tests/test_standing_jobs.py
+++ b/crocusrouter/work/tests/test_standing_jobs.py
@@ -10,20 +10,6 @@
 # The users' bound on the time that such a job may wait.
 _MAX_WAIT_S = 3.0
 _DECISION_INTERVAL_S = 0.25
-_RACKS = ("r0-0", "r0-0", "r0-1", "r0-1", "r0-2", "r0-2")
-_WORKERS = tuple(f"w{number}" for number in range(6))
-
-
-def _make_pool_state(step, **overrides):
-    return build.make_pool_state(
-        build.make_job("j", step, **overrides), workers=_WORKERS, racks=_RACKS
-    )
-
-
-def _fill(pool_state, *worker_ids):
-    for worker_id in worker_ids:
-        worker = pool_state.workers[worker_id]
-        worker.used = worker.entry.room
 
 
 def _find_step(pool_state):
@@ -33,15 +19,15 @@
 def _require_large_rack():
     """No rack holds the gang, whatever it waits for."""
     step = build.make_step(3, gpu=8, gang=True, one_rack=True, expected_s=11.0)
-    return _make_pool_state(step)
+    return build.make_six_workers(step)
 
 
 def _require_busy_racks():
     """One worker of each rack is busy."""
-    pool_state = _make_pool_state(
+    pool_state = build.make_six_workers(
         build.make_step(3, gpu=4, gang=True, one_rack=True, expected_s=11.0)
     )
-    _fill(pool_state, "w0", "w2")
+    build.fill(pool_state, ("w0", "w2"))
     pool_state.workers["w4"].used = work.Room(0, 0, 2)
     pool_state.workers["w5"].used = work.Room(0, 0, 2)
     return pool_state
@@ -50,20 +36,20 @@
 def _require_lost_rack():
     """The rack with its data has left the pool."""
     step = build.make_step(4, rack="r0-9", expected_s=11.0)
-    return _make_pool_state(step)
+    return build.make_six_workers(step)
 
 
 def _fail_on_idle_workers():
     """All workers on which the step has not failed are busy for long."""
-    pool_state = _make_pool_state(build.make_step(1))
-    _fill(pool_state, "w0")
-    _find_step(pool_state).avoided_workers |= {*_WORKERS[1:]}
+    pool_state = build.make_six_workers(build.make_step(1))
+    build.fill(pool_state, ("w0",))
+    _find_step(pool_state).avoided_workers |= {*build.SIX_WORKERS[1:]}
     return pool_state
 
 
 def _follow_waiting_gang():
     """Two gangs of an earlier rank, which no rack can hold, wait for one."""
-    pool_state = _make_pool_state(build.make_step(1), priority=2)
+    pool_state = build.make_six_workers(build.make_step(1), priority=2)
     for number in range(2):
         gang = build.make_step(
             5, gpu=8, gang=True, one_rack=True, expected_s=20.0
@@ -74,7 +60,7 @@
 
 def _follow_other_trials():
     """The step has met two crashes, and other suspects use up the trials."""
-    pool_state = _make_pool_state(build.make_step(1))
+    pool_state = build.make_six_workers(build.make_step(1))
     _find_step(pool_state).progress.crashes[0] = [
         progress.Crash(number, early=True) for number in (1, 2)
     ]
@@ -114,14 +100,16 @@
 
 def test_job_is_not_held_back_again_and_again():
     """Each stop of other work for urgent work held all later work back anew."""
-    pool_state = _make_pool_state(build.make_step(1), priority=2, slack=20.0)
+    pool_state = build.make_six_workers(
+        build.make_step(1), priority=2, slack=20.0
+    )
     waited_s = _measure_wait(pool_state, contentions=(0.0, 1.0, 2.0, 3.0, 4.0))
     assert waited_s < _MAX_WAIT_S
 
 
 def test_gang_larger_than_the_pool_holds_no_workers():
     """Jobs of later rank waited for as long as such a gang was there."""
-    pool_state = _make_pool_state(build.make_step(1), priority=2)
+    pool_state = build.make_six_workers(build.make_step(1), priority=2)
     gang = build.make_step(7, gpu=8, gang=True)
     build.add_job(pool_state, build.make_job("g", gang))
     assert _measure_wait(pool_state) == 0.0
@@ -146,7 +134,7 @@
 def test_job_of_a_lost_worker_does_not_wait_for_its_rack():
     """Its run had ended seconds before the lease of the worker did."""
     step = build.make_step(5, gpu=4, gang=True, one_rack=True, expected_s=11.0)
-    pool_state = _make_pool_state(step)
+    pool_state = build.make_six_workers(step)
     for index in range(5):
         key = work.TaskKey("j", 0, 0, index)
         pool_state.add_run(key, 1, f"w{index}", 0.0)
--- a/crocusrouter/work/tests/test_start_delays.py
+++ b/crocusrouter/work/tests/test_start_delays.py
@@ -7,49 +7,39 @@
 from crocusrouter.work.tests import build
 
 _KEY = work.StepKey("j", 0, 0)
-_RACKS = ("r0-0", "r0-0", "r0-1", "r0-1", "r0-2", "r0-2")
-_WORKERS = tuple(f"w{number}" for number in range(6))
-
-
-def _make_pool_state(step, **overrides):
-    return build.make_pool_state(
-        build.make_job("j", step, **overrides), workers=_WORKERS, racks=_RACKS
-    )
-
-
-def _fill(pool_state, *worker_ids):
-    for worker_id in worker_ids:
-        worker = pool_state.workers[worker_id]
-        worker.used = worker.entry.room
 
 
 def _wait_for_rack():
     """No rack is large enough for a gang of three."""
-    return _make_pool_state(build.make_step(3, gpu=8, gang=True, one_rack=True))
+    return build.make_six_workers(
+        build.make_step(3, gpu=8, gang=True, one_rack=True)
+    )
 
 
 def _wait_for_data():
-    pool_state = _make_pool_state(build.make_step(1, rack="r0-0"))
-    _fill(pool_state, "w0", "w1")
+    pool_state = build.make_six_workers(build.make_step(1, rack="r0-0"))
+    build.fill(pool_state, ("w0", "w1"))
     return pool_state
 
 
 def _wait_for_urgent_work():
-    pool_state = _make_pool_state(build.make_step(1))
+    pool_state = build.make_six_workers(build.make_step(1))
     pool_state.note_contention(0.0)
     return pool_state
 
 
 def _wait_for_other_workers():
-    pool_state = _make_pool_state(build.make_step(1))
-    _fill(pool_state, "w0")
-    pool_state.find_tracked_step(_KEY).avoided_workers |= {*_WORKERS[1:]}
+    pool_state = build.make_six_workers(build.make_step(1))
+    build.fill(pool_state, ("w0",))
+    pool_state.find_tracked_step(_KEY).avoided_workers |= {
+        *build.SIX_WORKERS[1:]
+    }
     return pool_state
 
 
 def _wait_for_held_workers():
     """Gangs of an earlier rank wait for their racks and hold all workers."""
-    pool_state = _make_pool_state(build.make_step(1))
+    pool_state = build.make_six_workers(build.make_step(1))
     gang = build.make_step(5, gpu=8, gang=True, one_rack=True)
     for job_id in ("g0", "g1"):
         build.add_job(pool_state, build.make_job(job_id, gang, priority=0))
@@ -58,8 +48,8 @@
 
 def _wait_for_trial_worker():
     """The only worker with room is reserved for the trial of another step."""
-    pool_state = _make_pool_state(build.make_step(1))
-    _fill(pool_state, *_WORKERS[1:])
+    pool_state = build.make_six_workers(build.make_step(1))
+    build.fill(pool_state, build.SIX_WORKERS[1:])
     suspect = build.make_job("s", build.make_step(1), priority=0)
     build.add_job(pool_state, suspect)
     step = pool_state.find_tracked_step(work.StepKey("s", 0, 0))
@@ -69,32 +59,32 @@
 
 def _wait_for_worker():
     """A worker has not told this owner what an earlier owner started there."""
-    pool_state = _make_pool_state(build.make_step(1))
+    pool_state = build.make_six_workers(build.make_step(1))
     pool_state.workers["w0"].reached = False
     pool_state.jobs["j"].accepted_revision = 0
     return pool_state
 
 
 def _wait_for_journal():
-    pool_state = _make_pool_state(build.make_step(1))
+    pool_state = build.make_six_workers(build.make_step(1))
     pool_state.jobs["j"].has_unsaved_crash = True
     return pool_state
 
 
 def _wait_for_tickets():
-    return _make_pool_state(build.make_step(1), advised=True)
+    return build.make_six_workers(build.make_step(1), advised=True)
 
 
 def _wait_for_suspected_worker():
     """The only worker with room has failed the tasks of other jobs."""
-    pool_state = _make_pool_state(build.make_step(1))
-    _fill(pool_state, *_WORKERS[1:])
+    pool_state = build.make_six_workers(build.make_step(1))
+    build.fill(pool_state, build.SIX_WORKERS[1:])
     pool_state.workers["w0"].suspect_until = 4.0
     return pool_state
 
 
 def _wait_for_gang_member():
-    pool_state = _make_pool_state(build.make_step(2, gang=True))
+    pool_state = build.make_six_workers(build.make_step(2, gang=True))
     build.apply_plan(pool_state)
     run = pool_state.runs[work.TaskKey("j", 0, 0, 0)]
     pool_state.drop_run(run)
@@ -129,8 +119,8 @@
 
 
 def test_step_without_room_is_not_delayed():
-    pool_state = _make_pool_state(build.make_step(1))
-    _fill(pool_state, *_WORKERS)
+    pool_state = build.make_six_workers(build.make_step(1))
+    build.fill(pool_state, build.SIX_WORKERS)
     assert work.plan(pool_state, 0.0, build.WALL).delays == {}
 
 
