Acquire a pool only by the key that this attempt has written

Callers could see a task run twice: two entries schedule one pool.

Cause: an entry whose write of the owner key has no answer reads the key back, and takes any key in its own name for the one that it has just written. The key may be of an earlier attempt, whose write was carried out late or whose owner has failed since. That key hangs on the earlier attempt's lease; the entry renews the new one, on which no key depends. So it counts as the owner without an end while the key expires and another entry takes over, and the worker leases that it renews meanwhile are no part of lease_contract's rule 2.

The key now names the store lease under which it was written, and each attempt has a lease of its own, so a key of another attempt never compares equal.

--- a/crocusrouter/pools/owner_leases.py
+++ b/crocusrouter/pools/owner_leases.py
@@ -34,11 +34,13 @@
         name: The entry.
         address: "IP:port" of its mesh listener.
         process: Random id of the process; empty if unknown.
+        store_lease: The lease under which the key was written; 0 if unknown.
     """
 
     name: str
     address: str = ""
     process: str = ""
+    store_lease: int = dataclasses.field(default=0, compare=False)
 
     def is_predecessor_of(self, current: "Holder") -> bool:
         """Return whether this is an earlier process that has certainly ended.
@@ -72,15 +74,21 @@
 
     >>> dump_holder(Holder("e1", "10.0.0.1:7", "a1"))
     b'e1 10.0.0.1:7 a1'
+    >>> dump_holder(Holder("e1", "10.0.0.1:7", "a1", 17))
+    b'e1 10.0.0.1:7 a1 17'
     """
-    return f"{holder.name} {holder.address} {holder.process}".encode()
+    lease = f" {holder.store_lease}" if holder.store_lease else ""
+    return f"{holder.name} {holder.address} {holder.process}{lease}".encode()
 
 
 def parse_holder(data: bytes) -> Holder:
     """Decode the output of `dump_holder`; a name alone is valid too."""
     name, _, rest = data.decode(errors="replace").partition(" ")
-    address, _, process = rest.partition(" ")
-    return Holder(name, address, process)
+    address, _, rest = rest.partition(" ")
+    process, _, lease = rest.partition(" ")
+    return Holder(
+        name, address, process, int(lease) if lease.isdecimal() else 0
+    )
 
 
 class OwnerLease:
@@ -97,7 +105,7 @@
         self.key = keys.build_owner_key(pool)
         self.epoch = 0
         self._store = store
-        self._encoded_holder = dump_holder(holder)
+        self._holder = holder
         self._clock = clock
         self._store_lease = 0
         self._valid_until = 0.0
@@ -136,27 +144,30 @@
         except client.StoreUnavailableError as error:
             log("owner:no-lease", pool=self.pool, cause=str(error))
             return False
+        # An earlier attempt may have written the key under another lease, which
+        # nobody renews.
+        encoded_holder = dump_holder(
+            dataclasses.replace(self._holder, store_lease=self._store_lease)
+        )
         outcome = await self._store.write(
             (key_value.Guard(self.key, replaced_revision),),
-            (
-                key_value.Write(
-                    self.key, self._encoded_holder, self._store_lease
-                ),
-            ),
+            (key_value.Write(self.key, encoded_holder, self._store_lease),),
         )
         if isinstance(outcome, key_value.MaybeWritten):
-            return await self._check_unanswered_write(sent_at)
+            return await self._check_unanswered_write(encoded_holder, sent_at)
         if not isinstance(outcome, key_value.Written):
             return False
         return self._mark_acquired(outcome.revision, sent_at)
 
-    async def _check_unanswered_write(self, sent_at: float) -> bool:
+    async def _check_unanswered_write(
+        self, encoded_holder: bytes, sent_at: float
+    ) -> bool:
         """Read back whether an unanswered write has acquired the pool."""
         try:
             record = await self._store.read(self.key)
         except client.StoreUnavailableError:
             return False
-        if record is None or record.value != self._encoded_holder:
+        if record is None or record.value != encoded_holder:
             return False
         return self._mark_acquired(record.revision, sent_at)
 
