Guard the removal of a stopped entry's member key by its revision

Callers could see a task run twice after a planned stop: an entry that runs and is in no list of members may succeed an owner without being asked whether it has (attestations.py), and its peers send it no heartbeats.

Cause: the removal at a planned stop named no revision. Without an answer it may be carried out seconds later, and then removed the key of the process that had started since, whose lease goes on, so that it never registers again.

The removal now requires the key as the stopped process has written it.

Red before: test_late_removal_leaves_the_next_process_registered ("assert 'crocusrouter/sys/entry/e0' in {}").

--- a/crocusrouter/pools/members.py
+++ b/crocusrouter/pools/members.py
@@ -71,6 +71,7 @@
         self._name = name
         self._member = member
         self._store_lease = 0
+        self._revision = 0
         self._has_left = False
 
     async def run(self) -> None:
@@ -111,12 +112,17 @@
         if not isinstance(outcome, key_value.Written):
             raise client.StoreUnavailableError(type(outcome).__name__)
         self._store_lease = lease
+        self._revision = outcome.revision
 
     async def leave(self) -> None:
-        """Remove our key; part of a planned stop."""
+        """Remove our key; part of a planned stop.
+
+        Carried out late, it must not remove the key of the next process.
+        """
         self._has_left = True
         key = keys.build_member_key(self._name)
-        await self._store.write((), (), (key,))
+        guard = key_value.Guard(key, self._revision)
+        await self._store.write((guard,), (), (key,))
 
 
 async def load_or_create_secret(store: key_value.KeyValueStore) -> str:
