Let a job of a late start wait in the first seconds of an owner too

Callers could see a task run twice: a start has no answer, its worker's process ends, and the next process carries the start out seconds later. Until that process has answered, the job must wait (rule 5 of lease_contract).

Cause: the jobs of late starts were kept in the field that says what previous owners may have left on a worker. Of a worker on which these may have left anything that field says "any job", which stands for the jobs from before the takeover alone. So for the first 26.8 s of an owner, jobs accepted since did not wait at all, and neither did any such job while another worker had not answered, nor one that the previous owner had recorded as parked, which says nothing of this owner's starts.

Late starts now have a field of their own, and the list of blocked jobs is one set of ids in which neither kind hides the other. The record of known workers names both, as before.

Red before: test_job_waits_for_a_process_that_may_carry_out_its_start[3.0] on the emulator ("assert not True": the job ran elsewhere while the start could still be carried out), and six rows of test_job_of_a_late_start_waits_until_it_can_run_nowhere (two accepted after the takeover, four parked). The check of the first is as it was; it now runs 3 s after a takeover too.

--- a/crocusrouter/pools/known_workers.py
+++ b/crocusrouter/pools/known_workers.py
@@ -118,9 +118,8 @@
             job_ids: list[str] | None = None
             if worker_state.was_draining and worker_state.has_unknown_runs:
                 possible_jobs = worker_state.possible_jobs
-                job_ids = (
-                    sorted(possible_jobs) if possible_jobs is not None else None
-                )
+                if possible_jobs is not None:
+                    job_ids = sorted(possible_jobs | worker_state.late_jobs)
             elif worker_state.was_draining:
                 draining_jobs[incarnation] = self._find_possible_jobs(
                     incarnation, worker_state
--- a/crocusrouter/pools/owner.py
+++ b/crocusrouter/pools/owner.py
@@ -329,12 +329,10 @@
         for worker_state in self.pool_state.workers.values():
             if not worker_state.has_unknown_runs:
                 continue
-            possible_jobs = worker_state.possible_jobs
-            if possible_jobs is None and not owned_long:
-                continue
+            if owned_long and worker_state.possible_jobs is None:
+                worker_state.possible_jobs = frozenset()
             unanswered = self._unanswered_starts[worker_state.entry.worker]
-            late_jobs = unanswered.list_jobs(now)
-            worker_state.possible_jobs = late_jobs | (possible_jobs or set())
+            worker_state.late_jobs = unanswered.list_jobs(now)
 
     def _handle_replaced(
         self,
--- a/crocusrouter/pools/parked_jobs.py
+++ b/crocusrouter/pools/parked_jobs.py
@@ -145,7 +145,7 @@
             job_id
             for job_id, job_work in self._pool_state.live_jobs.items()
             if not job_work.is_final
-            and not self._pool_state.may_run_unreported(job_work, blocked_ids)
+            and job_id not in blocked_ids
             and not _has_run(job_work)
             and (
                 job_id in self._maybe_recorded
--- a/crocusrouter/pools/tests/test_delay_bounds.py
+++ b/crocusrouter/pools/tests/test_delay_bounds.py
@@ -3,6 +3,8 @@
 import collections
 import types
 
+import pytest
+
 from crocusrouter import work
 from crocusrouter.pools import owner
 from crocusrouter.pools import reservations
@@ -44,15 +46,28 @@
     assert now - 1.0 < 3.0
 
 
-def test_job_of_a_late_start_waits_until_it_can_run_nowhere():
+@pytest.mark.parametrize("owned_since", [0.0, 99.0])
+@pytest.mark.parametrize("others", [(), ("w1",)])
+@pytest.mark.parametrize(
+    ("accepted_revision", "parked"), [(0, False), (0, True), (60, False)]
+)
+def test_job_of_a_late_start_waits_until_it_can_run_nowhere(
+    accepted_revision, parked, others, owned_since
+):
     """A late start begins after 14.9 s, in a process that is listed at 16 s.
 
-    By rule 5 its run may go on for 10 s more.
+    By rule 5 its run may go on for 10 s more. The job was accepted before or
+    after the takeover, and nothing of it ran then if it was parked; other
+    workers have not answered either.
     """
     pool_state = build.make_pool_state(
         build.make_job("j", build.make_step()), workers=()
     )
-    pool_state.jobs["j"].accepted_revision = 0
+    pool_state.epoch = 50
+    pool_state.jobs["j"].accepted_revision = accepted_revision
+    pool_state.jobs["j"].parked = parked
+    for other in others:
+        pool_state.set_worker(build.make_entry(other), 90.0)
     starts = collections.defaultdict(unanswered_starts.UnansweredStarts)
     key = work.TaskKey("j", 0, 0, 0)
     entry = build.make_entry("w0@2")
@@ -60,9 +75,9 @@
     starts[entry.worker].note(order, "w0@1", 100.0)
     pool_state.set_worker(entry, 116.0)
     pool_owner = types.SimpleNamespace(
-        pool_state=pool_state, _owned_since=0.0, _unanswered_starts=starts
+        pool_state=pool_state,
+        _owned_since=owned_since,
+        _unanswered_starts=starts,
     )
     owner.PoolOwner._limit_possible_jobs(pool_owner, 116.0)  # noqa: SLF001
-    assert pool_state.may_run_unreported(
-        pool_state.jobs["j"], pool_state.list_blocked_jobs()
-    )
+    assert "j" in pool_state.list_blocked_jobs()
--- a/crocusrouter/work/pool_state.py
+++ b/crocusrouter/work/pool_state.py
@@ -385,47 +385,34 @@
             worker.evacuating = worker_id in worker_ids
             worker.was_evacuated = worker.was_evacuated or worker.evacuating
 
-    def list_blocked_jobs(self) -> frozenset[str] | None:
+    def list_blocked_jobs(self) -> frozenset[str]:
         """Return the jobs that may run on a worker that has not reported yet.
 
-        A previous owner may have started them there.
-
-        Returns:
-            Ids of jobs that must not start; None if no job that a previous
-            owner could have started may start.
+        A previous owner may have started them there, or a start of this owner
+        that had no answer may be carried out there. Starting them again would
+        run them twice.
         """
-        unreported_workers = [
-            worker
-            for worker in self.workers.values()
-            if worker.has_unknown_runs
-        ]
-        blocked_jobs: set[str] = set()
-        for worker in unreported_workers:
-            if worker.possible_jobs is None:
-                return None
-            blocked_jobs |= worker.possible_jobs
-        return frozenset(blocked_jobs)
-
-    def may_run_unreported(
-        self,
-        tracked_job: tracking.TrackedJob,
-        blocked_jobs: frozenset[str] | None,
-    ) -> bool:
-        """Tell whether a job may be running on a worker that has not reported.
-
-        A previous owner may have started it on a worker that has not answered
-        this owner yet; starting it again would run it twice. Nobody else can
-        have started a job that was accepted after this owner took over.
-
-        Args:
-            tracked_job: The job.
-            blocked_jobs: The result of `list_blocked_jobs`.
-        """
-        if tracked_job.parked:
-            return False
-        if blocked_jobs is None:
-            return tracked_job.accepted_revision <= self.epoch
-        return tracked_job.job.id in blocked_jobs
+        late_jobs: set[str] = set()
+        earlier_jobs: set[str] = set()
+        may_run_any = False
+        for worker in self.workers.values():
+            if not worker.has_unknown_runs:
+                continue
+            late_jobs |= worker.late_jobs
+            may_run_any |= worker.possible_jobs is None
+            earlier_jobs |= worker.possible_jobs or frozenset()
+        if not may_run_any and not earlier_jobs:
+            return frozenset(late_jobs)
+        return frozenset(late_jobs).union(
+            job_id
+            for job_id, tracked_job in self.live_jobs.items()
+            if not tracked_job.parked
+            and (
+                job_id in earlier_jobs
+                # No previous owner has started jobs accepted since.
+                or (may_run_any and tracked_job.accepted_revision <= self.epoch)
+            )
+        )
 
     def count_live_workers(self) -> int:
         """Return how many listed workers no other incarnation has replaced.
--- a/crocusrouter/work/tracking.py
+++ b/crocusrouter/work/tracking.py
@@ -115,9 +115,10 @@
         was_evacuated: Whether it was ever emptied for upkeep, in which case its
             end is expected and no crash.
         trial_until: Steady time until which a suspected task runs there alone.
-        possible_jobs: Jobs that may run there while the worker has not been
-            reached, by the records of the previous owner and the unanswered
-            starts of this one; None for any job.
+        possible_jobs: Jobs that previous owners may have left running there,
+            while the worker has not been reached; None for any job.
+        late_jobs: Jobs of which a start of this owner may be carried out there
+            late, while the worker has not been reached.
     """
 
     entry: worker_port.WorkerEntry
@@ -144,6 +145,7 @@
     was_evacuated: bool = False
     trial_until: float = 0.0
     possible_jobs: frozenset[str] | None = None
+    late_jobs: frozenset[str] = frozenset()
 
     @property
     def has_unknown_runs(self) -> bool:
--- a/crocusrouter/work/waiting_steps.py
+++ b/crocusrouter/work/waiting_steps.py
@@ -123,10 +123,10 @@
 def _find_job_block(
     pool_state: pool_states.PoolState,
     tracked_job: tracking.TrackedJob,
-    blocked_jobs: frozenset[str] | None,
+    blocked_jobs: frozenset[str],
 ) -> start_delays.Cause | None:
     """Return why no task of a job may start; None if they may."""
-    if pool_state.may_run_unreported(tracked_job, blocked_jobs):
+    if tracked_job.job.id in blocked_jobs:
         return start_delays.Cause.UNREPORTED_WORKER
     if tracked_job.has_unsaved_crash:
         return start_delays.Cause.UNSAVED_CRASH
--- a/standins/emulator/tests/test_takeover.py
+++ b/standins/emulator/tests/test_takeover.py
@@ -235,9 +235,11 @@
 
 
 # Guards against a task that runs twice: a start without an answer is carried
-# out by the worker's next process, which has answered nobody yet.
+# out by the worker's next process, which has answered nobody yet. The job was
+# accepted under the present owner, some seconds or long after its takeover.
+@pytest.mark.parametrize("owned_s", [3.0, 32.0])
 async def test_job_waits_for_a_process_that_may_carry_out_its_start(
-    autojump_clock, monkeypatch
+    owned_s, autojump_clock, monkeypatch
 ):
     original_start = worker_views.WorkerView.start
     lost_on = []
@@ -259,7 +261,7 @@
     job = _make_job(1)
     async with trio.open_nursery() as nursery:
         await nursery.start(cluster.run)
-        await trio.sleep(32.0)
+        await trio.sleep(owned_s)
         assert await cluster.submit(job) == "accepted"
         await trio.sleep(4.0)
         [crashed_worker] = lost_on
