Drop a reservation whose job must not start any more

Callers could see a task run twice, or a task that crashes its workers start once too often.

Cause: room is reserved while runs in its way end, for up to some seconds, and the step then starts without a new plan. A plan leaves out jobs of which a start may still be carried out by a worker that has not answered, and jobs with a crash that is not journaled yet; the start of a reservation asked for neither.

A reservation now ends as soon as one of the two holds ("reservation:blocked"), by the same function that the plan uses, and its step is planned again later.

Red before: test_reservation_of_a_blocked_job_is_dropped, two rows ("assert True is False").

--- a/crocusrouter/pools/reservations.py
+++ b/crocusrouter/pools/reservations.py
@@ -4,6 +4,7 @@
 import dataclasses
 
 from crocusrouter import work
+from crocusrouter.work import waiting_steps
 
 # A reservation whose room is not free after the expected stop time times this
 # factor, plus the time of a repeated order, is dropped and its step planned
@@ -40,7 +41,10 @@
 
         Reservations that can't be kept any longer are dropped too.
         """
+        if not self._reservations:
+            return []
         ready: list[work.Placement] = []
+        blocked_jobs = pool_state.list_blocked_jobs()
         taken: dict[str, work.Room] = {}
         expected_stop_s = pool_state.stop_durations.expected_s
         max_age_s = _STOP_FACTOR * expected_stop_s + _REPEATED_ORDER_S
@@ -48,6 +52,9 @@
             placement = reservation.placement
             if not _is_still_waiting(pool_state, placement):
                 del self._reservations[step_key]
+            elif _is_blocked(pool_state, placement, blocked_jobs):
+                pool_state.note("reservation:blocked", step=step_key)
+                del self._reservations[step_key]
             elif _is_any_closed(pool_state, placement):
                 pool_state.note("reservation:closed", step=step_key)
                 del self._reservations[step_key]
@@ -74,6 +81,16 @@
     return set(placement.spots) <= step_work.waiting_indices
 
 
+def _is_blocked(
+    pool_state: work.PoolState,
+    placement: work.Placement,
+    blocked_jobs: frozenset[str],
+) -> bool:
+    """Tell whether nothing of the job may start since the reservation."""
+    tracked_job = pool_state.live_jobs[placement.step.job]
+    return waiting_steps.find_job_block(tracked_job, blocked_jobs) is not None
+
+
 def _is_any_closed(
     pool_state: work.PoolState, placement: work.Placement
 ) -> bool:
--- a/crocusrouter/pools/tests/test_reservations.py
+++ b/crocusrouter/pools/tests/test_reservations.py
@@ -99,3 +99,29 @@
         reserved.add(work.Placement(work.StepKey(name, 0, 0), {0: "w0"}), 0.0)
     assert len(reserved.take_ready(pool_state, 0.1)) == ready_count
     assert len(list(reserved.list_spots())) == 2 - ready_count
+
+
+# Guards against a task that runs twice or crashes too many workers: its room is
+# reserved, and then it must not start for another reason than room.
+@pytest.mark.parametrize(
+    ("late_jobs", "has_unsaved_crash", "is_ready"),
+    [
+        ((), False, True),
+        (("other",), False, True),
+        (("j",), False, False),
+        ((), True, False),
+    ],
+)
+def test_reservation_of_a_blocked_job_is_dropped(
+    late_jobs, has_unsaved_crash, is_ready
+):
+    job = build.make_job("j", build.make_step(1, gpu=8))
+    pool_state = build.make_pool_state(job, workers=("w0",))
+    reserved = reservations.Reservations()
+    reserved.add(work.Placement(work.StepKey("j", 0, 0), {0: "w0"}), 0.0)
+    pool_state.set_worker(build.make_entry("w1@2"), 0.1)
+    pool_state.workers["w1@2"].possible_jobs = frozenset()
+    pool_state.workers["w1@2"].late_jobs = frozenset(late_jobs)
+    pool_state.jobs["j"].has_unsaved_crash = has_unsaved_crash
+    assert bool(reserved.take_ready(pool_state, 0.2)) is is_ready
+    assert list(reserved.list_spots()) == []
--- a/crocusrouter/work/waiting_steps.py
+++ b/crocusrouter/work/waiting_steps.py
@@ -74,9 +74,7 @@
     )
     blocked_jobs = pool_state.list_blocked_jobs()
     for tracked_job in pool_state.live_jobs.values():
-        if tracked_job.is_final or _find_job_block(
-            pool_state, tracked_job, blocked_jobs
-        ):
+        if tracked_job.is_final or find_job_block(tracked_job, blocked_jobs):
             continue
         for tracked_step in tracked_job.steps.values():
             if (
@@ -106,7 +104,7 @@
     for tracked_job in pool_state.live_jobs.values():
         if tracked_job.is_final:
             continue
-        job_cause = _find_job_block(pool_state, tracked_job, blocked_jobs)
+        job_cause = find_job_block(tracked_job, blocked_jobs)
         for key, tracked_step in tracked_job.steps.items():
             cause = job_cause
             if cause is None and _has_gang_members(tracked_step):
@@ -120,12 +118,15 @@
     return causes
 
 
-def _find_job_block(
-    pool_state: pool_states.PoolState,
-    tracked_job: tracking.TrackedJob,
-    blocked_jobs: frozenset[str],
+def find_job_block(
+    tracked_job: tracking.TrackedJob, blocked_jobs: frozenset[str]
 ) -> start_delays.Cause | None:
-    """Return why no task of a job may start; None if they may."""
+    """Return why no task of a job may start; None if they may.
+
+    Args:
+        tracked_job: The job.
+        blocked_jobs: The result of `PoolState.list_blocked_jobs`.
+    """
     if tracked_job.job.id in blocked_jobs:
         return start_delays.Cause.UNREPORTED_WORKER
     if tracked_job.has_unsaved_crash:
