Stop late starts side by side, and lost stops again within a second

Cause: the stops of late starts went to the new process one after another. One without an answer held up all others for 0.35 s, and was repeated only after a poll that waits for up to 1 s.

They now leave side by side, those first whose tasks don't count as running on this worker, and stops without an answer are repeated after 0.25 s and a poll that doesn't wait.

A start that comes before the stop can still begin: no order can prevent it (docs/proof.md).

--- a/crocusrouter/pools/tests/test_worker_links.py
+++ b/crocusrouter/pools/tests/test_worker_links.py
@@ -568,3 +568,42 @@
     with trio.move_on_after(5.0):
         await link.run()
     assert len(opened_connections) <= 30
+
+
+class _LosingPort(_Port):
+    """Leaves the first stop of some runs unanswered.
+
+    Attributes:
+        refused_at: When a stop of each run was answered first.
+    """
+
+    def __init__(self, lost_runs):
+        super().__init__()
+        self._lost_runs = set(lost_runs)
+        self.refused_at = {}
+
+    async def stop(self, epoch, order, timeout_s):
+        if order.run in self._lost_runs:
+            self._lost_runs.discard(order.run)
+            await trio.sleep(timeout_s)
+            return _SILENT
+        self.refused_at.setdefault(order.run, trio.current_time())
+        return await self._answer(order)
+
+
+# Guards against a task that runs again: one stop without an answer holds up the
+# stops of all other late starts on a worker's next process.
+@pytest.mark.parametrize("lost_runs", [(), (1,), (1, 2, 3)])
+async def test_late_starts_are_refused_side_by_side(lost_runs, autojump_clock):
+    starts = unanswered_starts.UnansweredStarts()
+    runs = range(1, 7)
+    for run in runs:
+        key = work.TaskKey("00000000000000aa", 0, 0, run)
+        starts.note(worker_port.Start(key, run, ""), "earlier", 0.0)
+    port = _LosingPort(lost_runs)
+    _, link = _make_link(port, pending_starts=starts)
+    with trio.move_on_after(3.0):
+        await link.run()
+    assert port.refused_at.keys() == set(runs)
+    for run, refused_at in port.refused_at.items():
+        assert refused_at < (0.8 if run in lost_runs else 0.1)
--- a/crocusrouter/pools/worker_links.py
+++ b/crocusrouter/pools/worker_links.py
@@ -118,8 +118,14 @@
                     elif not self._has_unsaved_ends:
                         return
                 self._wake_event = trio.Event()
+                if self._has_late_starts():
+                    # Their stops had no answer and are repeated soon.
+                    await trio.sleep(_RETRY_DELAY_S)
+                    wait_s = 0.0
+                else:
+                    wait_s = _POLL_WAIT_S
                 if not self._is_abandoned:
-                    await self._poll(_POLL_WAIT_S)
+                    await self._poll(wait_s)
                 if self._lists_confirmed_ends:
                     await trio.sleep(_UNCONFIRMED_POLL_DELAY_S)
         finally:
@@ -378,25 +384,48 @@
     async def stop_late_starts(self) -> None:
         """Stop starts that were sent to the worker's earlier incarnations.
 
-        Stops without an answer are sent again after the next poll.
+        The stops leave side by side, since one without an answer takes as long
+        as a late start may need to begin. First go those of tasks that don't
+        count as running here, which would run twice.
 
         Raises:
             DeposedError: The worker knows a later owner.
         """
         now = self._clock.steady()
-        for order in self._pending_starts.list_stops(self.incarnation, now):
-            is_known = self.incarnation in self._pool_state.workers
-            if self._is_abandoned or not is_known:
-                return
-            if await self._try_stop(order):
-                log(
-                    "start:refused",
-                    task=order.key,
-                    run=order.run,
-                    worker=self.incarnation,
-                )
-            elif self._is_silent():
-                return
+        orders = self._pending_starts.list_stops(self.incarnation, now)
+        errors: list[journals.DeposedError] = []
+        async with trio.open_nursery() as nursery:
+            for order in sorted(orders, key=self._is_current_run):
+                nursery.start_soon(self._refuse_late_start, order, errors)
+                # Lets the stops queue in this order.
+                await trio.lowlevel.checkpoint()
+        if errors:
+            raise errors[0]
+
+    def _has_late_starts(self) -> bool:
+        """Return whether starts sent to earlier incarnations may begin here."""
+        now = self._clock.steady()
+        return bool(self._pending_starts.list_stops(self.incarnation, now))
+
+    async def _refuse_late_start(
+        self, order: worker_port.Stop, errors: list[journals.DeposedError]
+    ) -> None:
+        """Send one stop once; an error would end the others."""
+        is_known = self.incarnation in self._pool_state.workers
+        if self._is_abandoned or not is_known:
+            return
+        try:
+            is_refused = await self._try_stop(order)
+        except journals.DeposedError as error:
+            errors.append(error)
+            return
+        if is_refused:
+            log(
+                "start:refused",
+                task=order.key,
+                run=order.run,
+                worker=self.incarnation,
+            )
 
     def _is_silent(self) -> bool:
         """Return whether the latest poll of the worker had no answer."""
