Log and count two runs of one task, with what tells the causes apart

After a takeover the candidates are a worker that the owner did not know of, leases that it counted as ended too early, and a task that it took for waiting although the worker had reported. Their records looked alike: two `step:start` and maybe a `run:stray`.

`run:duplicate` (counter run-duplicate) is noted once for each run that is reported beside the owner's run of its task, or that goes on after the task was done.

--- a/crocusrouter/pools/owner.py
+++ b/crocusrouter/pools/owner.py
@@ -233,6 +233,7 @@
                 )
             nursery.start_soon(self._known_workers.run)
             for worker_state in list(self.pool_state.workers.values()):
+                worker_state.is_foreseen = True
                 self._open_link(
                     worker_state.entry.id, worker_state.entry.address
                 )
--- a/crocusrouter/pools/state_log.py
+++ b/crocusrouter/pools/state_log.py
@@ -7,6 +7,7 @@
 
 # Events of the pool's state that are also counted as metrics.
 _EVENT_METRICS = {
+    "run:duplicate": "run-duplicate",
     "run:kept": "run-spared-from-stop",
     "run:lost": "run-lost-with-its-worker",
     "run:missing": "run-missing-on-its-worker",
--- a/crocusrouter/work/reports.py
+++ b/crocusrouter/work/reports.py
@@ -1,6 +1,7 @@
 """Updates of a pool's state from the reports of its workers."""
 
 from crocusrouter.work import crashes
+from crocusrouter.work import duplicate_runs
 from crocusrouter.work import gang_progress
 from crocusrouter.work import model
 from crocusrouter.work import pool_state as pool_states
@@ -52,17 +53,19 @@
         # The worker lists an end until it is confirmed.
         if run_end.number > worker.last_end_number:
             worker.last_end_number = run_end.number
+            duplicate_runs.note_duplicate(pool_state, worker, run_end)
             _apply_end(pool_state, worker_id, run_end, now)
     running_by_key = {
         reported_run.key: reported_run for reported_run in report.running
     }
+    known_strays = frozenset(worker.stray_runs)
     worker.stray_runs.clear()
     ended_keys = {
         (reported_run.key, reported_run.run) for reported_run in report.ended
     }
     for reported_run in report.running:
         if (reported_run.key, reported_run.run) not in ended_keys:
-            _apply_running(pool_state, worker, reported_run, now)
+            _apply_running(pool_state, worker, reported_run, known_strays, now)
     _drop_missing_runs(pool_state, worker, running_by_key, sent_at, now)
 
 
@@ -70,6 +73,7 @@
     pool_state: pool_states.PoolState,
     worker: tracking.Worker,
     reported_run: worker_port.ReportedRun,
+    known_strays: frozenset[tuple[model.TaskKey, int]],
     now: float,
 ) -> None:
     """Update a run, adopt it after a takeover, or stop it as a stray."""
@@ -109,6 +113,8 @@
             worker=worker_id,
         )
         return
+    if (reported_run.key, reported_run.run) not in known_strays:
+        duplicate_runs.note_duplicate(pool_state, worker, reported_run)
     worker.stray_runs.add((reported_run.key, reported_run.run))
     pool_state.outbox.append(
         (worker_id, worker_port.Stop(reported_run.key, reported_run.run))
--- a/crocusrouter/work/tracking.py
+++ b/crocusrouter/work/tracking.py
@@ -91,6 +91,8 @@
         listed: Whether the platform still lists the worker.
         is_recorded: Whether a durable record names this worker to a successor
             of this owner.
+        is_foreseen: Whether this owner knew of it when it took over, and so
+            waited for its report.
         reached: Whether the worker has answered under this owner's epoch.
         silent_since: Since when the worker has not answered; None if it does.
         last_report_at: When the worker last reported its runs; None if never.
@@ -124,6 +126,7 @@
     entry: worker_port.WorkerEntry
     listed: bool = True
     is_recorded: bool = False
+    is_foreseen: bool = False
     reached: bool = False
     silent_since: float | None = None
     last_report_at: float | None = None
--- a/standins/emulator/tests/test_lapses.py
+++ b/standins/emulator/tests/test_lapses.py
@@ -5,6 +5,7 @@
 import pytest
 import trio
 
+from crocusrouter import work
 from crocusrouter.pools import known_workers
 from standins import emulator
 from standins.emulator import faults
@@ -40,6 +41,25 @@
     assert any(" twice: " in line for line in cluster.oracle.broken)
 
 
+# Guards against a record of users that can't tell why a task ran twice.
+async def test_lines_tell_that_the_worker_was_unknown(
+    autojump_clock, monkeypatch
+):
+    duplicates = []
+    original_note = work.PoolState.note
+
+    def note_kept(pool_state, what, **facts):
+        if what == "run:duplicate":
+            duplicates.append(facts)
+        original_note(pool_state, what, **facts)
+
+    monkeypatch.setattr(work.PoolState, "note", note_kept)
+    monkeypatch.setattr(known_workers.KnownWorkers, "run", _use_unrecorded)
+    await emulator.play(12, _LOAD, _choose_lapses(12))
+    assert duplicates
+    assert not any(facts["foreseen"] for facts in duplicates)
+
+
 def _choose_lapses(seed):
     return emulator.choose_faults(seed, 3, _LOAD.length_s, faults.LAPSE_FAULTS)
 
