--- a/crocusrouter/pools/tests/test_worker_links.py
+++ b/crocusrouter/pools/tests/test_worker_links.py
@@ -1,6 +1,7 @@
 """Tests for orders that a worker leaves unanswered."""
 
 import dataclasses
+import itertools
 
 import pytest
 import trio
@@ -607,3 +608,42 @@
     assert port.refused_at.keys() == set(runs)
     for run, refused_at in port.refused_at.items():
         assert refused_at < (0.8 if run in lost_runs else 0.1)
+
+
+class _OvertakenPort(_Port):
+    """Lists an end to a waiting poll, and none to a later poll after that."""
+
+    async def hold(self, epoch, seen, until_ms, wait_s):
+        self.polls_sent += 1
+        number = self.polls_sent
+        await trio.sleep({1: 0.0, 2: 1.0, 3: 0.2}.get(number, 0.1))
+        key = work.TaskKey("00000000000000bb", 0, 0, 0)
+        end = worker_port.RunEnd(1, key, 3, worker_port.RunOutcome.DONE, "")
+        return worker_port.Report(1000, (), () if number in (1, 3) else (end,))
+
+
+# Guards against a task that runs again after its end: an unlisted worker is
+# forgotten although an end of it is not journaled, since another poll had been
+# answered before that end and was read after it.
+async def test_worker_with_unsaved_ends_is_polled_on(autojump_clock):
+    ticks = itertools.count()
+    pool_state, link = _make_link(
+        _OvertakenPort(),
+        settle=trio.sleep_forever,
+        steady=lambda: trio.current_time() + next(ticks) * 1e-6,
+    )
+    job = build.make_job("00000000000000aa", build.make_step(1))
+    build.add_job(pool_state, job)
+    key = work.TaskKey(job.id, 0, 0, 0)
+    pool_state.add_run(key, 7, _WORKER, 0.0)
+    pool_state.unlist_worker(_WORKER)
+    async with trio.open_nursery() as nursery:
+        with trio.move_on_after(5.0) as scope:
+            nursery.start_soon(_stop_later, link, worker_port.Stop(key, 7))
+            await link.run()
+    assert scope.cancelled_caught
+
+
+async def _stop_later(link, order):
+    await trio.sleep(0.9)
+    await link.stop(order)
--- a/crocusrouter/pools/worker_links.py
+++ b/crocusrouter/pools/worker_links.py
@@ -85,8 +85,9 @@
         self._pending_starts = pending_starts
         self._confirmed_number = 0
         self._stops_in_flight: set[worker_port.Stop] = set()
-        # Whether the worker has listed ends that the journal may not hold.
-        self._has_unsaved_ends = False
+        # Number of the latest end that the worker has listed. Polls may be
+        # answered in another order than they are read.
+        self._listed_number = 0
         # Whether the last report has listed ends that were confirmed before.
         self._lists_confirmed_ends = False
         self._wake_event = trio.Event()
@@ -115,7 +116,8 @@
                 if self._is_idle(worker_state):
                     if worker_state.listed:
                         await self._wake_event.wait()
-                    elif not self._has_unsaved_ends:
+                    elif self._listed_number <= self._confirmed_number:
+                        # The journal holds all ends that it has listed.
                         return
                 self._wake_event = trio.Event()
                 if self._has_late_starts():
@@ -184,15 +186,14 @@
             self._pool_state, self.incarnation, report, sent_at, now
         )
         self._on_change()
-        self._has_unsaved_ends = bool(report.ended)
         last_number = max((ended.number for ended in report.ended), default=0)
+        self._listed_number = max(self._listed_number, last_number)
         self._lists_confirmed_ends = 0 < last_number <= self._confirmed_number
         if not report.ended:
             return
         with trio.move_on_after(_UNCONFIRMED_POLL_DELAY_S):
             await self._settle()
             self._confirmed_number = max(self._confirmed_number, last_number)
-            self._has_unsaved_ends = False
 
     async def _handle_silence(self) -> None:
         now = self._clock.steady()
