Send former members no heartbeats of their own

It is not needed: running entries send heartbeats to the owners by themselves, which is the sign of life, and an owner that must ask all members asks former ones as well.

--- a/crocusrouter/pools/entry.py
+++ b/crocusrouter/pools/entry.py
@@ -399,9 +399,7 @@
         addresses = {
             name: member.address for name, member in self._members.items()
         }
-        self.peers.set_members(
-            {**former_addresses, **addresses}, former_addresses.keys()
-        )
+        self.peers.set_members({**former_addresses, **addresses})
 
     def _handle_member(self, name: str, value: bytes) -> None:
         """Record a member; an unreadable record must not end the entry."""
--- a/crocusrouter/pools/peers.py
+++ b/crocusrouter/pools/peers.py
@@ -10,7 +10,6 @@
 """
 
 from collections.abc import Callable
-from collections.abc import Collection
 from collections.abc import Mapping
 import hashlib
 import random
@@ -82,24 +81,14 @@
         self._find_owners = find_owners
         self._must_ask_all = must_ask_all
         self._addresses: dict[str, str] = {}
-        self._former_names: Collection[str] = ()
         self._links: dict[str, tuple[str, PeerPort, trio.CancelScope]] = {}
         self._nursery: trio.Nursery | None = None
         self._answered_at: dict[str, float] = {}
         self._served_at: dict[str, float] = {}
         self._random = random.Random(name)
 
-    def set_members(
-        self, addresses: Mapping[str, str], former_names: Collection[str] = ()
-    ) -> None:
-        """Replace the members' mesh addresses.
-
-        Args:
-            addresses: Addresses by name, also of former members.
-            former_names: Those that are no longer registered. All of them get
-                heartbeats, so that the entry learns whether they still run.
-        """
-        self._former_names = former_names
+    def set_members(self, addresses: Mapping[str, str]) -> None:
+        """Replace the members' mesh addresses, keyed by name."""
         self._addresses = {
             name: address
             for name, address in addresses.items()
@@ -223,7 +212,7 @@
     def _choose_receivers(self) -> set[str]:
         owners = self._find_owners() - {self._name}
         receivers = owners | self._choose_neighbours()
-        receivers |= self._draw_random_peer() | set(self._former_names)
+        receivers |= self._draw_random_peer()
         return set(self._addresses) if self._must_ask_all() else receivers
 
     async def _send_heartbeat(self, name: str) -> None:
