Count former members from the takeover for an owner that begins

One that takes over right after the keys of all entries have expired, as after a long outage of the store, had not heard of the others for long, took them for ended, and would not have asked them.

An entry that owns nothing counts from when it hears of the removal, and a new owner counts all members as heard when it begins.

--- a/crocusrouter/pools/entry.py
+++ b/crocusrouter/pools/entry.py
@@ -416,7 +416,10 @@
             member = self._members.pop(name, None)
             if member is not None and name != self.name:
                 self._former_members.note_removed(
-                    name, member.address, self.clock.steady()
+                    name,
+                    member.address,
+                    self.clock.steady(),
+                    is_owner=bool(self.pool_owners),
                 )
         elif key.startswith(keys.OWNERS):
             self._ownership.note_vacant(
@@ -519,6 +522,9 @@
         pool_owner.apply_closures()
         self.pool_owners[owner_lease.pool] = pool_owner
         self._attestations[owner_lease.pool] = attested
+        for name in self.peers.list_members():
+            # It may have sent heartbeats to the previous owner only.
+            self._former_members.note_heard(name, self.clock.steady())
         self.config_refresher.request_check()
         pool_upkeep = upkeep_controller.UpkeepController(
             owner_lease,
--- a/crocusrouter/pools/former_members.py
+++ b/crocusrouter/pools/former_members.py
@@ -15,7 +15,7 @@
 
     Every entry sends heartbeats to the owners of the pools, so an owner hears
     of a running entry each second. One that it has not heard for longer than
-    worker leases last counts as ended.
+    worker leases last counts as ended. Other entries hear of some only.
     """
 
     def __init__(self) -> None:
@@ -31,16 +31,20 @@
         """
         self._heard_at[name] = max(now, self._heard_at.get(name, now))
 
-    def note_removed(self, name: str, address: str, now: float) -> None:
+    def note_removed(
+        self, name: str, address: str, now: float, *, is_owner: bool
+    ) -> None:
         """Record that a member's key is gone.
 
         Args:
             name: Name of the entry.
             address: "IP:port" of its mesh listener.
             now: Steady time in seconds.
+            is_owner: Whether this entry owns a pool.
         """
         self._addresses[name] = address
-        self._heard_at.setdefault(name, now)
+        if not is_owner or name not in self._heard_at:
+            self.note_heard(name, now)
 
     def note_registered(self, name: str) -> None:
         """Record that an entry is a member again."""
--- a/crocusrouter/pools/tests/test_former_members.py
+++ b/crocusrouter/pools/tests/test_former_members.py
@@ -28,7 +28,7 @@
     former = former_members.FormerMembers()
     for heard_at in heard_before:
         former.note_heard("b", heard_at)
-    former.note_removed("b", _ADDRESS, 100.0)
+    former.note_removed("b", _ADDRESS, 100.0, is_owner=True)
     for heard_at in heard_since:
         former.note_heard("b", heard_at)
     assert former.list_addresses(now) == ({"b": _ADDRESS} if is_listed else {})
@@ -36,7 +36,7 @@
 
 def test_member_that_registers_again_is_none():
     former = former_members.FormerMembers()
-    former.note_removed("b", _ADDRESS, 100.0)
+    former.note_removed("b", _ADDRESS, 100.0, is_owner=True)
     former.note_registered("b")
     assert former.is_empty()
     assert former.list_addresses(100.1) == {}
@@ -46,3 +46,12 @@
     former = former_members.FormerMembers()
     former.note_heard("b", 100.0)
     assert former.list_addresses(100.1) == {}
+
+
+@pytest.mark.parametrize(("now", "is_listed"), [(107.0, True), (108.0, False)])
+def test_entry_that_owns_no_pool_is_sent_no_heartbeats(now, is_listed):
+    """It may take over soon, and can't tell for how long the other ran."""
+    former = former_members.FormerMembers()
+    former.note_heard("b", 50.0)
+    former.note_removed("b", _ADDRESS, 100.0, is_owner=False)
+    assert bool(former.list_addresses(now)) is is_listed
