--- a/crocusrouter/pools/tests/test_former_members.py
+++ b/crocusrouter/pools/tests/test_former_members.py
@@ -49,7 +49,7 @@
 
 
 @pytest.mark.parametrize(("now", "is_listed"), [(107.0, True), (108.0, False)])
-def test_entry_that_owns_no_pool_is_sent_no_heartbeats(now, is_listed):
+def test_entry_that_owns_no_pool_counts_from_the_removal(now, is_listed):
     """It may take over soon, and can't tell for how long the other ran."""
     former = former_members.FormerMembers()
     former.note_heard("b", 50.0)
