--- a/crocusrouter/pools/worker_links.py
+++ b/crocusrouter/pools/worker_links.py
@@ -394,6 +394,8 @@
         """
         now = self._clock.steady()
         orders = self._pending_starts.list_stops(self.incarnation, now)
+        if not orders:
+            return
         errors: list[journals.DeposedError] = []
         async with trio.open_nursery() as nursery:
             for order in sorted(orders, key=self._is_current_run):
