--- a/standins/emulator/tests/test_lapses.py
+++ b/standins/emulator/tests/test_lapses.py
@@ -31,6 +31,17 @@
     assert len(cluster.oracle.accepted) > 5
 
 
+# Guards against a task that runs twice: the pool changes its owner with each of
+# many short outages, and entries stand still meanwhile, as on a slow machine.
+@pytest.mark.parametrize("seed", range(2))
+async def test_outages_in_series_keep_the_rules(seed, autojump_clock):
+    load = emulator.Load(per_s=3.0, length_s=34.0, poison=0.0)
+    events = _choose_series(seed)
+    cluster = await emulator.play(seed, load, events)
+    assert cluster.oracle.broken == []
+    assert len(cluster.oracle.accepted) > 5
+
+
 # Guards against an oracle that sees nothing: with an owner that records no
 # worker it must find tasks that run twice.
 async def test_oracle_finds_tasks_on_unrecorded_workers(
@@ -60,6 +71,22 @@
     assert not any(facts["foreseen"] for facts in duplicates)
 
 
+def _choose_series(seed):
+    """Return eight outages in 46 s, and entries that stand still."""
+    return [
+        *(
+            faults.FaultEvent(at, faults.Fault.LAPSE_TWICE, 0.0)
+            for at in (2.0, 13.5, 25.0, 36.5)
+        ),
+        *emulator.choose_faults(
+            seed,
+            8,
+            40.0,
+            (faults.Fault.FREEZE_OWNER, faults.Fault.FREEZE_OTHERS),
+        ),
+    ]
+
+
 def _choose_lapses(seed):
     return emulator.choose_faults(seed, 3, _LOAD.length_s, faults.LAPSE_FAULTS)
 
