--- a/standins/emulator/tests/test_leases.py
+++ b/standins/emulator/tests/test_leases.py
@@ -46,6 +46,22 @@
     return renewals
 
 
+async def _run_beside_the_owner(cluster):
+    """Run a job in the owner's data centre; return the other one."""
+    await trio.sleep(3.0)
+    other_data_centre = next(
+        name
+        for name in clusters.DATA_CENTRES
+        if cluster.find_owner() not in cluster.list_entries_in(name)
+    )
+    cluster.close_data_centre(other_data_centre)
+    await trio.sleep(3.0)
+    await cluster.submit(_make_job(1, tasks=3))
+    await trio.sleep(2.0)
+    cluster.open_data_centre(other_data_centre)
+    return other_data_centre
+
+
 # Guards against an owner that goes on renewing leases in a partition because
 # entries within it answer, while its successor counts those leases as ended.
 @pytest.mark.parametrize("drawn_s", [2.5, 5.0])
@@ -59,17 +75,7 @@
     )
     async with trio.open_nursery() as nursery:
         await nursery.start(cluster.run)
-        await trio.sleep(3.0)
-        other_data_centre = next(
-            name
-            for name in clusters.DATA_CENTRES
-            if cluster.find_owner() not in cluster.list_entries_in(name)
-        )
-        cluster.close_data_centre(other_data_centre)
-        await trio.sleep(3.0)
-        await cluster.submit(_make_job(1, tasks=3))
-        await trio.sleep(2.0)
-        cluster.open_data_centre(other_data_centre)
+        await _run_beside_the_owner(cluster)
         await faults.inject_fault(cluster, event)
         await trio.sleep(60.0)
         cluster.oracle.check_final_states(await cluster.read_states())
@@ -88,17 +94,7 @@
     cluster = emulator.Cluster(1)
     async with trio.open_nursery() as nursery:
         await nursery.start(cluster.run)
-        await trio.sleep(3.0)
-        other_data_centre = next(
-            name
-            for name in clusters.DATA_CENTRES
-            if cluster.find_owner() not in cluster.list_entries_in(name)
-        )
-        cluster.close_data_centre(other_data_centre)
-        await trio.sleep(3.0)
-        await cluster.submit(_make_job(1, tasks=3))
-        await trio.sleep(2.0)
-        cluster.open_data_centre(other_data_centre)
+        other_data_centre = await _run_beside_the_owner(cluster)
         for name in cluster.list_entries_in(other_data_centre):
             member_key = keys.build_member_key(name)
             del cluster.store.leases[cluster.store.items[member_key].lease]
