--- a/crocusrouter/pools/former_members.py
+++ b/crocusrouter/pools/former_members.py
@@ -23,7 +23,7 @@
         self._heard_at: dict[str, float] = {}
 
     def note_heard(self, name: str, now: float) -> None:
-        """Record a sign of life of an entry, also of a present member.
+        """Record a message of an entry, which may be a present member.
 
         Args:
             name: Name of the entry.
--- a/crocusrouter/pools/worker_links.py
+++ b/crocusrouter/pools/worker_links.py
@@ -121,7 +121,7 @@
                         return
                 self._wake_event = trio.Event()
                 if self._has_late_starts():
-                    # Their stops had no answer and are repeated soon.
+                    # A stop had no answer; it is sent again after the poll.
                     await trio.sleep(_RETRY_DELAY_S)
                     wait_s = 0.0
                 else:
@@ -413,7 +413,10 @@
     async def _refuse_late_start(
         self, order: worker_port.Stop, errors: list[journals.DeposedError]
     ) -> None:
-        """Send one stop once; an error would end the others."""
+        """Send one stop once, and collect the error that ends the owner.
+
+        Raised here, it would cancel the other stops.
+        """
         is_known = self.incarnation in self._pool_state.workers
         if self._is_abandoned or not is_known:
             return
