--- a/standins/emulator/cluster.py
+++ b/standins/emulator/cluster.py
@@ -2,6 +2,7 @@
 
 import collections
 from collections.abc import Callable
+from collections.abc import Sequence
 import dataclasses
 import itertools
 import math
@@ -39,6 +40,7 @@
 RULES = frozenset({rules.Rule.DRAIN})
 
 POOL = "match"
+OTHER_POOL = "stock"
 WORKERS_PREFIX = "listed/"
 OPERATORS_PREFIX = "op/"
 CONFIG_KEY = OPERATORS_PREFIX + "config"
@@ -96,26 +98,41 @@
     return DATA_CENTRES[number % len(DATA_CENTRES)]
 
 
-def _build_config(guaranteed: dict[str, int]) -> dict[str, Any]:
+def _build_config(
+    guaranteed: dict[str, int], pools: Sequence[str], queue_pool: str
+) -> dict[str, Any]:
     """Return a configuration of one queue, without a version.
 
     Args:
         guaranteed: Accelerators that each customer is guaranteed.
+        pools: The services.
+        queue_pool: The service of the queue.
     """
     route = {
         "name": "q",
         "host": ROUTE_HOST,
         "prefix": ROUTE_PREFIX,
-        "service": POOL,
+        "service": queue_pool,
     }
     tenants = [
         {"name": name, "api_keys": [name], "guaranteed": {"gpu": count}}
         for name, count in guaranteed.items()
     ]
-    services = [{"name": POOL}]
+    services = [{"name": pool} for pool in pools]
     return {"routes": [route], "services": services, "tenants": tenants}
 
 
+def _assign_pool(job: work.Job, entry: pools.PoolEntry) -> work.Job:
+    """Return a job as an entry stores it by its configuration."""
+    config = entry.configuration.current
+    if config is None:
+        return job
+    for queue in config.queues:
+        if queue.name == job.queue:
+            return dataclasses.replace(job, pool=queue.pool)
+    return job
+
+
 def _build_request(route: str, key: str) -> starlette_requests.Request:
     """Return a request whose answer depends on the route and the key alone.
 
@@ -182,6 +199,7 @@
         workers_check_room: bool = True,
         workers_per_rack: int = _WORKERS_PER_RACK,
         rejected_share: float = 0.0,
+        other_worker_count: int = 0,
     ) -> None:
         self.random = random.Random(seed)
         self._rejected_share = rejected_share
@@ -209,23 +227,47 @@
         )
         self._suspended_at: dict[str, float] = {}
         self._closing_counts: collections.Counter[str] = collections.Counter()
-        guaranteed = {"a": 16, "b": 8}
+        self.queue_pool = POOL
+        self._guaranteed = {"a": 16, "b": 8}
+        self._pools = [POOL, OTHER_POOL] if other_worker_count else [POOL]
         self.operators = operators.Operators(
             self.store,
             CONFIG_KEY,
             self.config_oracle,
-            _build_config(guaranteed),
+            _build_config(self._guaranteed, self._pools, POOL),
         )
         self._start_counts: collections.Counter[str] = collections.Counter()
         self._last_fault_at = 0.0
         for number in range(worker_count):
             self.add_worker(f"w{number}", f"r0-{number // workers_per_rack}")
+        for number in range(other_worker_count):
+            rack = f"r1-{number // workers_per_rack}"
+            self.add_worker(f"v{number}", rack, OTHER_POOL)
+        self.oracle.queue_pools.add(POOL)
         self.operators.write(0.0)
 
     def put_config(self, guaranteed: dict[str, int]) -> None:
-        """Replace the base configuration, as the operators do."""
-        now = trio.current_time()
-        self.operators.set_base(_build_config(guaranteed), now)
+        """Replace the guarantees, as the operators do."""
+        self._guaranteed = guaranteed
+        self._write_config()
+
+    def move_queue(self, pool: str, *, drops_former: bool = False) -> None:
+        """Give the queue another service, as the operators do.
+
+        Args:
+            pool: The service.
+            drops_former: Whether the configuration names no other service.
+        """
+        self.queue_pool = pool
+        self.oracle.queue_pools.add(pool)
+        self._pools = [pool] if drops_former else [POOL, OTHER_POOL]
+        self._write_config()
+
+    def _write_config(self) -> None:
+        self.operators.set_base(
+            _build_config(self._guaranteed, self._pools, self.queue_pool),
+            trio.current_time(),
+        )
 
     # Data centres.
 
@@ -268,11 +310,12 @@
         ]
 
     def _list_open_workers(self) -> list[workers.Worker]:
-        """Return the workers that are listed, in open data centres."""
+        """Return the queue's workers that are listed, in open data centres."""
         return [
             worker
             for name, worker in self.workers.items()
             if not self._closing_counts[worker.entry.data_centre]
+            and worker.entry.pool == self.queue_pool
             and self._is_listed(name)
         ]
 
@@ -290,21 +333,22 @@
 
     # Workers.
 
-    def add_worker(self, name: str, rack: str) -> None:
+    def add_worker(self, name: str, rack: str, pool: str = POOL) -> None:
         """Start a worker and write its entry to the store."""
-        self._start_worker(name, rack)
+        self._start_worker(name, rack, pool)
         self.write_worker_entry(name)
 
     def restart_worker(self, name: str) -> None:
         """Start a new process of a worker under the same id."""
         worker_entry = self.workers[name].entry
         rack = next(label for label in worker_entry.labels if "-" in label)
-        self._start_worker(name, rack).become_new_process(trio.current_time())
+        worker = self._start_worker(name, rack, worker_entry.pool)
+        worker.become_new_process(trio.current_time())
 
-    def _start_worker(self, name: str, rack: str) -> workers.Worker:
+    def _start_worker(self, name: str, rack: str, pool: str) -> workers.Worker:
         worker_entry = worker_port.WorkerEntry(
             name,
-            POOL,
+            pool,
             f"{name}:1",
             _find_data_centre(rack),
             False,
@@ -343,7 +387,9 @@
         rack = next(label for label in worker.entry.labels if "-" in label)
         worker.superseded = True
         base = name.partition("+")[0]
-        self.add_worker(f"{base}+{self.random.getrandbits(16)}", rack)
+        self.add_worker(
+            f"{base}+{self.random.getrandbits(16)}", rack, worker.entry.pool
+        )
 
     async def _replace_crashed_worker(self, name: str) -> None:
         """Replace a worker that a task has crashed by one of another name."""
@@ -434,10 +480,10 @@
             del self.entries[name]
             self._cancel_scopes.pop(name).cancel()
 
-    def find_owner(self) -> str | None:
-        """Return the name of the entry that owns the pool."""
+    def find_owner(self, pool: str = POOL) -> str | None:
+        """Return the name of the entry that owns a pool."""
         for name, entry in self.entries.items():
-            if POOL in entry.pool_owners:
+            if pool in entry.pool_owners:
                 return name
         return None
 
@@ -472,7 +518,7 @@
             if entry is None or not entry.is_ready:
                 await trio.sleep(0.5)
                 continue
-            outcome = await entry.job_api.accept(job)
+            outcome = await entry.job_api.accept(_assign_pool(job, entry))
             if outcome is pools.AcceptOutcome.STORED:
                 self.oracle.accepted.add(job.id)
                 return "accepted"
@@ -520,7 +566,7 @@
         for job_id in sorted(self.oracle.accepted):
             entry = self.random.choice(list(self.entries.values()))
             try:
-                state = await entry.job_api.find_state(POOL, job_id)
+                state = await entry.job_api.find_state(self.queue_pool, job_id)
             except pools.StateUnknownError:
                 state = None
             states[job_id] = str(state) if state is not None else None
