--- a/crocusrouter/http/queue_endpoints.py
+++ b/crocusrouter/http/queue_endpoints.py
@@ -148,6 +148,7 @@
             call.queue,
             call.customer,
             self._entry.clock.wall(),
+            call.basis.version,
         )
         match await self._entry.job_api.accept(
             job, call.basis, call.patience_s
--- a/crocusrouter/platform/submissions.py
+++ b/crocusrouter/platform/submissions.py
@@ -91,6 +91,7 @@
     queue: queues.Queue,
     customer: str,
     now: float,
+    config_version: int = 0,
 ) -> model.Job:
     """Decode a submitted job.
 
@@ -100,6 +101,7 @@
         queue: The queue of the submission; the job keeps a copy of its policy.
         customer: Name of the customer that submits the job.
         now: Time of the submission as Unix time in seconds.
+        config_version: Version of the configuration that names the queue.
 
     Raises:
         RefusedError: The body is invalid; the detail names up to five wrong
@@ -131,6 +133,7 @@
         submission.first_run_ms / 1000,
         submission.interval_ms / 1000,
         advised=queue.advised,
+        config_version=config_version,
     )
 
 
--- a/crocusrouter/pools/owner.py
+++ b/crocusrouter/pools/owner.py
@@ -33,6 +33,7 @@
 from crocusrouter.store import key_value
 from crocusrouter.telemetry import Metrics
 from crocusrouter.telemetry import log
+from crocusrouter.work import moves
 from crocusrouter.work import worker_choice
 from crocusrouter.work import worker_port
 
@@ -106,7 +107,7 @@
         """
         self.pool = owner_lease.pool
         self.epoch = owner_lease.epoch
-        self.pool_state = work.PoolState(owner_lease.epoch)
+        self.pool_state = work.PoolState(owner_lease.epoch, owner_lease.pool)
         self.is_loaded = False
         self.is_recovered = False
         self._owner_lease = owner_lease
@@ -120,7 +121,12 @@
             store, owner_lease.pool, self.pool_state, clock, metrics, self.wake
         )
         self._journal = journals.Journal(
-            store, owner_lease, self.pool_state, self._backlog.revisions
+            store,
+            owner_lease,
+            self.pool_state,
+            self._backlog.revisions,
+            clock.steady,
+            metrics,
         )
         self._links: dict[str, worker_links.WorkerLink] = {}
         # Keyed by worker id; outlives the links to the worker's incarnations.
@@ -177,13 +183,31 @@
         )
 
     def set_config(self, config: queues.Config) -> None:
-        """Apply the customers' guarantees of a configuration."""
+        """Apply the customers' guarantees and the pools of the queues.
+
+        Jobs don't move to a service whose VMs are switched off.
+        """
         self.pool_state.guaranteed = {
             customer.name: customer.guaranteed_accelerators
             for customer in config.customers.values()
         }
+        self.pool_state.queue_pools = {
+            queue.name: queue.pool
+            for queue in config.queues
+            if queue.pool in config.services
+            and not config.services[queue.pool].standby
+        }
+        self.pool_state.config_version = config.version
         self.wake()
 
+    def list_other_pools(self, queue: str | None = None) -> list[str]:
+        """Return the other pools in which jobs or their tasks are left.
+
+        Args:
+            queue: The queue whose jobs are asked for; None for all jobs.
+        """
+        return self._backlog.list_other_pools(queue)
+
     def apply_closures(self) -> None:
         """Apply the closures that this entry knows now."""
         work.set_closed_data_centres(
@@ -486,6 +510,7 @@
     def _decide(self, now: float, wall: float) -> None:
         self.pool_state.open_due_occurrences(wall, now)
         self._limit_possible_jobs(now)
+        self._move_jobs()
         self._check_recovered(now)
         if self.is_recovered:
             self._state_log.write_shortfall()
@@ -499,6 +524,15 @@
         self._send_stops()
         self._state_log.write_events(now, wall)
 
+    def _move_jobs(self) -> None:
+        """Move jobs whose queue has another pool; forget what has left."""
+        moves.mark_moves(self.pool_state)
+        moves.release_ended_tasks(self.pool_state)
+        for job_id in moves.list_left_jobs(self.pool_state):
+            if self._journal.is_durable(job_id):
+                self.pool_state.forget_job(job_id)
+                log("job:left", job=job_id, pool=self.pool)
+
     def _find_pause_cause(self, now: float) -> str | None:
         """Return why no task may start now; None if tasks may."""
         if not self._owner_lease.is_valid():
--- a/crocusrouter/work/model.py
+++ b/crocusrouter/work/model.py
@@ -133,7 +133,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class Job:
-    """One accepted job, as fixed when it was accepted.
+    """One accepted job, fixed when it was accepted except for its pool.
 
     Attributes:
         id: Chosen by the caller.
@@ -153,6 +153,8 @@
         interval_s: Seconds from one occurrence to the next.
         cancelled: Whether a caller has cancelled the job.
         advised: Whether its queue's policy chooses the workers.
+        config_version: Version of the configuration that assigned the pool.
+        moves: How many times the job has moved to another pool.
     """
 
     id: str
@@ -171,6 +173,8 @@
     interval_s: float = 0.0
     cancelled: bool = False
     advised: bool = False
+    config_version: int = 0
+    moves: int = 0
 
     @functools.cached_property
     def critical_paths_s(self) -> tuple[float, ...]:
--- a/crocusrouter/work/pool_state.py
+++ b/crocusrouter/work/pool_state.py
@@ -38,6 +38,9 @@
 
     Attributes:
         epoch: Epoch of this owner.
+        pool: Name of the pool.
+        queue_pools: Pool of each queue, by the configuration in force.
+        config_version: Version of that configuration.
         jobs: All known jobs by id.
         live_jobs: The jobs that are not over.
         workers: Workers by the id of their incarnation.
@@ -56,8 +59,11 @@
         events: Log lines that the controller has yet to write.
     """
 
-    def __init__(self, epoch: int) -> None:
+    def __init__(self, epoch: int, pool: str = "") -> None:
         self.epoch = epoch
+        self.pool = pool
+        self.queue_pools: dict[str, str] = {}
+        self.config_version = 0
         self.jobs: dict[str, tracking.TrackedJob] = {}
         self.live_jobs: dict[str, tracking.TrackedJob] = {}
         self.workers: dict[str, tracking.Worker] = {}
@@ -163,28 +169,50 @@
         progress: progresses.Progress,
         created: int,
         now: float,
+        *,
+        is_home: bool = True,
     ) -> None:
-        """Add an accepted job, or record that a known job was cancelled."""
+        """Add an accepted job, or record that a known job was cancelled.
+
+        Args:
+            job: The job as it is stored.
+            progress: Its progress as it is stored; ignored for a known job.
+            created: Revision of its record.
+            now: Steady time in seconds.
+            is_home: Whether this pool schedules the job; ignored for a known
+                job.
+        """
         tracked_job = self.jobs.get(job.id)
         if tracked_job is None:
             tracked_job = tracking.TrackedJob(job, progress, created)
-            tracked_job.has_started = (
-                bool(progress.steps) or progress.final_state is not None
+            tracked_job.is_home = is_home
+            tracked_job.record_revision = created
+            tracked_job.was_held = any(
+                self.pool in step_progress.held.values()
+                for step_progress in progress.steps.values()
             )
+            if is_home:
+                for step_progress in progress.steps.values():
+                    step_progress.drop_holder(self.pool)
+            tracked_job.has_started = progress.has_started
             tracked_job.durable = progress.final_state is not None
             self.jobs[job.id] = tracked_job
             if tracked_job.is_final:
                 tracked_job.over_since = now
                 return
             self.live_jobs[job.id] = tracked_job
-            if tracked_job.has_crashing_task:
+            if tracked_job.has_crashing_task(self.pool):
                 # A previous owner was lost before it could journal the failure.
                 tracked_job.given_up = True
                 self.finish(tracked_job, model.State.FAILED, now)
             return
-        if job.cancelled and not tracked_job.job.cancelled:
-            tracked_job.job = job
-            self._close_job(tracked_job, "cancelled", now)
+        if created < tracked_job.record_revision:
+            return
+        was_cancelled = tracked_job.job.cancelled
+        tracked_job.job = job
+        tracked_job.record_revision = created
+        if job.cancelled and not was_cancelled:
+            self.close_job(tracked_job, "cancelled", now)
 
     def open_reported_occurrence(self, key: model.TaskKey, now: float) -> None:
         """Open an occurrence that a worker reports before it is due.
@@ -240,7 +268,11 @@
         for position, step in enumerate(tracked_job.job.steps):
             key = model.StepKey(tracked_job.job.id, number, position)
             progress = tracked_job.progress.get(number, position)
-            waiting = set(range(step.count)) - progress.done
+            waiting = {
+                index
+                for index in set(range(step.count)) - progress.done
+                if progress.held.get(index, self.pool) == self.pool
+            }
             tracked_step = tracking.TrackedStep(key, step, progress, waiting)
             tracked_job.steps[key] = tracked_step
         self.note_ready_steps(tracked_job, number, now)
@@ -257,7 +289,7 @@
             ):
                 tracked_step.waiting_since = now
 
-    def _close_job(
+    def close_job(
         self, tracked_job: tracking.TrackedJob, reason: str, now: float
     ) -> None:
         """Mark a job as over and stop its runs.
@@ -285,6 +317,7 @@
             for job_id, tracked_job in self.jobs.items()
             if tracked_job.over_since is not None
             and tracked_job.over_since < before
+            and tracked_job.is_home
             and job_id not in self.dirty
             and not any(map(self.list_step_runs, tracked_job.steps.values()))
         ]
@@ -344,7 +377,9 @@
         return sum(
             1
             for tracked_job in self.live_jobs.values()
-            if tracked_job.job.queue == queue and not tracked_job.has_started
+            if tracked_job.job.queue == queue
+            and tracked_job.is_home
+            and not tracked_job.has_started
         )
 
     # Workers.
@@ -410,7 +445,13 @@
             and (
                 job_id in earlier_jobs
                 # No previous owner has started jobs accepted since.
-                or (may_run_any and tracked_job.accepted_revision <= self.epoch)
+                or (
+                    may_run_any
+                    and (
+                        tracked_job.was_held
+                        or tracked_job.accepted_revision <= self.epoch
+                    )
+                )
             )
         )
 
@@ -631,8 +672,10 @@
         if run.tracked_step is not None:
             run.tracked_step.lost_since = None
         tracked_job = self.jobs.get(key.job)
-        if tracked_job is not None:
+        if tracked_job is not None and not tracked_job.has_started:
             tracked_job.has_started = True
+            if not tracked_job.is_home:
+                self.dirty.add(key.job)
 
     def note_paced(
         self, key: model.TaskKey, number: int, percent: int, now: float
@@ -725,7 +768,7 @@
         tracked_job.progress.final_state = state
         self.dirty.add(tracked_job.job.id)
         self.note("job:final", job=tracked_job.job.id, state=str(state))
-        self._close_job(tracked_job, f"job {state}", now)
+        self.close_job(tracked_job, f"job {state}", now)
 
     def finish_if_done(
         self, tracked_job: tracking.TrackedJob, now: float
--- a/crocusrouter/work/progress.py
+++ b/crocusrouter/work/progress.py
@@ -67,6 +67,8 @@
             job, by index of the task; a gang's under index 0. With numbers
             instead of a count, the members of a gang count once, and a new
             owner does not count a stop that was not carried out.
+        held: Pools that may still run tasks which they started before the job
+            moved, by index of the task. Only such a pool may remove its tasks.
     """
 
     done: set[int] = dataclasses.field(default_factory=set)
@@ -77,6 +79,7 @@
         default_factory=dict
     )
     stopped_runs: dict[int, set[int]] = dataclasses.field(default_factory=dict)
+    held: dict[int, str] = dataclasses.field(default_factory=dict)
 
     @property
     def is_suspect(self) -> bool:
@@ -123,6 +126,14 @@
             and self._count_crashed_runs() >= _MAX_CRASHED_GANG_STARTS
         )
 
+    def drop_holder(self, pool: str) -> None:
+        """Forget which tasks a pool holds, once it is the job's home again."""
+        self.held = {
+            index: holder
+            for index, holder in self.held.items()
+            if holder != pool
+        }
+
     def _count_crashed_runs(self) -> int:
         return len(
             {
@@ -154,6 +165,9 @@
         steps: Progress by occurrence and index of the step.
         final_state: Final state of the job; None while it has none.
         finished_at: Unix time in seconds at which the job ended.
+        home: The pool that schedules the job; empty if it has never moved.
+        moves: How many times the job has moved to another pool.
+        was_started: Whether a task had started when a moved job was journaled.
     """
 
     steps: dict[tuple[int, int], StepProgress] = dataclasses.field(
@@ -161,6 +175,16 @@
     )
     final_state: model.State | None = None
     finished_at: float = 0.0
+    home: str = ""
+    moves: int = 0
+    was_started: bool = False
+
+    @property
+    def has_started(self) -> bool:
+        """Whether a task has started, as far as the journal tells."""
+        if self.final_state is not None:
+            return True
+        return self.was_started if self.home else bool(self.steps)
 
     def get(self, occurrence: int, step: int) -> StepProgress:
         """Return the progress of a step, adding an empty one if necessary."""
@@ -190,6 +214,7 @@
                 },
                 _dump_runs(step_progress.explained_runs),
                 _dump_runs(step_progress.stopped_runs),
+                *([step_progress.held] if step_progress.held else []),
             ]
             for (occurrence, step), step_progress in progress.steps.items()
         ]
@@ -197,7 +222,12 @@
     final = (
         str(progress.final_state) if progress.final_state is not None else None
     )
-    return cbor2.dumps([final, progress.finished_at, steps])
+    moved_columns = (
+        [progress.home, progress.moves, progress.was_started]
+        if progress.home
+        else []
+    )
+    return cbor2.dumps([final, progress.finished_at, steps, *moved_columns])
 
 
 def _dump_runs(runs_by_index: dict[int, set[int]]) -> dict[int, list[int]]:
@@ -211,7 +241,7 @@
         ValueError: The bytes are not a progress record.
     """
     try:
-        final, finished_at, steps = cbor2.loads(data)
+        final, finished_at, steps, *moved_columns = cbor2.loads(data)
         return Progress(
             {
                 (occurrence, step): StepProgress(
@@ -221,6 +251,7 @@
                     _parse_crashes(later_columns),
                     _parse_runs(later_columns, 1),
                     _parse_runs(later_columns, 2),
+                    _parse_held(later_columns),
                 )
                 for (
                     occurrence,
@@ -233,6 +264,7 @@
             },
             model.State(final) if final is not None else None,
             finished_at,
+            *moved_columns,
         )
     except (cbor2.CBORDecodeError, AttributeError, TypeError) as error:
         raise ValueError(f"not a progress record: {error}") from error
@@ -253,3 +285,8 @@
     if len(columns) <= position:
         return {}
     return {index: set(runs) for index, runs in columns[position].items()}
+
+
+def _parse_held(columns: list[Any]) -> dict[int, str]:
+    """Decode the pools that hold tasks; most records have none."""
+    return dict(columns[3]) if len(columns) > 3 else {}
--- a/crocusrouter/work/reports.py
+++ b/crocusrouter/work/reports.py
@@ -145,6 +145,9 @@
         and not tracked_job.is_final
         and tracked_step is not None
         and key.position in tracked_step.waiting_indices
+        and tracked_job.is_task_of(
+            tracked_step.progress, key.position, pool_state.pool
+        )
     )
 
 
--- a/crocusrouter/work/start_delays.py
+++ b/crocusrouter/work/start_delays.py
@@ -32,6 +32,7 @@
     TRIAL = "trial"  # it may crash workers, and waits for its next trial
     UNREPORTED_WORKER = "unreported-worker"  # it may run on a silent worker
     UNSAVED_CRASH = "unsaved-crash"  # a crash under it is not journaled yet
+    MOVE = "move"  # its job moves to another pool
     GANG_MEMBERS = "gang-members"  # members of its last start are not over
     OTHER = "other"
     UNKNOWN = "unknown"  # not searched for yet; never logged
--- a/crocusrouter/work/tracking.py
+++ b/crocusrouter/work/tracking.py
@@ -263,6 +263,15 @@
             owner were lost, nobody would know of the crash.
         parked: Whether none of its tasks ran when this owner took over,
             according to the previous owner's records.
+        is_home: Whether this pool schedules the job. Otherwise the job has
+            moved, and only runs that it left here are looked after.
+        move_to: The pool to which the configuration moves the job; empty if it
+            stays. Nothing of the job starts here meanwhile.
+        is_being_moved: Whether a write that moves the job may still be carried
+            out.
+        record_revision: Latest known revision of the job's record.
+        was_held: Whether, when this owner loaded the job, the pool held tasks
+            of it from before a move.
     """
 
     job: model.Job
@@ -278,6 +287,11 @@
     over_since: float | None = None
     has_unsaved_crash: bool = False
     parked: bool = False
+    is_home: bool = True
+    move_to: str = ""
+    is_being_moved: bool = False
+    record_revision: int = 0
+    was_held: bool = False
 
     @property
     def is_final(self) -> bool:
@@ -289,17 +303,34 @@
         """Whether any of its tasks may be running."""
         return any(step.runs_by_index for step in self.steps.values())
 
-    @property
-    def has_crashing_task(self) -> bool:
-        """Whether a task has met too many worker crashes to start again."""
+    def has_crashing_task(self, pool: str) -> bool:
+        """Tell whether a task has met too many worker crashes to start again.
+
+        Args:
+            pool: This pool; tasks that run in other pools are left to them.
+        """
         return any(
             step_progress.has_crashed_too_often(
                 index, is_gang=self.job.steps[step].gang
             )
             for (_, step), step_progress in self.progress.steps.items()
             for index in step_progress.crashes
+            if self.is_task_of(step_progress, index, pool)
         )
 
+    def is_task_of(
+        self, step_progress: progresses.StepProgress, index: int, pool: str
+    ) -> bool:
+        """Tell whether a pool decides about a task of this job.
+
+        Args:
+            step_progress: Progress of the task's step.
+            index: Index of the task.
+            pool: This pool.
+        """
+        holder = step_progress.held.get(index)
+        return holder == pool or (holder is None and self.is_home)
+
     def show_state(self) -> model.State:
         """Return the state that callers see.
 
--- a/crocusrouter/work/waiting_steps.py
+++ b/crocusrouter/work/waiting_steps.py
@@ -7,6 +7,7 @@
 import dataclasses
 
 from crocusrouter.work import model
+from crocusrouter.work import moves
 from crocusrouter.work import planner_policy as policies
 from crocusrouter.work import pool_state as pool_states
 from crocusrouter.work import run_times
@@ -102,7 +103,7 @@
     causes = {}
     blocked_jobs = pool_state.list_blocked_jobs()
     for tracked_job in pool_state.live_jobs.values():
-        if tracked_job.is_final:
+        if tracked_job.is_final or not tracked_job.is_home:
             continue
         job_cause = find_job_block(tracked_job, blocked_jobs)
         for key, tracked_step in tracked_job.steps.items():
@@ -127,6 +128,8 @@
         tracked_job: The job.
         blocked_jobs: The result of `PoolState.list_blocked_jobs`.
     """
+    if moves.is_leaving(tracked_job):
+        return start_delays.Cause.MOVE
     if tracked_job.job.id in blocked_jobs:
         return start_delays.Cause.UNREPORTED_WORKER
     if tracked_job.has_unsaved_crash:
--- a/standins/emulator/cluster.py
+++ b/standins/emulator/cluster.py
@@ -129,7 +129,9 @@
         return job
     for queue in config.queues:
         if queue.name == job.queue:
-            return dataclasses.replace(job, pool=queue.pool)
+            return dataclasses.replace(
+                job, pool=queue.pool, config_version=config.version
+            )
     return job
 
 
