Own former services as long as jobs are left in them

What callers see: a configuration drops the former service of a queue that has moved; if the owner of that pool is lost before it has moved all jobs, they stay queued (or, with tasks held there, running) for good.

Cause: an entry stands for the pools of the configured services alone (`PoolEntry._run_elections`), and only the owner of a pool may move its jobs or tell that tasks it holds no longer run.

Change: each owner sees the records of all jobs, so an entry also stands for the pools that schedule jobs, or hold tasks, according to its own owners.

--- a/crocusrouter/pools/entry.py
+++ b/crocusrouter/pools/entry.py
@@ -444,13 +444,29 @@
                 if config is None or not self.is_ready:
                     continue
                 now = self.clock.steady()
-                for pool_config in config.services.values():
-                    if pool_config.standby or not self._may_take(
-                        pool_config.name, now
-                    ):
-                        continue
-                    self._ownership.note_attempt(pool_config.name, now)
-                    nursery.start_soon(self._own_pool, pool_config.name)
+                for pool in self._list_served_pools(config):
+                    if self._may_take(pool, now):
+                        self._ownership.note_attempt(pool, now)
+                        nursery.start_soon(self._own_pool, pool)
+
+    def _list_served_pools(self, config: queues.Config) -> list[str]:
+        """Return the pools that need an owner.
+
+        Besides the configured services these are former ones that still have
+        jobs: only an owner can move jobs to the present service of their queue,
+        or tell that their tasks no longer run.
+        """
+        pools = [
+            service.name
+            for service in config.services.values()
+            if not service.standby
+        ]
+        former_pools = {
+            pool
+            for pool_owner in self.pool_owners.values()
+            for pool in pool_owner.list_other_pools()
+        }
+        return pools + sorted(former_pools.difference(pools))
 
     async def _sleep_and_measure_stall(self, duration_s: float) -> None:
         """Sleep, and report if the event loop was blocked meanwhile."""
--- a/standins/emulator/tests/test_moves.py
+++ b/standins/emulator/tests/test_moves.py
@@ -103,6 +103,15 @@
     cluster.store.fault = emulator.StoreFault.NONE
 
 
+async def _drop_former_service(cluster):
+    cluster.move_queue(_PRESENT, drops_former=True)
+    await trio.sleep(0.1)
+    name = cluster.find_owner(_FORMER)
+    cluster.kill_entry(name)
+    await trio.sleep(1.0)
+    cluster.start_entry(name)
+
+
 _TROUBLES = {
     "in-calm": _do_nothing,
     "former-owner-killed": _kill_former_owner,
@@ -110,6 +119,7 @@
     "present-owner-killed": _kill_present_owner_late,
     "moved-in-series": _move_in_series,
     "late-writes": _lose_writes,
+    "former-service-dropped": _drop_former_service,
 }
 
 
