Doubt owners that only peers have reported

What callers see: tasks of a job are held by a pool that nobody owns, so the job never ends.

Cause: peers repeat the owners they know of in heartbeats. For configured services another entry with the right view takes the pool, unless all have been restarted.

Change: an owner that the store has not confirmed for three lengths of its lease is doubted, and the entry may try to take the pool. The attempt requires that there is no owner key, so it does no harm if the owner exists; attempts are a lease apart as before.

--- a/crocusrouter/pools/entry.py
+++ b/crocusrouter/pools/entry.py
@@ -343,7 +343,9 @@
         is_behind = heartbeat.config_version > self.configuration.version
         if is_behind and self._nursery is not None:
             self._nursery.start_soon(self._fetch_config_from, heartbeat.name)
-        self._ownership.apply_heartbeat_rows(heartbeat.owners)
+        self._ownership.apply_heartbeat_rows(
+            heartbeat.owners, self.clock.steady()
+        )
 
     async def _fetch_config_from(self, peer: str) -> None:
         reply = await self.peers.call(peer, messages.AskConfig())
--- a/crocusrouter/pools/ownership.py
+++ b/crocusrouter/pools/ownership.py
@@ -18,6 +18,10 @@
 # a second. An entry that knows no other can't tell yet whether a larger VM
 # exists.
 _SINGLE_CANDIDATE_DELAY_S = 0.6
+# An owner that only peers have reported is doubted after this long. Peers
+# repeat what they have heard, also of an owner whose key is gone; an entry that
+# has started since has no watch event of the removal.
+_CONFIRMATION_TIMEOUT_S = 3 * owner_leases.TTL_S
 
 
 @dataclasses.dataclass(frozen=True)
@@ -55,6 +59,8 @@
         self._owners: dict[str, Owner] = {}
         self._earliest_attempts: dict[str, float] = {}
         self._replaceable_revisions: dict[str, int] = {}
+        # Since when an owner is known from peers alone.
+        self._unconfirmed_since: dict[str, float] = {}
 
     def find_owner(self, pool: str) -> str | None:
         """Return the name of a pool's owner, or None."""
@@ -84,20 +90,43 @@
         self.note_owner(pool, holder.name, revision)
 
     def note_owner(self, pool: str, name: str, epoch: int) -> None:
-        """Record an owner reported by the store or a peer; the latest wins."""
+        """Record an owner whose key is stored; the latest wins."""
+        self._note_owner(pool, name, epoch, None)
+
+    def _note_owner(
+        self, pool: str, name: str, epoch: int, reported_at: float | None
+    ) -> None:
+        """Record an owner reported by the store or a peer; the latest wins.
+
+        Args:
+            pool: The pool.
+            name: The owner.
+            epoch: Its epoch.
+            reported_at: Steady time at which a peer reported it; None if it is
+                confirmed.
+        """
         if epoch < self._owners.get(pool, _NO_OWNER).epoch:
             return
+        if reported_at is None:
+            self._unconfirmed_since.pop(pool, None)
+        else:
+            self._unconfirmed_since[pool] = reported_at
         log("owner:known", pool=pool, owner=name, epoch=epoch)
         self._owners[pool] = Owner(name, epoch)
         self._on_replaced(pool, epoch)
 
     def apply_heartbeat_rows(
-        self, rows: tuple[tuple[str, int, str], ...]
+        self, rows: tuple[tuple[str, int, str], ...], now: float
     ) -> None:
-        """Apply the newer owners of a peer's heartbeat."""
+        """Apply the newer owners of a peer's heartbeat.
+
+        Args:
+            rows: Pool, epoch and owner's name.
+            now: Steady time in seconds.
+        """
         for pool, epoch, name in rows:
             if name and epoch > self._owners.get(pool, _NO_OWNER).epoch:
-                self.note_owner(pool, name, epoch)
+                self._note_owner(pool, name, epoch, now)
 
     def note_vacant(self, pool: str, now: float) -> None:
         """Record that a pool's owner key has been removed."""
@@ -108,6 +137,7 @@
 
     def forget_owner(self, pool: str) -> None:
         """Record that a pool has no reachable owner; its epoch is kept."""
+        self._unconfirmed_since.pop(pool, None)
         known_owner = self._owners.get(pool, _NO_OWNER)
         self._owners[pool] = dataclasses.replace(known_owner, name="")
 
@@ -131,7 +161,10 @@
         """
         if pool in self._replaceable_revisions:
             return True
-        if self.find_owner(pool) is not None:
+        # An attempt does no harm if the owner exists after all: it requires
+        # that there is no owner key.
+        has_owner = self.find_owner(pool) is not None
+        if has_owner and not self._is_doubtful(pool, now):
             return False
         earliest_attempt = self._earliest_attempts.setdefault(pool, now)
         rank = ranking.rank_candidates(pool, candidates).index(
@@ -141,3 +174,8 @@
         if len(candidates) == 1:
             wait_s = _SINGLE_CANDIDATE_DELAY_S
         return now >= earliest_attempt + wait_s
+
+    def _is_doubtful(self, pool: str, now: float) -> bool:
+        """Tell whether a pool's owner has been known from peers alone long."""
+        since = self._unconfirmed_since.get(pool)
+        return since is not None and now >= since + _CONFIRMATION_TIMEOUT_S
--- a/crocusrouter/pools/tests/test_ownership.py
+++ b/crocusrouter/pools/tests/test_ownership.py
@@ -63,7 +63,7 @@
 def test_latest_owner_reported_by_a_peer_wins(name, epoch, expected):
     owner_table, replacements = _open_table()
     owner_table.apply_owner_key("p", b"e2 10.0.0.2:7 a1", 7)
-    owner_table.apply_heartbeat_rows((("p", epoch, name),))
+    owner_table.apply_heartbeat_rows((("p", epoch, name),), 0.0)
     assert owner_table.find_owner("p") == expected
     assert replacements == [("p", 7)] + ([("p", 8)] if expected == "e3" else [])
 
@@ -73,7 +73,7 @@
     owner_table, _ = _open_table()
     owner_table.apply_owner_key("p", b"e2 10.0.0.2:7 a1", 7)
     owner_table.note_vacant("p", 1.0)
-    owner_table.apply_heartbeat_rows((("p", 7, "e2"),))
+    owner_table.apply_heartbeat_rows((("p", 7, "e2"),), 0.0)
     assert owner_table.find_owner("p") is None
     assert owner_table.list_names() == set()
     assert owner_table.list_heartbeat_rows() == (("p", 7, ""),)
@@ -88,3 +88,18 @@
         "p", candidates, 6.0 + owner_leases.TTL_S - 0.1
     )
     assert owner_table.may_take("p", candidates, 6.0 + owner_leases.TTL_S)
+
+
+# Guards against a pool without an owner that no entry takes: an entry that has
+# started after the owner ended knows the owner from peers alone.
+@pytest.mark.parametrize("is_stored", [False, True])
+def test_owner_that_only_peers_report_is_doubted(is_stored):
+    owner_table, _ = _open_table()
+    owner_table.apply_heartbeat_rows((("p", 7, "e2"),), 10.0)
+    if is_stored:
+        owner_table.apply_owner_key("p", b"e2 10.0.0.2:7 a1", 7)
+    candidates = {"e1": _LARGE, "e2": _SMALL}
+    assert not owner_table.may_take("p", candidates, 11.0)
+    assert owner_table.may_take("p", candidates, 20.0) is not is_stored
+    owner_table.note_attempt("p", 20.0)
+    assert not owner_table.may_take("p", candidates, 20.1)
