Count and show jobs that have not moved with their queue yet

Cause: `JobApi.count_pending` and `find_state` ask the owner of the queue's present service alone. Jobs move within some tenths of a second now, but not while their pool has no owner, or while a worker there has not reported to its new owner.

Change: the owner of the present pool says which other pools schedule jobs of the queue, and these are asked too. Without an answer from one of them the count is refused, with Retry-After, since it would be too low. A state that the present pool's owner does not know is asked of the pool that the stored progress names.

test_entries_refused_together_learn_of_a_new_owner submits a job of a pool that no configuration names and that never gets an owner; its count is refused now. Its job names the cluster's pool instead; what is checked is the same.

Evidence: test_jobs_that_have_not_moved_yet_are_counted, 0 instead of 4 at three of three entries on the code before all moves, red without this commit, green with it.

--- a/crocusrouter/mesh/messages.py
+++ b/crocusrouter/mesh/messages.py
@@ -211,9 +211,15 @@
 
 @dataclasses.dataclass(frozen=True)
 class PendingReply:
-    """The number of jobs; None if the answering entry is not the owner."""
+    """The number of jobs; None if the answering entry is not the owner.
+
+    Attributes:
+        count: How many jobs of the queue wait in the pool.
+        other_pools: Other pools that schedule jobs of the queue.
+    """
 
     count: int | None
+    other_pools: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True)
--- a/crocusrouter/pools/entry.py
+++ b/crocusrouter/pools/entry.py
@@ -366,9 +366,7 @@
                     self.job_api.find_local_state(pool, job)
                 )
             case messages.CountPending(pool, queue):
-                return messages.PendingReply(
-                    self.job_api.count_local_pending(pool, queue)
-                )
+                return self.job_api.count_local_pending(pool, queue)
             case messages.RelayRead():
                 return await self._relay.answer_read(message)
             case messages.RelayWrite() | messages.RelayShortLivedWrite():
--- a/crocusrouter/pools/job_api.py
+++ b/crocusrouter/pools/job_api.py
@@ -324,12 +324,16 @@
             StateUnknownError: Neither the owner nor the store answered, or
                 the stored job can't be read.
         """
-        state = self.find_local_state(pool, job_id)
-        if state is None and pool not in self._pool_owners:
-            state = await self._ask_owner(pool, job_id)
+        state = await self._ask_pool(pool, job_id)
         if state is not None:
             return work.State(state)
-        return await self._read_state(job_id)
+        return await self._read_state(pool, job_id)
+
+    async def _ask_pool(self, pool: str, job_id: str) -> str | None:
+        """Return the state that a pool's owner shows; None if unknown."""
+        if pool in self._pool_owners:
+            return self.find_local_state(pool, job_id)
+        return await self._ask_owner(pool, job_id)
 
     async def _ask_owner(self, pool: str, job_id: str) -> str | None:
         owner = self._find_owner(pool)
@@ -338,11 +342,18 @@
         reply = await self._peers.call(owner, messages.FindState(pool, job_id))
         return reply.state if isinstance(reply, messages.StateReply) else None
 
-    async def _read_state(self, job_id: str) -> work.State | None:
+    async def _read_state(
+        self, asked_pool: str, job_id: str
+    ) -> work.State | None:
         """Read a job's state from the store.
 
         The owner may not know a job yet; only the store can tell that there is
-        none.
+        none. If another pool schedules the job, the queue's service has
+        changed, and that pool's owner knows more.
+
+        Args:
+            asked_pool: The pool whose owner does not show the job.
+            job_id: The job.
         """
         try:
             job_record = await self._store.read(keys.build_job_key(job_id))
@@ -366,7 +377,12 @@
             return progress.final_state
         if job.cancelled:
             return work.State.CANCELLED
-        return work.State.RUNNING if progress.steps else work.State.QUEUED
+        home = progress.home or job.pool
+        if home != asked_pool:
+            state = await self._ask_pool(home, job_id)
+            if state is not None:
+                return work.State(state)
+        return work.State.RUNNING if progress.has_started else work.State.QUEUED
 
     def find_local_state(self, pool: str, job_id: str) -> str | None:
         """Return a job's state if this entry owns the pool and has the job."""
@@ -374,25 +390,49 @@
         if pool_owner is None or not pool_owner.is_loaded:
             return None
         job_work = pool_owner.pool_state.jobs.get(job_id)
-        return str(job_work.show_state()) if job_work is not None else None
+        if job_work is None or not job_work.is_home:
+            return None
+        return str(job_work.show_state())
 
     # Counts.
 
     async def count_pending(self, pool: str, queue: str) -> int | None:
-        """Return the number of waiting jobs; None without a reachable owner."""
+        """Return the number of waiting jobs; None without a reachable owner.
+
+        Jobs that have not moved to the queue's present pool yet count too.
+        """
+        reply = await self._count_in_pool(pool, queue)
+        total = reply.count
+        for other_pool in reply.other_pools:
+            other_reply = await self._count_in_pool(other_pool, queue)
+            if total is None or other_reply.count is None:
+                return None
+            total += other_reply.count
+        return total
+
+    async def _count_in_pool(
+        self, pool: str, queue: str
+    ) -> messages.PendingReply:
         if pool in self._pool_owners:
             return self.count_local_pending(pool, queue)
         owner = self._find_owner(pool)
-        if owner is None:
-            return None
-        reply = await self._peers.call(
-            owner, messages.CountPending(pool, queue)
+        reply = (
+            await self._peers.call(owner, messages.CountPending(pool, queue))
+            if owner is not None
+            else None
         )
-        return reply.count if isinstance(reply, messages.PendingReply) else None
+        if isinstance(reply, messages.PendingReply):
+            return reply
+        return messages.PendingReply(None)
 
-    def count_local_pending(self, pool: str, queue: str) -> int | None:
+    def count_local_pending(
+        self, pool: str, queue: str
+    ) -> messages.PendingReply:
         """Return the number of waiting jobs if this entry owns the pool."""
         pool_owner = self._pool_owners.get(pool)
         if pool_owner is None or not pool_owner.is_loaded:
-            return None
-        return pool_owner.pool_state.count_pending(queue)
+            return messages.PendingReply(None)
+        return messages.PendingReply(
+            pool_owner.pool_state.count_pending(queue),
+            tuple(pool_owner.list_other_pools(queue)),
+        )
--- a/crocusrouter/pools/tests/test_relay.py
+++ b/crocusrouter/pools/tests/test_relay.py
@@ -25,7 +25,9 @@
         for name in entries:
             cluster.store.entry_faults[name] = fault
         await trio.sleep(wait_s)
-        job = build.make_job("0123456789abcdef", build.make_step(1))
+        job = build.make_job(
+            "0123456789abcdef", build.make_step(1), pool=clusters.POOL
+        )
         cluster.oracle.jobs[job.id] = job
         outcome = await cluster.entries["e0"].job_api.accept(job)
         await trio.sleep(8.0)
@@ -86,7 +88,9 @@
         for name in refused_entries:
             cluster.store.entry_faults[name] = emulator.StoreFault.BUSY
         await trio.sleep(6.0)
-        job = build.make_job("0123456789abcdef", build.make_step(1))
+        job = build.make_job(
+            "0123456789abcdef", build.make_step(1), pool=clusters.POOL
+        )
         cluster.oracle.jobs[job.id] = job
         for name in refused_entries:
             job_api = cluster.entries[name].job_api
--- a/standins/emulator/tests/test_moves.py
+++ b/standins/emulator/tests/test_moves.py
@@ -247,3 +247,50 @@
 def test_days_with_moves_and_drawn_faults_keep_the_rules(seed):
     events = emulator.choose_faults(seed, 4, _LENGTH_S, _KINDS)
     assert _play_day(seed % 3, 100 + seed, events).oracle.broken == []
+
+
+async def _count_and_find(cluster, jobs):
+    """Return what all entries tell: the waiting jobs, and the jobs' states."""
+    counts = []
+    states = []
+    for entry in cluster.entries.values():
+        pool = cluster.queue_pool
+        counts.append(await entry.job_api.count_pending(pool, "q"))
+        states.append(
+            [str(await entry.job_api.find_state(pool, job.id)) for job in jobs]
+        )
+    return counts, states
+
+
+# Guards against a count of 0 and a wrong state of jobs that their former pool
+# still schedules, since a worker there has not reported to its new owner.
+async def test_jobs_that_have_not_moved_yet_are_counted(autojump_clock):
+    cluster = emulator.Cluster(
+        3, worker_count=1, other_worker_count=1, workers_per_rack=2
+    )
+    jobs = [_make_job(number, "lasting") for number in range(4)]
+    async with trio.open_nursery() as nursery:
+        await nursery.start(cluster.run)
+        await trio.sleep(3.0)
+        for job in jobs:
+            await cluster.submit(job)
+        await trio.sleep(1.0)
+        assert await _count_and_find(cluster, jobs) == (
+            [3] * 4,
+            [["running", "queued", "queued", "queued"]] * 4,
+        )
+        cluster.workers["v0"].drain(trio.current_time())
+        cluster.write_worker_entry("v0")
+        cluster.workers["w0"].unreachable_from = set(cluster.entry_names)
+        cluster.kill_entry(cluster.find_owner(_FORMER))
+        cluster.move_queue(_PRESENT)
+        await trio.sleep(2.6)
+        counts, states = await _count_and_find(cluster, jobs)
+        assert counts == [4] * 3
+        cluster.workers["w0"].unreachable_from = set()
+        await trio.sleep(3.0)
+        counts, states = await _count_and_find(cluster, jobs)
+        assert counts == [3] * 3
+        assert states == [["running", "queued", "queued", "queued"]] * 3
+        nursery.cancel_scope.cancel()
+    assert cluster.oracle.broken == []
