--- a/crocusrouter/work/crashes.py
+++ b/crocusrouter/work/crashes.py
@@ -297,6 +297,7 @@
         if run.tracked_step.progress.has_crashed_too_often(
             run.key.position,
             is_gang=run.tracked_step.step.gang,
+            is_lasting=run.tracked_step.step.lasting,
             # An earlier owner may have been lost before it could record a
             # crash, so there is no further start to give away.
             counts_explained=tracked_job is not None
--- a/crocusrouter/work/progress.py
+++ b/crocusrouter/work/progress.py
@@ -95,6 +95,7 @@
         index: int,
         *,
         is_gang: bool = False,
+        is_lasting: bool = False,
         counts_explained: bool = False,
     ) -> bool:
         """Tell whether a task has met too many crashes to start again.
@@ -103,6 +104,9 @@
             index: Index of the task.
             is_gang: Whether the tasks start together. A crash under any of them
                 then costs the others a start as well.
+            is_lasting: Whether the tasks run until the job is cancelled. Only
+                crashes right after a start count against those: any worker
+                crashes at last under a task that runs for ever.
             counts_explained: Whether crashes with another likely cause count
                 like the others.
         """
@@ -115,8 +119,11 @@
         ]
         if (
             _count_early(unexplained_crashes) >= _MAX_EARLY_CRASHES
-            or len(unexplained_crashes) >= _MAX_CRASHES
             or _count_early(crashes) >= _MAX_EARLY_CRASHES_OF_ANY_CAUSE
+        ):
+            return True
+        if not is_lasting and (
+            len(unexplained_crashes) >= _MAX_CRASHES
             or len(crashes) >= _MAX_CRASHES_OF_ANY_CAUSE
         ):
             return True
--- a/crocusrouter/work/tests/test_crashes.py
+++ b/crocusrouter/work/tests/test_crashes.py
@@ -252,6 +252,29 @@
     assert crash_count == 4
 
 
+# Guards against a lasting job that is told as failed, with all its sound tasks
+# stopped, since one worker crashes again and again under one of them.
+def test_lasting_task_is_not_given_up_for_late_crashes():
+    step = build.make_step(2, lasting=True, per_worker=1)
+    pool_state = build.make_pool_state(
+        build.make_job("j", step), workers=_WORKERS
+    )
+    now = 0.0
+    for crash_count in range(7):
+        build.apply_plan(pool_state, now)
+        worker_id = pool_state.runs[_key("j")].worker_id
+        _report_runs(pool_state, worker_id, now + 8.0)
+        now = _crash(pool_state, worker_id, now + 9.0)
+        _journal_crashes(pool_state)
+        assert len(_list_crashes(pool_state, _key("j"))) == crash_count + 1
+    assert pool_state.jobs["j"].progress.final_state is None
+    assert _key("j", 1) in pool_state.runs
+    successor = build.make_pool_state()
+    job, progress = pool_state.jobs["j"].job, pool_state.jobs["j"].progress
+    successor.put_job(job, progress, 2, now)
+    assert successor.jobs["j"].progress.final_state is None
+
+
 def test_run_that_has_worked_for_long_is_cleared():
     pool_state = build.make_pool_state(build.make_job("j", build.make_step()))
     tracked_step = pool_state.find_tracked_step(_key("j"))
--- a/crocusrouter/work/tracking.py
+++ b/crocusrouter/work/tracking.py
@@ -311,7 +311,9 @@
         """
         return any(
             step_progress.has_crashed_too_often(
-                index, is_gang=self.job.steps[step].gang
+                index,
+                is_gang=self.job.steps[step].gang,
+                is_lasting=self.job.steps[step].lasting,
             )
             for (_, step), step_progress in self.progress.steps.items()
             for index in step_progress.crashes
