--- a/crocusrouter/work/crashes.py
+++ b/crocusrouter/work/crashes.py
@@ -223,6 +223,25 @@
         pool_state.dirty.add(key.job)
 
 
+def withdraw_worker_crash(
+    pool_state: pool_states.PoolState, worker: tracking.Worker
+) -> None:
+    """Remove the crashes recorded for a worker that was only cut off.
+
+    That includes runs which it does not report: their starts may have been lost
+    on the way, or their ends when its leases had expired.
+
+    Args:
+        pool_state: State of the pool.
+        worker: The worker, which answers again.
+    """
+    for run in list(worker.runs.values()):
+        withdraw_crash(pool_state, run.key, run.number)
+    crash = pool_state.worker_crashes.pop(worker.entry.id, None)
+    for suspect in crash.suspects if crash is not None else ():
+        withdraw_crash(pool_state, suspect.key, suspect.run)
+
+
 def clear_working_run(
     pool_state: pool_states.PoolState,
     run: tracking.Run,
--- a/crocusrouter/work/reports.py
+++ b/crocusrouter/work/reports.py
@@ -44,10 +44,10 @@
             noted=worker.last_end_number,
             ends=[run_end.number for run_end in report.ended],
         )
+    if worker.silent_since is not None:
+        crashes.withdraw_worker_crash(pool_state, worker)
     worker.silent_since = None
     worker.reached = True
-    # It was only cut off, for longer than its leases.
-    pool_state.worker_crashes.pop(worker_id, None)
     worker.last_report_at = now
     for run_end in report.ended:
         # The worker lists an end until it is confirmed.
--- a/crocusrouter/work/tests/test_crashes.py
+++ b/crocusrouter/work/tests/test_crashes.py
@@ -122,6 +122,29 @@
     assert not _list_crashes(pool_state, _key("j"))
 
 
+# Guards against sound jobs that are told as failed for starts which were never
+# carried out: a worker that answers again has not crashed, and says nothing of
+# runs that it does not know.
+@pytest.mark.parametrize("has_lapsed", [False, True])
+@pytest.mark.parametrize("confirmed", [False, True])
+def test_worker_that_answers_again_withdraws_crashes_of_unknown_runs(
+    confirmed, has_lapsed
+):
+    pool_state = build.make_pool_state(build.make_job("j", build.make_step()))
+    build.apply_plan(pool_state, confirm=confirmed)
+    run = pool_state.runs[_key("j")]
+    pool_state.note_maybe_started(run.key, run.number)
+    if has_lapsed:
+        _lose(pool_state, run.worker_id, 0.5)
+    else:
+        work.note_silent(pool_state, run.worker_id, 0.5)
+    assert _list_crashes(pool_state, _key("j"))
+    build.apply_report(
+        pool_state, run.worker_id, now=9.0, sent_at=8.9, running=()
+    )
+    assert not _list_crashes(pool_state, _key("j"))
+
+
 def test_new_owner_knows_of_an_uncertain_crash():
     """A crash must count although the owner is lost before it is certain.
 
