--- a/crocusrouter/work/planner.py
+++ b/crocusrouter/work/planner.py
@@ -125,6 +125,7 @@
             space = self._choice.spaces.get(worker_id)
             if space is not None:
                 space.take(tracked_step.step.charge)
+                space.note_task(key)
 
     def run(self) -> Plan:
         """Choose the runs to relocate, then place all steps in order."""
@@ -455,6 +456,16 @@
         claim = stop_limits.Claim(
             job.id, stop_limits.ClaimKind(job.priority, is_guaranteed)
         )
+        spaces = self._choice.list_group(
+            self._choice.list_allowed(
+                waiting_step, uses_slowed=attempt.uses_slowed
+            ),
+            attempt.group,
+        )
+        slots = {
+            space.worker: self._choice.count_free_slots(waiting_step, space)
+            for space in spaces
+        }
         preempted = preemption.choose_victims(
             self._losses,
             claim.kind,
@@ -462,14 +473,10 @@
             len(missing_indices),
             {
                 space.worker: space
-                for space in self._choice.list_group(
-                    self._choice.list_allowed(
-                        waiting_step, uses_slowed=attempt.uses_slowed
-                    ),
-                    attempt.group,
-                )
-                if self._choice.count_free_slots(waiting_step, space) > 0
+                for space in spaces
+                if slots[space.worker] > 0
             },
+            slots,
             may_leave_rack=attempt.leaves_rack,
         )
         if preempted is None:
@@ -489,6 +496,7 @@
         )
         for worker in preempted.workers:
             self._choice.spaces[worker].take(step.charge)
+            self._choice.spaces[worker].note_task(waiting_step.tracked_step.key)
         return True
 
     def _hold_workers(self, waiting_step: waiting_steps.WaitingStep) -> bool:
--- a/crocusrouter/work/preemption.py
+++ b/crocusrouter/work/preemption.py
@@ -1,6 +1,7 @@
 """Preemption: choice of the running tasks that make room for urgent ones."""
 
 import collections
+from collections.abc import Mapping
 import dataclasses
 import heapq
 from typing import NamedTuple
@@ -259,6 +260,7 @@
     step: model.Step,
     count: int,
     spaces: dict[str, packing.Space],
+    slots: Mapping[str, int],
     *,
     may_leave_rack: bool,
 ) -> Victims | None:
@@ -270,6 +272,8 @@
         step: Requirements of the tasks.
         count: Number of tasks.
         spaces: Free room of the workers that may run the tasks, by worker id.
+        slots: How many of the tasks each of these workers may take, however
+            much room it has.
         may_leave_rack: Whether tasks that belong in one rack may run across
             racks, where they take several times as long, if no rack is
             suitable.
@@ -288,7 +292,7 @@
                 if name == step.rack
             }
         for rack_spaces in _list_emptiest(racks):
-            victims = _search(losses, kind, step, count, rack_spaces)
+            victims = _search(losses, kind, step, count, rack_spaces, slots)
             if victims is not None:
                 victims_by_rack.append(victims)
     if victims_by_rack:
@@ -299,7 +303,7 @@
     if len(all_spaces) > _MAX_WORKERS:
         all_spaces.sort(key=lambda space: -space.free.accelerators)
         del all_spaces[max(_MAX_WORKERS, count) :]
-    return _search(losses, kind, step, count, all_spaces)
+    return _search(losses, kind, step, count, all_spaces, slots)
 
 
 def _search(
@@ -308,6 +312,7 @@
     step: model.Step,
     count: int,
     spaces: list[packing.Space],
+    slots: Mapping[str, int],
 ) -> Victims | None:
     """Search victims among some workers unless they are too few anyway.
 
@@ -316,10 +321,10 @@
     """
     missing_slots = count
     for space in spaces:
-        slots = losses.count_slots(space, kind, step.charge)
-        missing_slots -= min(slots, step.per_worker or slots)
+        fitting_count = losses.count_slots(space, kind, step.charge)
+        missing_slots -= min(fitting_count, slots[space.worker])
         if missing_slots <= 0:
-            return _Search(losses, kind, step, spaces).run(count)
+            return _Search(losses, kind, step, spaces, slots).run(count)
     return None
 
 
@@ -349,10 +354,12 @@
         kind: stop_limits.ClaimKind,
         step: model.Step,
         spaces: list[packing.Space],
+        slots: Mapping[str, int],
     ) -> None:
         self._losses = losses
         self._kind = kind
         self._step = step
+        self._slots = slots
         self._free_rooms = {space.worker: space.free for space in spaces}
         self._order = {
             worker_id: position
@@ -410,8 +417,7 @@
     def _update_offer(self, worker_id: str) -> None:
         """Compute the loss and the runs to stop for one task on a worker."""
         self._offers.pop(worker_id, None)
-        limit = self._step.per_worker
-        if limit and self._placed_counts[worker_id] >= limit:
+        if self._placed_counts[worker_id] >= self._slots[worker_id]:
             return
         free = self._free_rooms[worker_id]
         room = self._step.charge
--- a/crocusrouter/work/tests/test_preemption.py
+++ b/crocusrouter/work/tests/test_preemption.py
@@ -1,3 +1,4 @@
+import collections
 import random
 
 import pytest
@@ -58,3 +59,34 @@
         preemption.Losses, "count_slots", lambda *arguments: 1_000_000
     )
     assert make_plan() == plan
+
+
+# Guards against a worker that gets more tasks of a step than the step allows,
+# once an urgent step has to stop other work.
+@pytest.mark.parametrize("runs_there", [False, True])
+def test_preemption_counts_tasks_that_run_or_are_placed_there(runs_there):
+    step = build.make_step(3, per_worker=2)
+    pool_state = build.make_pool_state(
+        build.make_job("u", step, priority=0),
+        build.make_job("l", build.make_step(16), priority=2),
+        guaranteed={"a": 8},
+    )
+    # Stopping runs on w0 costs less, as they have just started.
+    spots = {("l", index): ("w1", 0.0) for index in range(8)}
+    spots |= {("l", index): ("w0", 4.0) for index in range(8, 15)}
+    if runs_there:
+        spots["u", 0] = "w0", 4.0
+    for number, ((job, index), (worker_id, at)) in enumerate(spots.items()):
+        key = work.TaskKey(job, 0, 0, index)
+        pool_state.add_run(key, number + 1, worker_id, at)
+        pool_state.note_started(key, number + 1, at)
+        pool_state.runs[key].progressed_at = 4.5
+    plan = work.plan(pool_state, 4.5, build.WALL)
+    counts = collections.Counter(
+        worker_id
+        for placement in [*plan.placements, *plan.reservations]
+        if placement.step.job == "u"
+        for worker_id in placement.spots.values()
+    )
+    counts["w0"] += runs_there
+    assert counts == {"w0": 2, "w1": 1}
