--- a/crocusrouter/pools/upkeep_controller.py
+++ b/crocusrouter/pools/upkeep_controller.py
@@ -235,6 +235,7 @@
             if (
                 worker_state is None
                 or not worker_state.evacuating
+                or worker_state.has_unknown_runs
                 or worker_state.runs
             ):
                 continue
--- a/crocusrouter/work/tests/test_upkeep.py
+++ b/crocusrouter/work/tests/test_upkeep.py
@@ -51,6 +51,17 @@
     assert chosen_vm.name == "m1"
 
 
+# Guards against lasting tasks that end by the upkeep of a VM which a new owner
+# takes for empty, as its worker has not reported yet.
+def test_vm_of_a_worker_that_has_not_reported_is_not_chosen():
+    pool_state = _make_book()
+    pool_state.workers["w0"].reached = False
+    vm = upkeep.choose_vm(
+        pool_state, "p", _WAVE, upkeep.WaveRecord(), _list_vms(), 0.0
+    )
+    assert vm.name == "m1"
+
+
 def test_vm_whose_evacuation_loses_least_goes_first():
     pool_state = _make_book(build.make_job("j", build.make_step(2, gpu=8)))
     build.apply_plan(pool_state)
--- a/crocusrouter/work/upkeep.py
+++ b/crocusrouter/work/upkeep.py
@@ -79,6 +79,8 @@
 ) -> vms.Vm | None:
     """Return the VM whose evacuation costs least; None if none may go now.
 
+    A worker that has not reported to this owner yet may run anything.
+
     Args:
         pool_state: State of the pool; not changed.
         pool: Only VMs of this pool are chosen.
@@ -99,6 +101,7 @@
         and vm.pool == pool
         and vm.state is vms.VmState.UP
         and vm.worker in pool_state.workers
+        and not pool_state.workers[vm.worker].has_unknown_runs
     ]
     return min(
         candidates,
--- a/standins/emulator/tests/test_upkeep.py
+++ b/standins/emulator/tests/test_upkeep.py
@@ -71,6 +71,19 @@
             cluster.start_entry(owner)
 
 
+async def _stop_holder_beside_cut_workers(cluster):
+    await trio.sleep(1.2)
+    for worker in cluster.workers.values():
+        worker.unreachable_from = set(cluster.entry_names)
+    owner = cluster.find_owner()
+    await cluster.entries[owner].release_all()
+    cluster.kill_entry(owner)
+    await trio.sleep(5.5)
+    for worker in cluster.workers.values():
+        worker.unreachable_from = set()
+    cluster.start_entry(owner)
+
+
 async def _lose_answers(cluster):
     cluster.vms.lost_answer_share = 0.5
 
@@ -90,8 +103,11 @@
 
 # Users of a lasting task lose it: its VM goes down while too many other tasks
 # of the step are down. Tasks must move one by one, each only after the one
-# before is at work again.
-@pytest.mark.parametrize("disturb", [_do_nothing, _kill_holder])
+# before is at work again. A new owner doesn't know what runs on a worker that
+# has not answered it yet.
+@pytest.mark.parametrize(
+    "disturb", [_do_nothing, _kill_holder, _stop_holder_beside_cut_workers]
+)
 async def test_wave_keeps_tasks_that_last_at_work(disturb, autojump_clock):
     cluster = emulator.Cluster(6)
     await _play(cluster, disturb, _make_lasting(6, 1))
