Take loaded jobs that have moved for older ones

The holder journals an end, which writes the job's record anew, after the next owner has got its epoch and before that one reads the jobs. The successor takes the job for one accepted since its takeover, which no earlier owner can have started, and starts its tasks beside the runs of workers that have not reported yet.

Cause: `list_blocked_jobs` compares the revision of the job's record with the owner's epoch. A record was written once, at acceptance, until jobs could move.

Change: a moved job that is read at a takeover counts as older whatever its revision. One that arrives later has not been started here before. This replaces the flag for held tasks, which covered a part of it.

Evidence: test_loaded_job_waits_for_unreported_workers, red without the flag. On the way, decisions skip jobs whose queue stays.

--- a/crocusrouter/pools/backlog.py
+++ b/crocusrouter/pools/backlog.py
@@ -135,6 +135,8 @@
         }
         if queue is None:
             for tracked_job in self._pool_state.live_jobs.values():
+                if not tracked_job.progress.moves:
+                    continue
                 for step_progress in tracked_job.progress.steps.values():
                     pools.update(step_progress.held.values())
         return sorted(pools - {self._pool})
@@ -199,7 +201,14 @@
         is_home: bool,
     ) -> None:
         is_known = job.id in self._pool_state.jobs
-        self._pool_state.put_job(job, progress, revision, now, is_home=is_home)
+        self._pool_state.put_job(
+            job,
+            progress,
+            revision,
+            now,
+            is_home=is_home,
+            is_older=self._is_loading and job.moves > 0,
+        )
         log(
             "job:seen",
             job=job.id,
--- a/crocusrouter/pools/tests/test_moved_jobs.py
+++ b/crocusrouter/pools/tests/test_moved_jobs.py
@@ -166,3 +166,25 @@
     assert progress.held == dict.fromkeys((1, 2, 3), "p")
     present.open_due_occurrences(build.WALL, 3.0)
     assert work.plan(present, 3.0, build.WALL).placements == []
+
+
+# Guards against a successor that takes a job for one which no earlier owner has
+# started: a pool that holds tasks of the job has written its record since.
+async def test_loaded_job_waits_for_unreported_workers(autojump_clock):
+    store = stores.Store(1)
+    job = dataclasses.replace(_JOB, moves=1)
+    progress = work.Progress(home="p", moves=1, was_started=True)
+    store.put(_PROGRESS_KEY, work.dump_progress(progress))
+    store.put(_JOB_KEY, codec.pack(job))
+    successor = build.make_pool_state()
+    successor.pool = "p"
+    successor.epoch = store.items[_JOB_KEY].revision - 1
+    successor.workers["w0"].reached = False
+    view = stores.StoreView(store, "e1")
+    await backlog.Backlog(
+        view, "p", successor, _CLOCK, Metrics(), lambda: None
+    ).load()
+    successor.open_due_occurrences(build.WALL, 0.0)
+    assert work.plan(successor, 0.0, build.WALL).placements == []
+    successor.workers["w0"].reached = True
+    assert work.plan(successor, 0.0, build.WALL).placements != []
--- a/crocusrouter/work/moves.py
+++ b/crocusrouter/work/moves.py
@@ -54,6 +54,9 @@
     """
     leaving_jobs = []
     for tracked_job in pool_state.live_jobs.values():
+        pool = pool_state.queue_pools.get(tracked_job.job.queue)
+        if pool in (None, pool_state.pool) and not tracked_job.move_to:
+            continue
         tracked_job.move_to = _find_destination(pool_state, tracked_job)
         if tracked_job.move_to and not tracked_job.is_being_moved:
             leaving_jobs.append(tracked_job)
--- a/crocusrouter/work/pool_state.py
+++ b/crocusrouter/work/pool_state.py
@@ -171,6 +171,7 @@
         now: float,
         *,
         is_home: bool = True,
+        is_older: bool = False,
     ) -> None:
         """Add an accepted job, or record that a known job was cancelled.
 
@@ -181,16 +182,15 @@
             now: Steady time in seconds.
             is_home: Whether this pool schedules the job; ignored for a known
                 job.
+            is_older: Whether an earlier owner may have started its tasks,
+                although `created` is later; ignored for a known job.
         """
         tracked_job = self.jobs.get(job.id)
         if tracked_job is None:
             tracked_job = tracking.TrackedJob(job, progress, created)
             tracked_job.is_home = is_home
             tracked_job.record_revision = created
-            tracked_job.was_held = any(
-                self.pool in step_progress.held.values()
-                for step_progress in progress.steps.values()
-            )
+            tracked_job.is_older = is_older
             if is_home:
                 for step_progress in progress.steps.values():
                     step_progress.drop_holder(self.pool)
@@ -448,7 +448,7 @@
                 or (
                     may_run_any
                     and (
-                        tracked_job.was_held
+                        tracked_job.is_older
                         or tracked_job.accepted_revision <= self.epoch
                     )
                 )
--- a/crocusrouter/work/tests/test_moves.py
+++ b/crocusrouter/work/tests/test_moves.py
@@ -287,7 +287,6 @@
     successor.put_job(job, stored, 20, 5.0)
     successor.open_due_occurrences(build.WALL, 5.0)
     tracked_job = successor.jobs["j"]
-    assert tracked_job.was_held
     tracked_job.progress.steps[0, 0].done.add(1)
     moves.merge_progress(
         successor,
@@ -306,7 +305,9 @@
     successor = build.make_pool_state()
     successor.pool, successor.epoch = _FORMER, 10
     successor.workers["w0"].reached = False
-    successor.put_job(update.job, _store(update), 20, 5.0, is_home=False)
+    successor.put_job(
+        update.job, _store(update), 20, 5.0, is_home=False, is_older=True
+    )
     successor.open_due_occurrences(build.WALL, 5.0)
     moves.release_ended_tasks(successor)
     progress = successor.jobs["j"].progress.steps[0, 0]
--- a/crocusrouter/work/tracking.py
+++ b/crocusrouter/work/tracking.py
@@ -270,8 +270,9 @@
         is_being_moved: Whether a write that moves the job may still be carried
             out.
         record_revision: Latest known revision of the job's record.
-        was_held: Whether, when this owner loaded the job, the pool held tasks
-            of it from before a move.
+        is_older: Whether an earlier owner of the pool may have started its
+            tasks, although its record is newer: a record is written anew when
+            the job moves, and while other pools hold tasks of it.
     """
 
     job: model.Job
@@ -291,7 +292,7 @@
     move_to: str = ""
     is_being_moved: bool = False
     record_revision: int = 0
-    was_held: bool = False
+    is_older: bool = False
 
     @property
     def is_final(self) -> bool:
