Read a refused prefix on time although an answer was lost

What callers see: jobs wait 2.8 s and more beside idle workers while the store refuses the watch of the workers and leaves the owner without an answer for a second.

Cause: a watch without an answer began the second of refused watches anew, after which the prefix is read (`_note_failure`), so that the list was 3.0 s old.

Change: only an answered attempt ends the count of refused time.

--- a/crocusrouter/pools/prefix_follower.py
+++ b/crocusrouter/pools/prefix_follower.py
@@ -27,8 +27,8 @@
 # Delay from the beginning of a failed attempt to the next one.
 _RETRY_DELAY_S = 0.2
 # If watches have been refused for this long, the prefix is read instead. A
-# refused watch fails within `_REFUSAL_S`. One without an answer takes longer,
-# and a read would have no answer either.
+# refused watch fails within `_REFUSAL_S`. One without an answer takes longer;
+# where none is refused, a read would have no answer either.
 _READ_AFTER_S = 1.0
 _REFUSAL_S = 0.2
 # A follower that may have missed changes has them all this long after the
@@ -166,8 +166,9 @@
             began_at = trio.current_time()
             try:
                 if not self._revision or self._should_read(began_at):
-                    self._refused_since = None
+                    # Without an answer the next attempt reads again.
                     await self.load()
+                    self._refused_since = None
                 await self._follow_once()
                 self._refused_since = None
             except client.StoreUnavailableError as error:
@@ -181,10 +182,12 @@
                 self._revision = 0
 
     def _note_failure(self, began_at: float, now: float) -> None:
-        """Record whether a failed attempt was refused."""
-        if now - began_at > _REFUSAL_S:
-            self._refused_since = None
-        elif self._refused_since is None:
+        """Record whether a failed attempt was refused.
+
+        An attempt without an answer, between refused ones, does not begin the
+        wait for a read anew: what is followed is older then, not younger.
+        """
+        if now - began_at <= _REFUSAL_S and self._refused_since is None:
             self._refused_since = now
 
     def _should_read(self, now: float) -> bool:
--- a/crocusrouter/pools/tests/test_prefix_follower.py
+++ b/crocusrouter/pools/tests/test_prefix_follower.py
@@ -94,6 +94,32 @@
     assert least <= store.reads <= most
 
 
+# Guards against a view that is 3 s old, since a lost answer between refused
+# watches begins the wait for the next read anew.
+async def test_lost_answer_between_refused_watches_delays_no_read(
+    autojump_clock,
+):
+    store = _RefusingStore(0.0)
+    follower = prefix_follower.PrefixFollower(
+        store, "a/", lambda _: None, Metrics()
+    )
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(follower.run)
+        await trio.sleep(5.0)
+        reads = store.reads
+        while store.reads == reads:
+            await trio.sleep(0.01)
+        reads = store.reads
+        await trio.sleep(0.5)
+        # The next watches have no answer.
+        store.failure_s = 1.0
+        await trio.sleep(0.5)
+        store.failure_s = 0.0
+        await trio.sleep(0.9)
+        assert store.reads > reads
+        nursery.cancel_scope.cancel()
+
+
 class _SlowStore:
     """Answers every call after the same delay."""
 
