Let the worker of a test of upkeep report before its VM goes down

Its worker was listed and had never answered the owner, so since its VM is not chosen: the owner does not know what runs there. The worker has reported now, as on the platform; what the test asserts is unchanged.

--- a/crocusrouter/pools/tests/test_upkeep_controller.py
+++ b/crocusrouter/pools/tests/test_upkeep_controller.py
@@ -108,6 +108,7 @@
     controller = _make_controller(store, vms_platform)
     pool_state = controller._pool_state
     pool_state.set_worker(build.make_entry("w1@5"), 0.0)
+    build.mark_usable(pool_state.workers["w1@5"])
     async with trio.open_nursery() as nursery:
         nursery.start_soon(controller.run)
         await trio.sleep(6.0)
