--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -1,3 +1,3 @@
 #!/bin/sh
-# One runner of ten flaps: is the job that lasts shown as failed?
+# A zone is cut off while a machine is added in another: do tasks run twice?
 exec python3 "$(dirname "$0")/case.py"
