--- a/review/rig3/deployment.py
+++ b/review/rig3/deployment.py
@@ -333,6 +333,16 @@
     return os.environ.get("TROUBLE", "1") != "0"
 
 
+async def _play_to_the_end(
+    play: Callable[[], Awaitable[list[str] | None]],
+) -> list[str] | None:
+    """Return the result of a case, or None if it was cancelled."""
+    try:
+        return await play()
+    except asyncio.CancelledError:
+        return None
+
+
 def main(play: Callable[[], Awaitable[list[str] | None]]) -> NoReturn:
     """Play a case and exit with its verdict.
 
@@ -340,7 +350,10 @@
         play: Returns the broken rules, or None if the case could not run.
     """
     loop = asyncio.new_event_loop()
-    broken = loop.run_until_complete(play())
+    played = loop.create_task(_play_to_the_end(play))
+    # A script that is told to end must end its processes first.
+    loop.add_signal_handler(signal.SIGTERM, played.cancel)
+    broken = loop.run_until_complete(played)
     if broken is None:
         code, verdict = 2, "the case could not run"
     else:
