Wait for owners that don't ask the new owner whether it has succeeded them

Cause: an owner that the store no longer serves renews worker leases as long as all members that it knows attest that they have not succeeded it. A member that registered after the cut is not among them. As a successor it counted leases on unreachable workers as ended 7.7 s after its own takeover, as if the owner had asked it. Nothing stored told whom the owner asks, and nothing bounded for how long it renews.

Fix: - An owner records the members that it asks, under its lease and before it relies on their answers (attester_record). While a write is unanswered, the members of all versions that may be stored must attest. - A successor among them waits as before. Any other one waits until one of them has confirmed that it attests to no earlier owner, and the same process still answers once the leases have ended; else for 24.2 s (predecessors). - Renewals by attestation end 18 s after the owner lease, which makes those 24.2 s a bound. Before, they had none. - A record keeps earlier owners until their leases have ended, so a second takeover knows of them.

Cost: an outage of the store that all members attest to is borne for some 24 s instead of without a bound. A successor that nobody asked, with all attesters unreachable, waits 24.2 s instead of 7.7 s for workers that don't answer.

--- a/crocusrouter/mesh/messages.py
+++ b/crocusrouter/mesh/messages.py
@@ -286,6 +286,31 @@
     value: bytes
 
 
+@dataclasses.dataclass(frozen=True)
+class ConfirmOwner:
+    """Asks a peer to attest to no earlier owner of a pool any more.
+
+    Entries of earlier versions do not know this message and do not answer it.
+    """
+
+    pool: str
+    epoch: int
+    owner: str
+
+
+@dataclasses.dataclass(frozen=True)
+class OwnerConfirmed:
+    """Confirms `ConfirmOwner`, for as long as the answering process runs.
+
+    Attributes:
+        epoch: The latest epoch of the pool that the peer knows.
+        process: Random id of the answering process.
+    """
+
+    epoch: int
+    process: str
+
+
 REGISTRY = codec.Registry(
     Heartbeat,
     AskCatalog,
@@ -313,4 +338,6 @@
     RelayWrite,
     RelayOutcome,
     RelayShortLivedWrite,
+    ConfirmOwner,
+    OwnerConfirmed,
 )
--- a/crocusrouter/pools/attestations.py
+++ b/crocusrouter/pools/attestations.py
@@ -3,7 +3,8 @@
 An owner whose lease is no longer valid may have a successor that it does not
 hear of. Any other member may be that successor, so all of them must attest that
 they are not. Answers of some members prove nothing: the owner may be cut off
-together with them.
+together with them. A successor that the owner does not ask waits for longer
+(`predecessors`).
 """
 
 from collections.abc import Callable
@@ -20,22 +21,22 @@
     def __init__(
         self,
         owner_lease: owner_leases.OwnerLease,
-        list_others: Callable[[], Collection[str]],
+        list_attesters: Callable[[], Collection[str]],
     ) -> None:
         """Start without any answer.
 
         Args:
             owner_lease: The lease and epoch under which the entry owns it.
-            list_others: Returns the names of all other members, also of former
-                ones that may still run.
+            list_attesters: Returns the names of the members that must attest;
+                none if the owner must rely on its own lease.
         """
         self._owner_lease = owner_lease
-        self._list_others = list_others
+        self._list_attesters = list_attesters
         self._attested_at: dict[str, float] = {}
-        # All that were members since the lease was renewed last. Without the
+        # All that had to attest since the lease was renewed last. Without the
         # store, an entry that ends and one that registers again look alike.
-        self._others: set[str] = set()
-        self._others_since = owner_lease.valid_until
+        self._asked: set[str] = set()
+        self._asked_since = owner_lease.valid_until
 
     def note_answer(self, heartbeat: messages.Beat, asked_at: float) -> None:
         """Record a member's answer; one with a later owner proves nothing.
@@ -61,16 +62,21 @@
 
         One that has ended since doesn't count.
         """
-        if self._others_since != self._owner_lease.valid_until:
-            self._others_since = self._owner_lease.valid_until
-            self._others = set()
-        self._others |= set(self._list_others())
-        attested_at = (self._find_attested_at(name) for name in self._others)
-        return min(attested_at, default=self._owner_lease.valid_until)
+        if self._asked_since != self._owner_lease.valid_until:
+            self._asked_since = self._owner_lease.valid_until
+            self._asked = set()
+        attesters = set(self._list_attesters())
+        if not attesters:
+            return self._owner_lease.valid_until
+        self._asked |= attesters
+        attested_at = (self._find_attested_at(name) for name in self._asked)
+        return min(attested_at)
 
     def may_renew(self, now: float) -> bool:
         """Return whether worker leases may be renewed."""
-        return lease_contract.may_renew(self.find_unsucceeded_at(), now)
+        return lease_contract.may_renew(
+            self._owner_lease.valid_until, self.find_unsucceeded_at(), now
+        )
 
     def _find_attested_at(self, name: str) -> float:
         """Return when a member was last known not to own the pool."""
--- a/crocusrouter/pools/entry.py
+++ b/crocusrouter/pools/entry.py
@@ -10,6 +10,7 @@
 from crocusrouter import queues
 from crocusrouter.mesh import messages
 from crocusrouter.pools import attestations
+from crocusrouter.pools import attester_record
 from crocusrouter.pools import clocks
 from crocusrouter.pools import closures
 from crocusrouter.pools import config_refresh
@@ -24,6 +25,7 @@
 from crocusrouter.pools import owner_leases
 from crocusrouter.pools import ownership
 from crocusrouter.pools import peers as peer_links
+from crocusrouter.pools import predecessors
 from crocusrouter.pools import prefix_follower
 from crocusrouter.pools import relay
 from crocusrouter.pools import upkeep_controller
@@ -361,6 +363,13 @@
                 return self._build_heartbeat()
             case messages.AskConfig():
                 return messages.ConfigReply(self.configuration.document)
+            case messages.ConfirmOwner(pool, epoch, owner):
+                self._ownership.apply_heartbeat_rows(
+                    ((pool, epoch, owner),), self.clock.steady()
+                )
+                return messages.OwnerConfirmed(
+                    self._ownership.find_epoch(pool), self._holder.process
+                )
             case messages.FindState(pool, job):
                 return messages.StateReply(
                     self.job_api.find_local_state(pool, job)
@@ -517,9 +526,16 @@
             del self._owner_leases[pool]
 
     async def _run_owner(self, owner_lease: owner_leases.OwnerLease) -> None:
-        attested = attestations.Attestations(
+        attesters = attester_record.AttesterRecord(
+            self._store,
             owner_lease,
-            lambda: set(self.peers.list_members()) - {self.name},
+            predecessors.Attester(self.name, self._own_member.address),
+            self.peers,
+            self.clock,
+            self.metrics,
+        )
+        attested = attestations.Attestations(
+            owner_lease, attesters.list_attesters
         )
         pool_owner = owners.PoolOwner(
             owner_lease,
@@ -528,6 +544,7 @@
             self.clock,
             self.metrics,
             lambda: self.may_renew_leases(owner_lease.pool),
+            attesters.have_predecessors_ended,
             self.closures,
         )
         self._ownership.note_owner(
@@ -560,6 +577,7 @@
                     nursery.start_soon(
                         _cancel_when_lease_ends, owner_lease, owner_scope
                     )
+                    nursery.start_soon(attesters.run)
                     nursery.start_soon(pool_upkeep.run)
                     await pool_owner.run()
         finally:
--- a/crocusrouter/pools/keys.py
+++ b/crocusrouter/pools/keys.py
@@ -11,6 +11,7 @@
 KNOWN_WORKERS = f"{ROOT}workers/"
 PARKED = f"{ROOT}parked/"
 SPEEDS = f"{ROOT}speeds/"
+ATTESTERS = f"{ROOT}attesters/"
 WAVES = f"{ROOT}wave/"
 
 
--- a/crocusrouter/pools/lease_contract.py
+++ b/crocusrouter/pools/lease_contract.py
@@ -8,12 +8,16 @@
     clock. That clock runs at `MIN_CLOCK_RATE` of full speed at least.
 2.  Renewal: an owner sends leases until `RENEWAL_GRACE_S` after the latest time
     at which certainly no successor existed that still runs. Its own owner lease
-    proves that while it is valid, and attestations of all other members do.
+    proves that while it is valid. Afterwards attestations of all other members
+    do, for `MAX_ATTESTED_S` at most.
 3.  Fencing: a worker that has answered a call of an owner takes no lease of an
     earlier owner. At that answer, leases of earlier owners end at most
     `LEASE_S` ahead on the worker's clock.
 4.  End: an owner counts the leases of earlier owners as ended when rule 3 says
-    so, or, on a worker that has not answered, when rules 1 and 2 do.
+    so, or, on a worker that has not answered, when rules 1 and 2 do. An owner
+    attests to none but the members that its predecessor asks. One that is not
+    among them waits until one of these has confirmed that it attests to the
+    predecessor no more, or for `MAX_ATTESTED_S` longer.
 5.  Late starts: a start without an answer is carried out within
     `MAX_START_DELAY_S`, if at all, maybe by the worker's next process. That
     process has another clock, but grants no lease of more than `MAX_GRANT_S`.
@@ -26,6 +30,8 @@
 # the tasks that it had by no more than this and the grace time.
 LEASE_S = 6.0
 RENEWAL_GRACE_S = 1.5
+# An outage of the key-value service of 20 s is borne.
+MAX_ATTESTED_S = 18.0
 MIN_CLOCK_RATE = 0.98
 SAFETY_MARGIN_S = 0.05
 MAX_START_DELAY_S = 15.0
@@ -78,14 +84,17 @@
     return earliest_clock_ms > end_ms + _SAFETY_MARGIN_MS
 
 
-def may_renew(unsucceeded_at: float, now: float) -> bool:
+def may_renew(valid_until: float, unsucceeded_at: float, now: float) -> bool:
     """Return whether an owner may send leases.
 
     Args:
+        valid_until: End of the owner lease.
         unsucceeded_at: Latest time at which certainly no successor existed.
         now: Present time.
     """
-    return now < unsucceeded_at + RENEWAL_GRACE_S
+    return now < min(
+        unsucceeded_at + RENEWAL_GRACE_S, valid_until + MAX_ATTESTED_S
+    )
 
 
 def have_unfenced_ended(owned_since: float, now: float) -> bool:
@@ -102,6 +111,22 @@
     return now > owned_since + longest_s + SAFETY_MARGIN_S
 
 
+def have_attested_ended(owned_since: float, now: float) -> bool:
+    """Return whether no lease of an earlier owner can be left anywhere.
+
+    This holds whatever members attest to that owner.
+
+    Args:
+        owned_since: When the present owner began, or later.
+        now: Present time.
+
+    >>> have_attested_ended(0.0, 24.1), have_attested_ended(0.0, 24.2)
+    (False, True)
+    """
+    longest_s = MAX_ATTESTED_S + LEASE_S / MIN_CLOCK_RATE
+    return now > owned_since + longest_s + SAFETY_MARGIN_S
+
+
 def have_late_starts_ended(owned_since: float, now: float) -> bool:
     """Return whether nothing that an earlier owner has ordered can go on.
 
@@ -115,4 +140,6 @@
     >>> have_late_starts_ended(0.0, 26.7), have_late_starts_ended(0.0, 26.8)
     (False, True)
     """
-    return now > owned_since + RENEWAL_GRACE_S + MAX_LATE_RUN_S
+    return have_attested_ended(owned_since, now) and (
+        now > owned_since + RENEWAL_GRACE_S + MAX_LATE_RUN_S
+    )
--- a/crocusrouter/pools/owner.py
+++ b/crocusrouter/pools/owner.py
@@ -91,6 +91,7 @@
         clock: clocks.Clock,
         metrics: Metrics,
         may_renew: Callable[[], bool],
+        have_predecessors_ended: Callable[[float], bool],
         known_closures: closures.Closures,
     ) -> None:
         """Prepare an owner; `run` starts it.
@@ -103,6 +104,8 @@
             metrics: Counts events.
             may_renew: Returns whether worker leases may be renewed although the
                 owner lease is not known to be valid.
+            have_predecessors_ended: Returns whether, at a steady time, leases
+                of earlier owners have ended on workers that have not answered.
             known_closures: The data centres that are closed to new work.
         """
         self.pool = owner_lease.pool
@@ -116,6 +119,7 @@
         self._clock = clock
         self._metrics = metrics
         self._may_renew = may_renew
+        self._have_predecessors_ended = have_predecessors_ended
         self._closures = known_closures
         self._backlog = backlog.Backlog(
             store, owner_lease.pool, self.pool_state, clock, metrics, self.wake
@@ -333,6 +337,7 @@
             self._clock,
             self._journal.settle,
             self._may_renew_leases,
+            self._have_predecessors_ended,
             self._may_start_tasks,
             self.wake,
             self._handle_replaced,
--- a/crocusrouter/pools/ownership.py
+++ b/crocusrouter/pools/ownership.py
@@ -66,6 +66,10 @@
         """Return the name of a pool's owner, or None."""
         return self._owners.get(pool, _NO_OWNER).name or None
 
+    def find_epoch(self, pool: str) -> int:
+        """Return the latest known epoch of a pool; 0 if none is known."""
+        return self._owners.get(pool, _NO_OWNER).epoch
+
     def list_names(self) -> set[str]:
         """Return the names of all owners."""
         return {owner.name for owner in self._owners.values() if owner.name}
--- a/crocusrouter/pools/peers.py
+++ b/crocusrouter/pools/peers.py
@@ -103,6 +103,10 @@
         """Return the names of all members, including this entry."""
         return sorted({*self._addresses, self._name})
 
+    def list_addresses(self) -> Mapping[str, str]:
+        """Return the mesh addresses of all other members, by name."""
+        return self._addresses
+
     def shares_outage(self, since: float) -> bool:
         """Return whether peers answered since a time and the store serves none.
 
--- a/crocusrouter/pools/tests/test_attestations.py
+++ b/crocusrouter/pools/tests/test_attestations.py
@@ -78,6 +78,28 @@
     assert not attested.may_renew(end)
 
 
+# Guards against an owner that renews for longer than a successor waits which
+# the owner doesn't ask.
+@pytest.mark.parametrize("asked_at", [117.5, 118.0, 130.0])
+def test_attested_leases_are_renewed_for_a_limited_time(asked_at):
+    attested = _attest([("b", asked_at), ("c", asked_at)])
+    end = _VALID_UNTIL + lease_contract.MAX_ATTESTED_S
+    assert attested.may_renew(end - 0.01)
+    assert not attested.may_renew(end)
+
+
+# Guards against an owner that renews by the answers of some members although
+# one that has to attest can't be asked.
+def test_answers_prove_nothing_once_not_all_attesters_are_asked():
+    attesters = ["b", "c"]
+    attested = attestations.Attestations(_OwnerLease(), lambda: attesters)
+    for name in attesters:
+        attested.note_answer(messages.Beat(name, 1, None, (), False), 105.0)
+    assert attested.find_unsucceeded_at() == 105.0
+    attesters.clear()
+    assert attested.find_unsucceeded_at() == _VALID_UNTIL
+
+
 # Guards against an owner that stops asking an entry which may have registered
 # again and succeeded it.
 @pytest.mark.parametrize(
--- a/crocusrouter/pools/tests/test_lease_machine.py
+++ b/crocusrouter/pools/tests/test_lease_machine.py
@@ -2,12 +2,13 @@
 
 Two data centres hold two entries and two workers each. They are partitioned,
 the key-value service serves nobody or refuses single entries, entries restart,
-workers are cut off, and their clocks run at 0.98 to 1.02 of full speed. One
-task is to run. However its owners change, it is never started while an earlier
-run can be alive.
+leave and are added, workers are cut off, and their clocks run at 0.98 to 1.02
+of full speed. One task is to run. However its owners change, it is never
+started while an earlier run can be alive.
 """
 
 import dataclasses
+import itertools
 
 from hypothesis import stateful
 from hypothesis import strategies
@@ -15,6 +16,7 @@
 from crocusrouter.mesh import messages
 from crocusrouter.pools import attestations
 from crocusrouter.pools import owner_leases
+from crocusrouter.pools import predecessors as earlier_owners
 from crocusrouter.pools import worker_leases
 from standins import fuzzing
 
@@ -33,11 +35,18 @@
     "refuse entry",
     "cut running",
     "kill entry",
+    "remove entry",
+    "forget entry",
+    "add entry",
     "heal store",
     "heal network",
 )
 
 
+def _make_attester(name):
+    return earlier_owners.Attester(name, f"{name}:7000")
+
+
 def _find_side(name):
     return int(name[1:]) % 2
 
@@ -70,6 +79,9 @@
     epoch: int
     valid_until: float
     attested: attestations.Attestations = dataclasses.field(init=False)
+    predecessors: earlier_owners.Predecessors = dataclasses.field(init=False)
+    # The members that the stored record names as asked by this owner.
+    asked: frozenset[str] = frozenset()
     leases: dict[str, worker_leases.WorkerLease] = dataclasses.field(
         default_factory=dict
     )
@@ -81,6 +93,7 @@
 
 @dataclasses.dataclass
 class _Entry:
+    process: int
     owner: _Owner | None = None
     latest_epoch: int = 0
 
@@ -92,7 +105,11 @@
         super().__init__()
         self.now = 0.0
         self.tick_number = 0
-        self.entries = {name: _Entry() for name in _ENTRIES}
+        self.processes = itertools.count()
+        self.entries = {name: _Entry(next(self.processes)) for name in _ENTRIES}
+        # The members that owners know of, and what owners have recorded.
+        self.members = set(_ENTRIES)
+        self.recorded = []
         self.workers = {}
         self.store_side = 0
         self.partitioned = False
@@ -146,12 +163,16 @@
 
     def _act(self, name, entry):
         owner = entry.owner
+        if self._is_served(name):
+            self.members.add(name)
         if owner is None:
             if self._is_served(name) and not self.key_epoch:
                 self._take_over(name, entry)
             return
         if self.tick_number % _RENEWAL_TICKS == 0:
             self._renew_owner_lease(name, entry)
+            self._record_attesters(name, entry)
+            self._ask_for_confirmations(name, entry)
         if self.tick_number % _ASK_TICKS == 0:
             self._ask_members(name, entry)
         for worker in _WORKERS:
@@ -163,10 +184,16 @@
         self.key_epoch = self.revision
         self.key_ends_at = self.now + owner_leases.TTL_S
         owner = _Owner(self.revision, self.key_ends_at)
-        others = set(_ENTRIES) - {name}
-        owner.attested = attestations.Attestations(owner, lambda: others)
+        owner.attested = attestations.Attestations(owner, lambda: owner.asked)
+        owner.predecessors = earlier_owners.Predecessors(
+            _make_attester(name), owner.epoch, self.now
+        )
+        owner.predecessors.set_recorded(self.recorded)
         owner.leases = {
-            worker: worker_leases.WorkerLease(self.now) for worker in _WORKERS
+            worker: worker_leases.WorkerLease(
+                self.now, owner.predecessors.have_ended
+            )
+            for worker in _WORKERS
         }
         owner.may_run = dict.fromkeys(_WORKERS)
         entry.owner = owner
@@ -181,17 +208,51 @@
         self.key_ends_at = self.now + owner_leases.TTL_S
         entry.owner.valid_until = self.key_ends_at
 
+    def _record_attesters(self, name, entry):
+        """Record the members that the owner asks from now on."""
+        owner = entry.owner
+        if owner is None or not self._is_served(name):
+            return
+        owner.asked = frozenset(self.members - {name})
+        self.recorded = list(owner.predecessors.list_unsettled(self.now))
+        if owner.asked:
+            attesters = frozenset(
+                _make_attester(member) for member in owner.asked | {name}
+            )
+            self.recorded.append(
+                earlier_owners.Predecessor(owner.epoch, attesters)
+            )
+
+    def _ask_for_confirmations(self, name, entry):
+        """Ask those that attest to earlier owners not to do so any more."""
+        owner = entry.owner
+        if owner is None:
+            return
+        askable = owner.predecessors.list_askable(self.now)
+        for other in askable & self._list_reachable(name):
+            other_entry = self.entries[other]
+            other_entry.latest_epoch = max(
+                other_entry.latest_epoch, owner.epoch
+            )
+            reply = messages.OwnerConfirmed(
+                other_entry.latest_epoch, str(other_entry.process)
+            )
+            owner.predecessors.note_confirmed(other, reply, self.now, self.now)
+
+    def _list_reachable(self, name):
+        """Return the other members that answer an entry."""
+        return {
+            other
+            for other in self.members - self.stopped - {name}
+            if self._reaches(name, other)
+        }
+
     def _ask_members(self, name, entry):
         """Ask all other members while the owner lease is not valid."""
         if entry.owner is None or self.now < entry.owner.valid_until:
             return
-        for other, other_entry in self.entries.items():
-            if (
-                other == name
-                or other in self.stopped
-                or not self._reaches(name, other)
-            ):
-                continue
+        for other in sorted(self._list_reachable(name) & entry.owner.asked):
+            other_entry = self.entries[other]
             beat = messages.Beat(
                 other,
                 1,
@@ -292,6 +353,14 @@
                 self._cut_running_workers()
             case "kill entry":
                 self._kill(name)
+            case "remove entry":
+                self._kill(name)
+                self.members.discard(name)
+            case "forget entry" if not self._is_served(name):
+                # The store has ended the lease of its key.
+                self.members.discard(name)
+            case "add entry":
+                self._restart(name)
             case "heal store":
                 for stopped_name in list(self.stopped):
                     self._restart(stopped_name)
@@ -339,6 +408,35 @@
             self._cut_running_workers()
             self._advance(cut_s)
 
+    @stateful.rule(
+        calm_s=strategies.sampled_from([0.2, 1.0]),
+        added=strategies.lists(
+            strategies.sampled_from([0.2, 1.0, 4.0]), min_size=1, max_size=2
+        ),
+        wait_s=strategies.sampled_from([1.0, 8.0, 12.0, 26.0]),
+    )
+    def cut_owner_beside_added_entries(self, calm_s, added, wait_s):
+        """Remove the entries of the other data centre, and add some again.
+
+        Args:
+            calm_s: Seconds until the owner's data centre is cut off.
+            added: Seconds from the addition of each entry to the next step.
+            wait_s: Seconds to wait in the end.
+        """
+        owner = next((n for n in _ENTRIES if self.entries[n].owner), None)
+        if owner is None or self.partitioned:
+            return
+        far_names = [n for n in _ENTRIES if _find_side(n) != _find_side(owner)]
+        for name in far_names:
+            self._kill(name)
+            self.members.discard(name)
+        self._advance(calm_s)
+        self._partition_owner()
+        for name, delay_s in zip(far_names, added, strict=False):
+            self._restart(name)
+            self._advance(delay_s)
+        self._advance(wait_s)
+
     def _partition_owner(self):
         """Cut the owner's data centre, or the last one cut, from the store."""
         for owner_name, entry in self.entries.items():
@@ -367,7 +465,7 @@
 
     def _restart(self, name):
         self.stopped.discard(name)
-        self.entries[name] = _Entry()
+        self.entries[name] = _Entry(next(self.processes))
 
 
 TestLeases = LeaseMachine.TestCase
--- a/crocusrouter/pools/tests/test_worker_leases.py
+++ b/crocusrouter/pools/tests/test_worker_leases.py
@@ -6,6 +6,10 @@
 _CLOCK_MS = 100_000.0
 
 
+def _make_lease(*, have_predecessors_ended=True):
+    return worker_leases.WorkerLease(0.0, lambda _: have_predecessors_ended)
+
+
 @pytest.mark.parametrize(
     ("asked_at", "has_lapsed"),
     [(6.0, False), (6.12, False), (6.3, True)],
@@ -15,7 +19,7 @@
 
     The worker's clock runs 2% slow.
     """
-    lease = worker_leases.WorkerLease(opened_at=0.0)
+    lease = _make_lease()
     lease.note(100_000, 0.0)
     assert lease.extend(0.0) == 106_000
     assert lease.has_lapsed(asked_at) is has_lapsed
@@ -26,14 +30,24 @@
     """Its predecessor may have renewed the lease until it learned of the
     successor.
     """
-    assert (
-        worker_leases.WorkerLease(opened_at=0.0).has_lapsed(now) is has_lapsed
-    )
+    assert _make_lease().has_lapsed(now) is has_lapsed
+
+
+# Guards against a successor that counts leases as ended by its own time alone.
+@pytest.mark.parametrize(
+    ("answers", "has_lapsed"), [(False, False), (True, True)]
+)
+def test_lease_that_an_earlier_owner_may_renew(answers, has_lapsed):
+    """The worker's own answer makes the earlier owner irrelevant."""
+    lease = _make_lease(have_predecessors_ended=False)
+    if answers:
+        lease.note(_CLOCK_MS, 0.0)
+    assert lease.has_lapsed(30.0) is has_lapsed
 
 
 def test_older_answers_do_not_turn_the_clock_back():
     """Answers on different connections may overtake each other."""
-    lease = worker_leases.WorkerLease(opened_at=0.0)
+    lease = _make_lease()
     lease.note(101_000, 1.0)
     lease.note(100_500, 1.1)
     # The lower estimate of the clock, 0.1 s after the later reading.
@@ -47,7 +61,7 @@
 def test_lease_from_an_old_reading_is_no_longer_than_any_other(
     clock_rate, idle_s
 ):
-    lease = worker_leases.WorkerLease(opened_at=0.0)
+    lease = _make_lease()
     lease.note(_CLOCK_MS, 0.0)
     clock_ms = _CLOCK_MS + idle_s * 1000 * clock_rate
     assert lease.extend(idle_s) <= clock_ms + lease_contract.LEASE_S * 1000
@@ -62,7 +76,7 @@
 ):
     """An earlier owner renews until the worker hears of its successor."""
     answered_at = 1.4
-    lease = worker_leases.WorkerLease(opened_at=0.0)
+    lease = _make_lease()
     clock_ms = _CLOCK_MS + answered_at * 1000 * clock_rate
     predecessor_end_ms = clock_ms + lease_contract.LEASE_S * 1000
     lease.note(clock_ms, answered_at)
--- a/crocusrouter/pools/worker_leases.py
+++ b/crocusrouter/pools/worker_leases.py
@@ -4,6 +4,7 @@
 long leases may be, and when they count as ended, is in `lease_contract`.
 """
 
+from collections.abc import Callable
 import dataclasses
 
 from crocusrouter.pools import lease_contract
@@ -18,6 +19,8 @@
 
     Attributes:
         opened_at: When this owner began, or later.
+        have_predecessors_ended: Returns whether, at a steady time, no earlier
+            owner can have leases left on workers that have not answered.
         clock_ms: Latest reading of the worker's clock; None if there is none.
         heard_at: When that reading arrived.
         latest_end_ms: Latest end of a lease of this owner or an earlier one, on
@@ -25,6 +28,7 @@
     """
 
     opened_at: float
+    have_predecessors_ended: Callable[[float], bool]
     clock_ms: float | None = None
     heard_at: float = 0.0
     latest_end_ms: float | None = None
@@ -63,12 +67,14 @@
     def has_lapsed(self, now: float) -> bool:
         """Return whether no run leased by us or an earlier owner can go on.
 
-        >>> lease = WorkerLease(opened_at=0.0)
+        >>> lease = WorkerLease(0.0, have_predecessors_ended=lambda now: True)
         >>> lease.has_lapsed(7.0), lease.has_lapsed(8.0)
         (False, True)
         """
         if self.latest_end_ms is None:
-            return lease_contract.have_unfenced_ended(self.opened_at, now)
+            return lease_contract.have_unfenced_ended(
+                self.opened_at, now
+            ) and self.have_predecessors_ended(now)
         return lease_contract.has_ended(
             self.latest_end_ms, self._estimate_earliest_ms(now)
         )
--- a/crocusrouter/pools/worker_links.py
+++ b/crocusrouter/pools/worker_links.py
@@ -49,6 +49,7 @@
         clock: clocks.Clock,
         settle: Callable[[], Awaitable[None]],
         may_renew: Callable[[], bool],
+        have_predecessors_ended: Callable[[float], bool],
         may_start: Callable[[float], bool],
         on_change: Callable[[], None],
         on_replaced: OnReplaced,
@@ -64,6 +65,8 @@
             clock: Source of the current time.
             settle: Waits until the changes of the pool's state are durable.
             may_renew: Returns whether leases may be renewed now.
+            have_predecessors_ended: Returns whether, at a steady time, leases
+                of earlier owners have ended on workers that have not answered.
             may_start: Returns whether, at a steady time, the owner's view of
                 cancelled jobs and draining workers is recent enough for starts.
             on_change: Called when the pool's state has changed.
@@ -72,7 +75,9 @@
                 worker's other incarnations.
         """
         self.incarnation = incarnation
-        self.lease = worker_leases.WorkerLease(clock.steady())
+        self.lease = worker_leases.WorkerLease(
+            clock.steady(), have_predecessors_ended
+        )
         self._port = port
         self._epoch = epoch
         self._pool_state = pool_state
--- a/standins/emulator/cluster.py
+++ b/standins/emulator/cluster.py
@@ -218,6 +218,10 @@
         self.partitioned_data_centres: set[str] = set()
         self.suspensions = suspension.Suspensions()
         self.entry_names = [f"e{number}" for number in range(entries)]
+        self._entry_data_centres = {
+            name: DATA_CENTRES[number % len(DATA_CENTRES)]
+            for number, name in enumerate(self.entry_names)
+        }
         self._cancel_scopes: dict[str, trio.CancelScope] = {}
         self._nursery: trio.Nursery | None = None
         self._replaced_workers: set[str] = set()
@@ -291,8 +295,8 @@
         """Return the names of a data centre's entries."""
         return [
             name
-            for number, name in enumerate(self.entry_names)
-            if DATA_CENTRES[number % len(DATA_CENTRES)] == data_centre
+            for name in self.entry_names
+            if self._entry_data_centres[name] == data_centre
         ]
 
     def are_partitioned(self, name: str, peer: str) -> bool:
@@ -410,6 +414,21 @@
 
     # Entries.
 
+    def add_entry(self, name: str, data_centre: str) -> None:
+        """Start an entry under a name that none has had."""
+        self.entry_names.append(name)
+        self._entry_data_centres[name] = data_centre
+        for worker in self.workers.values():
+            if self._is_cut_between(worker.entry.data_centre, data_centre):
+                worker.unreachable_from.add(name)
+        self.start_entry(name)
+
+    def _is_cut_between(self, data_centre: str, other: str) -> bool:
+        """Tell whether a partition separates two data centres."""
+        return data_centre != other and bool(
+            {data_centre, other} & self.partitioned_data_centres
+        )
+
     def start_entry(self, name: str) -> None:
         """Start the process of an entry."""
         assert self._nursery is not None
--- a/standins/emulator/faults.py
+++ b/standins/emulator/faults.py
@@ -528,23 +528,30 @@
     Its entries reach its own workers. Links between entries are not changed.
     """
     inside = cluster.list_entries_in(name)
-    outside = set(cluster.entry_names) - set(inside)
-    cut_workers = {
-        worker_name: set(inside) if worker_name not in within else outside
-        for within in [cluster.list_workers_in(name)]
-        for worker_name in cluster.workers
-    }
     for entry in inside:
         cluster.store.entry_faults[entry] = stores.StoreFault.SILENT
-    for worker_name, entries in cut_workers.items():
+    for worker_name, entries in _find_cut_links(cluster, name).items():
         cluster.workers[worker_name].unreachable_from |= entries
     await trio.sleep(duration_s)
     for entry in inside:
         cluster.store.entry_faults.pop(entry, None)
-    for worker_name, entries in cut_workers.items():
+    for worker_name, entries in _find_cut_links(cluster, name).items():
         cluster.workers[worker_name].unreachable_from -= entries
 
 
+def _find_cut_links(
+    cluster: clusters.Cluster, name: str
+) -> dict[str, set[str]]:
+    """Return the entries from which a data centre's cut separates workers."""
+    inside = set(cluster.list_entries_in(name))
+    outside = set(cluster.entry_names) - inside
+    within = cluster.list_workers_in(name)
+    return {
+        worker_name: outside if worker_name in within else inside
+        for worker_name in cluster.workers
+    }
+
+
 async def _cut_from_peers(
     cluster: clusters.Cluster, name: str, duration_s: float
 ) -> None:
