Call a worker at the address where it has answered, not at its first entry's

What callers saw: after another writer had overwritten the entries of idle workers with readable ones of another address, no job started any more, also once the workers had written their own entries again, until the owner ended. After a takeover beside such an entry, a task ran twice.

Cause: the link to an incarnation kept the address at which it was opened, and an owner forgets an idle worker whose entry is unreadable. So the next entry opened a link to the odd address, and no later entry changed it. Where another worker listened at that address, its rejection (421) counted as the end of the process: the worker got no task any more, and a new owner started its tasks again, which still ran.

Fix: connections are opened at the worker's present address. An incarnation keeps its address, so that is where it has answered, or where an earlier owner has recorded it, until its lease has ended; otherwise it is that of the latest entry. A rejection at a recorded address while the entry gives another one ends no process. A worker that counts as replaced without ever having answered is a new one once its entry gives another address.

Left: a new owner that reads an odd address from the record of an owner which had never reached that worker waits for it as for any silent worker, 7.7 s.

--- a/crocusrouter/pools/known_workers.py
+++ b/crocusrouter/pools/known_workers.py
@@ -95,6 +95,7 @@
         for incarnation, address, job_ids in _parse_rows(self._loaded_record):
             if incarnation in self._pool_state.workers:
                 worker_state = self._pool_state.workers[incarnation]
+                worker_state.known_address = address
             else:
                 self._pool_state.set_worker(
                     _make_entry(incarnation, self._owner_lease.pool, address),
@@ -134,7 +135,7 @@
                 worker_state.all_runs_ended and not worker_state.listed
             ):
                 continue
-            rows.append((incarnation, worker_state.entry.address, job_ids))
+            rows.append((incarnation, worker_state.address, job_ids))
         self._draining_jobs = draining_jobs
         return rows
 
--- a/crocusrouter/pools/owner.py
+++ b/crocusrouter/pools/owner.py
@@ -256,15 +256,11 @@
             for worker_state in self._known_workers.restore_unlisted(
                 self._clock.steady()
             ):
-                self._open_link(
-                    worker_state.entry.id, worker_state.entry.address
-                )
+                self._open_link(worker_state.entry.id)
             nursery.start_soon(self._known_workers.run)
             for worker_state in list(self.pool_state.workers.values()):
                 worker_state.is_foreseen = True
-                self._open_link(
-                    worker_state.entry.id, worker_state.entry.address
-                )
+                self._open_link(worker_state.entry.id)
             self._speed_record.restore()
             self.is_loaded = True
             self._is_deciding = True
@@ -317,7 +313,7 @@
             link.wake()
         self._forget_if_finished(incarnation)
 
-    def _open_link(self, incarnation: str, address: str) -> None:
+    def _open_link(self, incarnation: str) -> None:
         if self._nursery is None:
             # `run` opens the links to all loaded workers.
             return
@@ -326,9 +322,7 @@
             self._known_workers.wake()
         if incarnation in self._links or worker_state.replaced:
             return
-        open_connection = functools.partial(
-            self._platform.open_connection, incarnation, address
-        )
+        open_connection = functools.partial(self._open_connection, incarnation)
         link = worker_links.WorkerLink(
             incarnation,
             connections.Connections(incarnation, open_connection),
@@ -346,6 +340,11 @@
         self._links[incarnation] = link
         self._nursery.start_soon(self._run_link, incarnation, link)
 
+    def _open_connection(self, incarnation: str) -> worker_port.Connection:
+        """Open a connection to an incarnation at its present address."""
+        address = self.pool_state.workers[incarnation].address
+        return self._platform.open_connection(incarnation, address)
+
     def _limit_possible_jobs(self, now: float) -> None:
         """Note which jobs may run on workers that have not answered yet.
 
@@ -386,9 +385,7 @@
             work.add_successor(self.pool_state, incarnation, successor, now)
         work.note_replaced(self.pool_state, incarnation, now, successor, stops)
         if successor is not None:
-            self._open_link(
-                successor, self.pool_state.workers[successor].entry.address
-            )
+            self._open_link(successor)
             self._stop_late_starts(successor)
 
     def _stop_late_starts(self, incarnation: str) -> None:
@@ -414,7 +411,7 @@
             return
         if worker_state.listed and not worker_state.replaced:
             # The worker was listed again while its link was being closed.
-            self._open_link(incarnation, worker_state.entry.address)
+            self._open_link(incarnation)
         else:
             self._forget_if_finished(incarnation)
 
--- a/crocusrouter/pools/tests/test_worker_listing.py
+++ b/crocusrouter/pools/tests/test_worker_listing.py
@@ -61,7 +61,7 @@
         clocks.Clock(trio.current_time, trio.current_time),
         metrics,
         worker_listing.ListListeners(
-            lambda worker, address: None, lambda worker: None, lambda: None
+            lambda worker: None, lambda worker: None, lambda: None
         ),
     )
     return worker_list, metrics
@@ -184,7 +184,7 @@
         clocks.Clock(trio.current_time, trio.current_time),
         Metrics(),
         worker_listing.ListListeners(
-            lambda worker, address: None, unlisted.append, lambda: None
+            lambda worker: None, unlisted.append, lambda: None
         ),
     )
     await worker_list.load()
--- a/crocusrouter/pools/worker_links.py
+++ b/crocusrouter/pools/worker_links.py
@@ -167,14 +167,21 @@
             and self._may_renew()
         ):
             until_ms = self.lease.extend(now)
+        address = worker_state.address
         answer = await self._port.hold(
             self._epoch, self._confirmed_number, until_ms, wait_s
         )
         match answer:
             case worker_port.Report():
+                worker_state.known_address = address
                 await self._handle_report(answer, now)
             case worker_port.Rejected(worker_port.RejectionReason.FENCED):
                 raise journals.DeposedError(f"fenced by {self.incarnation}")
+            case worker_port.Rejected(
+                worker_port.RejectionReason.OTHER_INCARNATION, _, None
+            ) if self._has_other_address(worker_state):
+                why = "another worker answers at its recorded address"
+                work.note_lapsed(self._pool_state, self.incarnation, why, now)
             case worker_port.Rejected(
                 worker_port.RejectionReason.OTHER_INCARNATION, _, successor
             ):
@@ -182,6 +189,13 @@
             case _:
                 await self._handle_silence()
 
+    def _has_other_address(self, worker_state: tracking.Worker) -> bool:
+        """Tell whether a worker that hasn't answered may listen elsewhere."""
+        return (
+            not worker_state.reached
+            and worker_state.address != worker_state.entry.address
+        )
+
     async def _handle_report(
         self, report: worker_port.Report, sent_at: float
     ) -> None:
--- a/crocusrouter/pools/worker_listing.py
+++ b/crocusrouter/pools/worker_listing.py
@@ -38,13 +38,12 @@
     """Callbacks for changes of the list.
 
     Attributes:
-        listed: Called with the incarnation and the address of a worker of the
-            pool.
+        listed: Called with the incarnation of a worker of the pool.
         unlisted: Called with an incarnation that is no longer listed.
         changed: Called when there may be something to schedule.
     """
 
-    on_listed: Callable[[str, str], None]
+    on_listed: Callable[[str], None]
     on_unlisted: Callable[[str], None]
     on_change: Callable[[], None]
 
@@ -135,7 +134,7 @@
         self._pool_state.set_worker(entry, now)
         if starts_draining:
             self._log_draining(entry.id, record.revision)
-        self._listeners.on_listed(entry.id, entry.address)
+        self._listeners.on_listed(entry.id)
 
     def _unlist(self, key: str) -> None:
         incarnation = self._incarnations_by_key.pop(key, None)
--- a/crocusrouter/work/pool_state.py
+++ b/crocusrouter/work/pool_state.py
@@ -391,7 +391,7 @@
             Whether the worker is new.
         """
         worker = self.workers.get(entry.id)
-        if worker is None:
+        if worker is None or _was_sought_elsewhere(worker, entry):
             self.workers[entry.id] = tracking.Worker(
                 entry,
                 was_draining=entry.draining,
@@ -514,6 +514,7 @@
                 run.tracked_step.lost_since = worker.silent_since
             self.requeue(run, worker_port.RunOutcome.LAPSED, now)
         worker.all_runs_ended = True
+        worker.known_address = ""
         return lost_runs
 
     def forget_worker(self, worker_id: str) -> None:
@@ -811,3 +812,18 @@
                 and tracked_job.progress.final_state is not None
             ):
                 tracked_job.durable = True
+
+
+def _was_sought_elsewhere(
+    worker: tracking.Worker, entry: worker_port.WorkerEntry
+) -> bool:
+    """Tell whether a worker counts as replaced because of another address.
+
+    Another worker has answered there, and this one never has.
+    """
+    return (
+        worker.replaced
+        and not worker.reached
+        and not worker.runs
+        and worker.entry.address != entry.address
+    )
--- a/crocusrouter/work/replacement.py
+++ b/crocusrouter/work/replacement.py
@@ -28,9 +28,11 @@
     """
     if successor in pool_state.workers:
         return
+    worker = pool_state.workers[worker_id]
     entry = dataclasses.replace(
-        pool_state.workers[worker_id].entry,
+        worker.entry,
         id=successor,
+        address=worker.address,
         draining=False,
         stays_s=None,
     )
--- a/crocusrouter/work/tracking.py
+++ b/crocusrouter/work/tracking.py
@@ -88,6 +88,8 @@
 
     Attributes:
         entry: The worker as the platform lists it.
+        known_address: "IP:port" at which it has answered this owner or is
+            recorded by an earlier one; empty if only `entry` gives one.
         listed: Whether the platform still lists the worker.
         is_recorded: Whether a durable record names this worker to a successor
             of this owner.
@@ -124,6 +126,7 @@
     """
 
     entry: worker_port.WorkerEntry
+    known_address: str = ""
     listed: bool = True
     is_recorded: bool = False
     is_foreseen: bool = False
@@ -150,6 +153,15 @@
     possible_jobs: frozenset[str] | None = None
     late_jobs: frozenset[str] = frozenset()
 
+    @property
+    def address(self) -> str:
+        """The "IP:port" at which it is called.
+
+        An incarnation keeps its address. Another writer may have overwritten
+        its entry with another one.
+        """
+        return self.known_address or self.entry.address
+
     @property
     def has_unknown_runs(self) -> bool:
         """Whether a previous owner's runs there are still unknown."""
--- a/standins/emulator/cluster.py
+++ b/standins/emulator/cluster.py
@@ -92,6 +92,11 @@
         return None
 
 
+def _build_address(worker_id: str) -> str:
+    """Return the address at which a worker listens."""
+    return f"{worker_id}:1"
+
+
 def _find_data_centre(rack: str) -> str:
     """Return the data centre of a rack, whose name ends in its number."""
     number = int(rack.rpartition("-")[2])
@@ -355,7 +360,7 @@
         worker_entry = worker_port.WorkerEntry(
             name,
             pool,
-            f"{name}:1",
+            _build_address(name),
             _find_data_centre(rack),
             False,
             WORKER_ROOM,
@@ -376,6 +381,21 @@
         value = _encode_worker_entry(worker.entry, worker.born_ms)
         self.store.put(WORKERS_PREFIX + name, value)
 
+    def write_odd_worker_entry(self, name: str, address: str | None) -> None:
+        """Overwrite a worker's entry until its next heartbeat is stored.
+
+        Args:
+            name: The worker.
+            address: The address that the entry gives; None for an entry that
+                can't be read.
+        """
+        worker = self.workers[name]
+        value = b"odd"
+        if address is not None:
+            odd_entry = dataclasses.replace(worker.entry, address=address)
+            value = _encode_worker_entry(odd_entry, worker.born_ms)
+        self.store.put(WORKERS_PREFIX + name, value)
+
     def drain_worker(self, name: str) -> None:
         """Mark a worker as draining and write its entry."""
         worker = self.workers[name]
@@ -479,9 +499,15 @@
     def _build_worker_view_opener(
         self, name: str
     ) -> Callable[[str, str], worker_port.Connection]:
-        def open_view(incarnation: str, _: str) -> worker_port.Connection:
+        def open_view(incarnation: str, address: str) -> worker_port.Connection:
             worker_id = incarnations.find_worker(incarnation)
-            view = workers.WorkerView(lambda: self.workers[worker_id], name)
+            view: workers.WorkerView | workers.MisdirectedView
+            if address == _build_address(worker_id):
+                view = workers.WorkerView(lambda: self.workers[worker_id], name)
+            else:
+                view = workers.MisdirectedView(
+                    is_taken=address in map(_build_address, self.workers)
+                )
             suspendable_view = suspension.SuspendablePort(
                 view, self.suspensions, name
             )
--- a/standins/emulator/worker.py
+++ b/standins/emulator/worker.py
@@ -756,3 +756,59 @@
     async def aclose(self) -> None:
         """Close the connection."""
         self.is_open = False
+
+
+class MisdirectedView:
+    """A connection to an address at which the worker does not listen.
+
+    It implements `Connection`. If another worker listens there, that one
+    rejects each call; else nobody answers.
+    """
+
+    def __init__(self, *, is_taken: bool) -> None:
+        self._is_taken = is_taken
+        self.is_open = True
+
+    async def _reject(
+        self, timeout_s: float
+    ) -> worker_port.Rejected | worker_port.NoAnswer:
+        if self._is_taken:
+            await trio.sleep(_ORDER_DELAY_S)
+            return worker_port.Rejected(
+                worker_port.RejectionReason.OTHER_INCARNATION
+            )
+        self.is_open = False
+        await trio.sleep(timeout_s)
+        return worker_port.NoAnswer("nobody", maybe_done=False)
+
+    async def hold(
+        self, epoch: int, seen: int, until_ms: int | None, wait_s: float
+    ) -> worker_port.Report | worker_port.Rejected | worker_port.NoAnswer:
+        """Fetch a report."""
+        return await self._reject(wait_s + 0.6)
+
+    async def start(
+        self,
+        epoch: int,
+        order: worker_port.Start,
+        until_ms: int,
+        timeout_s: float,
+    ) -> worker_port.Accepted | worker_port.Rejected | worker_port.NoAnswer:
+        """Order the start of a run."""
+        return await self._reject(timeout_s)
+
+    async def stop(
+        self, epoch: int, order: worker_port.Stop, timeout_s: float
+    ) -> worker_port.Accepted | worker_port.Rejected | worker_port.NoAnswer:
+        """Order the stop of a run."""
+        return await self._reject(timeout_s)
+
+    async def pace(
+        self, epoch: int, order: worker_port.Pace, timeout_s: float
+    ) -> worker_port.Accepted | worker_port.Rejected | worker_port.NoAnswer:
+        """Order another pace of a run."""
+        return await self._reject(timeout_s)
+
+    async def aclose(self) -> None:
+        """Close the connection."""
+        self.is_open = False
