Refuse entries of workers that no call or sum can use

An entry under a key that no header can hold was taken for a worker, and each call to it failed with an error that was logged with a traceback. A port of 0, an address such as 999.0.0.1 and a capacity of 1e308 were accepted, too. Now such entries are unreadable, like those of another form.

--- a/crocusrouter/platform/tests/test_worker_entries.py
+++ b/crocusrouter/platform/tests/test_worker_entries.py
@@ -1,5 +1,7 @@
 """Tests of decoding worker entries, also those of other writers."""
 
+import re
+
 import hypothesis
 from hypothesis import strategies
 import orjson
@@ -70,11 +72,19 @@
         {"address": "nowhere"},
         {"address": ""},
         {"address": 8080},
+        {"address": "10.0.0.9:0"},
+        {"address": "10.0.0.9:65536"},
+        {"address": "10.0.0.9:99999"},
+        {"address": "999.0.0.9:8080"},
+        {"address": "10.0.0.9:8080\n"},
         {"capacity": None},
         {"capacity": "16000"},
         {"capacity": {"cpu": "16000", "mem_mb": 32768, "gpu": 8}},
         {"capacity": {"cpu": -1, "mem_mb": 32768, "gpu": 8}},
         {"capacity": {}},
+        {"capacity": {"cpu": 1e308, "mem_mb": 32768, "gpu": 8}},
+        {"capacity": {"cpu": 16000, "mem_mb": 2.0**41, "gpu": 8}},
+        {"capacity": [[[[]]]]},
         {"labels": "a"},
         {"labels": [1]},
         {"labels": None},
@@ -107,6 +117,45 @@
     assert platform.parse_worker_entry("servers/i", orjson.dumps(value)) is None
 
 
+# Guards against a reader of the list that ends, or stops following it, because
+# of one odd entry.
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"[" * 200_000,
+        b'{"a":' * 200_000,
+        b"[" * 200_000 + b"]" * 200_000,
+        b'{"capacity": {"cpu": 1e400}}',
+        b'{"born": ' + b"9" * 5_000 + b"}",
+        b'{"service": "\xff"}',
+        b'{"service": "\\ud800"}',
+        b"\x00",
+        b'"' + b"x" * 900_000 + b'"',
+    ],
+)
+def test_odd_entry_is_none(data):
+    assert platform.parse_worker_entry("servers/i-1", data) is None
+
+
+# Guards against numbers that decode but are out of range for what uses them.
+@pytest.mark.parametrize("number", [b"1e400", b"-1e400", b"9" * 5_000])
+@pytest.mark.parametrize("field", [b"cpu", b"remaining_ms", b"born"])
+def test_entry_with_a_number_too_large_is_none(field, number):
+    value = orjson.dumps(_ENTRY | {"remaining_ms": 0, "born": 1})
+    odd_value = re.sub(b'("%b":)[0-9]+' % field, rb"\g<1>" + number, value)
+    assert odd_value != value
+    assert platform.parse_worker_entry("servers/i-1", odd_value) is None
+
+
+# Guards against calls that fail because a header can't hold the worker's id.
+@pytest.mark.parametrize(
+    "worker", ["", "\u00e9", "a b", "a\n", "a\x00", "\ud800", " "]
+)
+def test_entry_of_an_unusable_id_is_none(worker):
+    value = orjson.dumps(_ENTRY)
+    assert platform.parse_worker_entry(f"servers/{worker}", value) is None
+
+
 _JSON = strategies.recursive(
     strategies.none()
     | strategies.booleans()
--- a/crocusrouter/platform/workers.py
+++ b/crocusrouter/platform/workers.py
@@ -3,6 +3,8 @@
 The platform calls a worker a runner and lists it under `servers/`.
 """
 
+import ipaddress
+import re
 from typing import Annotated
 from typing import Any
 from typing import Literal
@@ -34,6 +36,10 @@
 # name the worker.
 _ADDRESS = r"^[0-9]{1,3}(\.[0-9]{1,3}){3}:[0-9]{1,5}$"
 _MAX_PORT = 65535
+# Calls name the worker in a header.
+_WORKER_ID = re.compile(r"[!-~]+")
+# Sums over all workers stay exact as floats.
+_MAX_CAPACITY = 2.0**40
 # Errors of decoding a report that does not have the published form.
 _UNREADABLE_ERRORS = (
     AttributeError,
@@ -229,21 +235,23 @@
     )
 
 
-_NonNegative = Annotated[float, pydantic.Field(ge=0)]
+_Capacity = Annotated[float, pydantic.Field(ge=0, le=_MAX_CAPACITY)]
 
 
 class _Room(pydantic.BaseModel):
     model_config = pydantic.ConfigDict(strict=True)
 
-    cpu: _NonNegative
-    mem_mb: _NonNegative
-    gpu: _NonNegative = 0
+    cpu: _Capacity
+    mem_mb: _Capacity
+    gpu: _Capacity = 0
 
 
-def _check_port(address: str) -> str:
-    """Return an address; raises ValueError if its port is out of range."""
-    if int(address.rpartition(":")[2]) > _MAX_PORT:
-        raise ValueError(f"port of {address} exceeds {_MAX_PORT}")
+def _check_address(address: str) -> str:
+    """Return an address; raises ValueError if nobody can listen there."""
+    host, _, port = address.rpartition(":")
+    ipaddress.IPv4Address(host)
+    if not 0 < int(port) <= _MAX_PORT:
+        raise ValueError(f"port of {address} is not from 1 to {_MAX_PORT}")
     return address
 
 
@@ -260,7 +268,7 @@
     address: Annotated[
         str,
         pydantic.Field(pattern=_ADDRESS),
-        pydantic.AfterValidator(_check_port),
+        pydantic.AfterValidator(_check_address),
     ]
     zone: str = ""
     state: Literal["ready", "draining"]
@@ -277,13 +285,16 @@
     key: str, value: bytes
 ) -> worker_port.WorkerEntry | None:
     """Decode an entry of the worker list, or return None if it is no worker."""
+    worker = key.removeprefix(WORKERS_PREFIX)
+    if _WORKER_ID.fullmatch(worker) is None:
+        log("worker:unreadable", key=key, error="no id for a header")
+        return None
     try:
         entry = _Listed.model_validate(orjson.loads(value))
     except (orjson.JSONDecodeError, pydantic.ValidationError) as error:
         log("worker:unreadable", key=key, error=str(error))
         return None
     capacity = entry.capacity
-    worker = key.removeprefix(WORKERS_PREFIX)
     return worker_port.WorkerEntry(
         incarnations.build_incarnation(worker, entry.born),
         entry.service,
