Open the due occurrences of a job as its waiting steps start

Cause: all due occurrences were opened in one decision and planned in one plan. Each opened occurrence went through all steps opened before, and the plan grows with the square of the waiting steps as well. 20,000 take longer than the owner lease lasts, so that each owner ended before its first start. At a takeover the same holds for occurrences that have ended.

Fix: the steps of an occurrence are found by their keys, and occurrences of a job open while fewer than 256 of its steps wait.

Left: a job's progress record grows with its ended occurrences.

--- a/crocusrouter/work/pool_state.py
+++ b/crocusrouter/work/pool_state.py
@@ -32,6 +32,10 @@
 _MAX_NAMED_WORKERS = 8
 WorkerStop = tuple[str, worker_port.Stop]
 
+# Occurrences of a job open while fewer steps of it than this wait. A plan takes
+# time that grows with the waiting steps, and thousands may be due at once.
+_MAX_WAITING_STEPS = 256
+
 
 class PoolState:
     """Jobs, runs and workers of one pool.
@@ -239,10 +243,15 @@
         """
         for tracked_job in list(self.live_jobs.values()):
             opened_before = tracked_job.opened_count
+            waiting_count: int | None = None
             while tracked_job.opened_count < tracked_job.job.occurrences:
                 if tracked_job.job.find_due(tracked_job.opened_count) > wall:
                     break
-                self._open_occurrence(
+                if waiting_count is None:
+                    waiting_count = _count_waiting_steps(tracked_job)
+                if waiting_count >= _MAX_WAITING_STEPS:
+                    break
+                waiting_count += self._open_occurrence(
                     tracked_job, tracked_job.opened_count, now
                 )
                 tracked_job.opened_count += 1
@@ -264,7 +273,9 @@
 
     def _open_occurrence(
         self, tracked_job: tracking.TrackedJob, number: int, now: float
-    ) -> None:
+    ) -> int:
+        """Open an occurrence; return how many of its steps wait."""
+        any_waiting = False
         for position, step in enumerate(tracked_job.job.steps):
             key = model.StepKey(tracked_job.job.id, number, position)
             progress = tracked_job.progress.get(number, position)
@@ -275,17 +286,22 @@
             }
             tracked_step = tracking.TrackedStep(key, step, progress, waiting)
             tracked_job.steps[key] = tracked_step
+            any_waiting |= bool(waiting)
+        if not any_waiting:
+            return 0
         self.note_ready_steps(tracked_job, number, now)
+        return sum(
+            _is_waiting(tracked_step)
+            for _, tracked_step in tracked_job.list_steps(number)
+        )
 
     def note_ready_steps(
         self, tracked_job: tracking.TrackedJob, occurrence: int, now: float
     ) -> None:
         """Record since when steps wait whose turn has come now."""
-        for key, tracked_step in tracked_job.steps.items():
-            if (
-                key.occurrence == occurrence
-                and tracked_step.waiting_since is None
-                and self.is_ready(tracked_job, tracked_step)
+        for _, tracked_step in tracked_job.list_steps(occurrence):
+            if tracked_step.waiting_since is None and self.is_ready(
+                tracked_job, tracked_step
             ):
                 tracked_step.waiting_since = now
 
@@ -814,6 +830,18 @@
                 tracked_job.durable = True
 
 
+def _is_waiting(tracked_step: tracking.TrackedStep) -> bool:
+    """Tell whether tasks of a step wait whose turn has come."""
+    return (
+        bool(tracked_step.waiting_indices)
+        and tracked_step.waiting_since is not None
+    )
+
+
+def _count_waiting_steps(tracked_job: tracking.TrackedJob) -> int:
+    return sum(map(_is_waiting, tracked_job.steps.values()))
+
+
 def _was_sought_elsewhere(
     worker: tracking.Worker, entry: worker_port.WorkerEntry
 ) -> bool:
--- a/crocusrouter/work/tracking.py
+++ b/crocusrouter/work/tracking.py
@@ -316,6 +316,16 @@
         """Whether any of its tasks may be running."""
         return any(step.runs_by_index for step in self.steps.values())
 
+    def list_steps(
+        self, occurrence: int
+    ) -> list[tuple[model.StepKey, TrackedStep]]:
+        """Return the steps of an occurrence; none if it isn't open."""
+        keys = (
+            model.StepKey(self.job.id, occurrence, position)
+            for position in range(len(self.job.steps))
+        )
+        return [(key, self.steps[key]) for key in keys if key in self.steps]
+
     def has_crashing_task(self, pool: str) -> bool:
         """Tell whether a task has met too many worker crashes to start again.
 
