--- a/crocusrouter/pools/attester_record.py
+++ b/crocusrouter/pools/attester_record.py
@@ -78,7 +78,7 @@
         """
         addresses = self._peers.list_addresses()
         if not all(
-            recorded and _is_reachable(recorded, addresses)
+            recorded and _have_addresses(recorded, addresses)
             for recorded in self._maybe_recorded
         ):
             return set()
@@ -104,9 +104,10 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._ask_members)
             while True:
-                value = self._dump()
+                asked = self._list_asked()
+                value = self._dump(asked)
                 if value != self._stored_value:
-                    await self._write(value)
+                    await self._write(value, asked)
                 await trio.sleep(_WRITE_INTERVAL_S)
 
     async def _load(self) -> None:
@@ -165,10 +166,9 @@
             for name, address in self._peers.list_addresses().items()
         )
 
-    def _dump(self) -> bytes:
+    def _dump(self, asked: _Attesters) -> bytes:
         """Encode this owner, and earlier ones that may still renew leases."""
         rows = list(self._predecessors.list_unsettled(self._clock.steady()))
-        asked = self._list_asked()
         if asked:
             rows.append(
                 earlier_owners.Predecessor(
@@ -177,11 +177,15 @@
             )
         return _dump_rows(rows)
 
-    async def _write(self, value: bytes) -> None:
-        """Replace the record; raises DeposedError."""
+    async def _write(self, value: bytes, asked: _Attesters) -> None:
+        """Replace the record; raises DeposedError.
+
+        Args:
+            value: The encoded record.
+            asked: The members that it names as asked by this owner.
+        """
         previous_value = self._stored_value
         previous_recorded = set(self._maybe_recorded)
-        asked = self._list_asked()
         # An unanswered write may still be carried out, until a later version of
         # the record makes its guard fail.
         self._stored_value = None
@@ -223,7 +227,10 @@
         self._stored_value = None
 
 
-def _is_reachable(attesters: _Attesters, addresses: Mapping[str, str]) -> bool:
+def _have_addresses(
+    attesters: _Attesters, addresses: Mapping[str, str]
+) -> bool:
+    """Tell whether all members are asked at their recorded addresses."""
     return all(
         addresses.get(attester.name) == attester.address
         for attester in attesters
--- a/crocusrouter/pools/lease_contract.py
+++ b/crocusrouter/pools/lease_contract.py
@@ -14,10 +14,10 @@
     earlier owner. At that answer, leases of earlier owners end at most
     `LEASE_S` ahead on the worker's clock.
 4.  End: an owner counts the leases of earlier owners as ended when rule 3 says
-    so, or, on a worker that has not answered, when rules 1 and 2 do. An owner
-    attests to none but the members that its predecessor asks. One that is not
-    among them waits until one of these has confirmed that it attests to the
-    predecessor no more, or for `MAX_ATTESTED_S` longer.
+    so, or, on a worker that has not answered, when rules 1 and 2 do. An earlier
+    owner that asks this one for attestations has none from then on. Any other
+    earlier owner has none once a member that it asks has confirmed that; else
+    its renewals end by `MAX_ATTESTED_S`.
 5.  Late starts: a start without an answer is carried out within
     `MAX_START_DELAY_S`, if at all, maybe by the worker's next process. That
     process has another clock, but grants no lease of more than `MAX_GRANT_S`.
