--- a/standins/emulator/cluster.py
+++ b/standins/emulator/cluster.py
@@ -435,12 +435,17 @@
     # Entries.
 
     def add_entry(self, name: str, data_centre: str) -> None:
-        """Start an entry under a name that none has had."""
+        """Start an entry under a name that none has had.
+
+        Partitions that are there already separate it, too.
+        """
         self.entry_names.append(name)
         self._entry_data_centres[name] = data_centre
         for worker in self.workers.values():
             if self._is_cut_between(worker.entry.data_centre, data_centre):
                 worker.unreachable_from.add(name)
+        if data_centre in self.partitioned_data_centres:
+            self.store.entry_faults[name] = stores.StoreFault.SILENT
         self.start_entry(name)
 
     def _is_cut_between(self, data_centre: str, other: str) -> bool:
--- a/standins/emulator/faults.py
+++ b/standins/emulator/faults.py
@@ -527,13 +527,12 @@
 
     Its entries reach its own workers. Links between entries are not changed.
     """
-    inside = cluster.list_entries_in(name)
-    for entry in inside:
+    for entry in cluster.list_entries_in(name):
         cluster.store.entry_faults[entry] = stores.StoreFault.SILENT
     for worker_name, entries in _find_cut_links(cluster, name).items():
         cluster.workers[worker_name].unreachable_from |= entries
     await trio.sleep(duration_s)
-    for entry in inside:
+    for entry in cluster.list_entries_in(name):
         cluster.store.entry_faults.pop(entry, None)
     for worker_name, entries in _find_cut_links(cluster, name).items():
         cluster.workers[worker_name].unreachable_from -= entries
--- a/standins/emulator/tests/test_added_entries.py
+++ b/standins/emulator/tests/test_added_entries.py
@@ -8,6 +8,8 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 import dataclasses
+import os
+import random
 
 import pytest
 import trio
@@ -23,12 +25,16 @@
 # whoever the successor is.
 _RECOVERY_S = 30.0
 _TASK_S = 90.0
+_SEED_COUNT = int(os.environ.get("CROCUSROUTER_DAYS", "8"))
+_PARTITION_COUNT = 2
+# How long jobs may take after a drawn history, in which they may start again.
+_CALM_S = _TASK_S + 2 * _RECOVERY_S
 
 
-def _make_job(tasks: int) -> work.Job:
+def _make_job(tasks: int, number: int = 1, task_s: float = _TASK_S) -> work.Job:
     return work.Job(
-        f"{1:016x}",
-        steps=(work.Step(tasks, work.Room(1000, 4096, 4), _TASK_S),),
+        f"{number:016x}",
+        steps=(work.Step(tasks, work.Room(1000, 4096, 4), task_s),),
         queue="q",
         pool=clusters.POOL,
         customer="a",
@@ -223,3 +229,120 @@
 
     cluster = await _play(play, seed=seed)
     assert cluster.oracle.broken == []
+
+
+class _DrawnHistory:
+    """Entries that leave, are lost, return and are added beside partitions."""
+
+    def __init__(self, cluster: emulator.Cluster, seed: int) -> None:
+        self._cluster = cluster
+        self._random = random.Random(f"added entries {seed}")
+        self._added_count = 0
+
+    async def run(self) -> None:
+        """Play some partitions, each after entries have left."""
+        for _ in range(_PARTITION_COUNT):
+            await self._remove_from_the_other_side()
+            await trio.sleep(self._random.choice([0.1, 3.0, 9.0, 18.0]))
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._cut_the_owner)
+                await trio.sleep(0.1)
+                await self._take_steps(nursery)
+            for name in self._list_gone():
+                self._cluster.start_entry(name)
+            await trio.sleep(self._random.choice([1.0, 6.0]))
+
+    async def _take_steps(self, nursery: trio.Nursery) -> None:
+        for _ in range(self._random.randint(1, 4)):
+            step = self._random.choice(
+                [
+                    self._start_gone,
+                    self._add,
+                    self._add,
+                    self._lose_one,
+                    self._silence_the_store,
+                ]
+            )
+            nursery.start_soon(step)
+            await trio.sleep(self._random.choice([0.1, 1.0, 4.0]))
+
+    def _list_gone(self) -> list[str]:
+        cluster = self._cluster
+        return [n for n in cluster.entry_names if n not in cluster.entries]
+
+    def _find_owner_side(self) -> str | None:
+        owner = self._cluster.find_owner()
+        for data_centre in clusters.DATA_CENTRES:
+            if owner in self._cluster.list_entries_in(data_centre):
+                return data_centre
+        return None
+
+    async def _cut_the_owner(self) -> None:
+        drawn_s = self._random.choice([2.5, 4.0, 6.0])
+        event = faults.FaultEvent(
+            0.0, emulator.Fault.PARTITION_DATA_CENTRE, drawn_s
+        )
+        await faults.inject_fault(self._cluster, event)
+
+    async def _remove_from_the_other_side(self) -> None:
+        near = self._find_owner_side()
+        for data_centre in clusters.DATA_CENTRES:
+            if data_centre == near or near is None:
+                continue
+            for name in self._cluster.list_entries_in(data_centre):
+                await self._remove(name)
+
+    async def _remove(self, name: str) -> None:
+        entry = self._cluster.entries.get(name)
+        if entry is not None and len(self._cluster.entries) > 1:
+            with trio.move_on_after(3.0):
+                await entry.release_all()
+            if self._cluster.entries.get(name) is entry:
+                self._cluster.kill_entry(name)
+
+    async def _lose_one(self) -> None:
+        names = list(self._cluster.entries)
+        if len(names) > 1:
+            self._cluster.kill_entry(self._random.choice(names))
+
+    async def _start_gone(self) -> None:
+        gone = self._list_gone()
+        if gone:
+            self._cluster.start_entry(self._random.choice(gone))
+
+    async def _add(self) -> None:
+        if self._added_count < 6:
+            self._added_count += 1
+            self._cluster.add_entry(
+                f"n{self._added_count}",
+                self._random.choice(clusters.DATA_CENTRES),
+            )
+
+    async def _silence_the_store(self) -> None:
+        if self._cluster.store.fault is emulator.StoreFault.NONE:
+            self._cluster.store.fault = emulator.StoreFault.SILENT
+            await trio.sleep(self._random.choice([1.0, 4.0, 9.5]))
+            self._cluster.store.fault = emulator.StoreFault.NONE
+
+
+# Guards against tasks that run twice, or jobs that never end, in orders of
+# takeovers that no scene above has.
+@pytest.mark.parametrize("seed", range(_SEED_COUNT))
+async def test_drawn_histories_of_added_entries(seed, autojump_clock):
+    cluster = emulator.Cluster(seed)
+    history = _DrawnHistory(cluster, seed)
+    async with trio.open_nursery() as nursery:
+        await nursery.start(cluster.run)
+        await trio.sleep(3.0)
+        for number in range(1, 7):
+            task_s = cluster.random.choice([20.0, 50.0, 90.0])
+            nursery.start_soon(
+                cluster.submit, _make_job(2, number, task_s=task_s)
+            )
+        await trio.sleep(2.0)
+        await history.run()
+        await trio.sleep(_CALM_S)
+        cluster.oracle.check_final_states(await cluster.read_states())
+        nursery.cancel_scope.cancel()
+    assert cluster.oracle.broken == []
+    assert cluster.list_owner_failures() == []
